--- /dev/null
+++ b/Libraries/LibCore/core.h
@@ -0,0 +1,11 @@
+// Public header of LibCore: error kinds, clocks, seeded randomness, hashing,
+// JSON text and the hybrid logical clock that every other package builds on.
+
+#pragma once
+
+#include "LibCore/clock.h"
+#include "LibCore/error.h"
+#include "LibCore/hash.h"
+#include "LibCore/hybrid_logical_clock.h"
+#include "LibCore/json.h"
+#include "LibCore/random.h"
--- /dev/null
+++ b/Libraries/LibCore/hybrid_logical_clock.h
@@ -0,0 +1,40 @@
+// Hybrid logical clock (Kulkarni et al. 2014): stamps that follow the wall
+// clock and never contradict the order in which messages were received.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibCore/error.h"
+
+namespace carobbank {
+
+struct HybridTime {
+  WallMilliseconds wall_ms = 0;
+  std::uint32_t logical = 0;
+
+  auto operator<=>(const HybridTime&) const = default;
+  // "<wall_ms>.<logical>", the form that headers and events carry.
+  std::string Text() const;
+  static Result<HybridTime> Parse(std::string_view text);
+};
+
+class HybridLogicalClock {
+ public:
+  explicit HybridLogicalClock(const Clock& clock) : clock(clock) {}
+
+  // A stamp for a local event or an outgoing message.
+  HybridTime Tick();
+  // Takes in the stamp of a received message; returns the receipt's stamp.
+  HybridTime Observe(HybridTime remote);
+
+ private:
+  const Clock& clock;
+  // Invariant: never decreases.
+  HybridTime last;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/http_message.h
@@ -0,0 +1,71 @@
+// Requests, answers and problem documents (RFC 9457) as plain values.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/core.h"
+
+namespace carobbank {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// The first header of that name (case-insensitive), or nothing.
+std::optional<std::string_view> FindHeader(const HttpHeaders& headers,
+                                           std::string_view name);
+// Replaces every header of that name, or appends it.
+void SetHeader(HttpHeaders& headers, std::string_view name, std::string value);
+
+struct HttpRequest {
+  std::string method;
+  // Path and query as sent, starting with '/'.
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  // Peer address as text, "127.0.0.1:4711".
+  std::string peer;
+
+  // The target up to '?'.
+  std::string_view Path() const;
+  // The decoded value of a query parameter, or nothing.
+  std::optional<std::string> Query(std::string_view name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// Whether a refused request may have had an effect.
+enum class Execution { kNotRun, kMayHaveRun };
+
+// A refusal in the form of RFC 9457. `code` is stable and documented in
+// docs/CALLERS.md; `remedy` tells the caller what to do.
+struct Problem {
+  int status = 500;
+  std::string code;
+  std::string detail;
+  std::string remedy;
+  Execution execution = Execution::kNotRun;
+  // Sent as Retry-After, rounded up to whole seconds, and in milliseconds
+  // within the document.
+  std::optional<Milliseconds> retry_after;
+
+  HttpResponse ToResponse() const;
+  Json::Value ToJson() const;
+  // Reads a problem document; nothing when the text is not one.
+  static std::optional<Problem> FromText(int status, std::string_view text);
+};
+
+HttpResponse JsonResponse(int status, const Json::Value& value);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/server_sent_events.h
@@ -0,0 +1,40 @@
+// Server-sent events (WHATWG HTML, section 9.2): reading and writing.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/core.h"
+
+namespace carobbank {
+
+struct ServerSentEvent {
+  // Empty means "message".
+  std::string event;
+  std::string data;
+};
+
+std::string WriteServerSentEvent(const ServerSentEvent& event);
+
+// Incremental reader: feed bytes as they arrive, however they are cut.
+class ServerSentEventReader {
+ public:
+  explicit ServerSentEventReader(std::size_t max_event_bytes = 1024 * 1024)
+      : max_event_bytes(max_event_bytes) {}
+
+  // The events that `bytes` completes. Fails with kCorrupt when one event
+  // grows past the limit.
+  Result<std::vector<ServerSentEvent>> Feed(std::string_view bytes);
+  // True when no half-received event is pending.
+  bool AtEventBoundary() const;
+
+ private:
+  std::size_t max_event_bytes;
+  std::string pending_line;
+  ServerSentEvent current;
+  bool has_data = false;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibPlatform/log_client.h
@@ -0,0 +1,58 @@
+// The platform's append-only log service.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibHTTP/http.h"
+
+namespace carobbank {
+
+struct LogRecord {
+  // Position within the stream; consecutive from 0.
+  std::uint64_t offset = 0;
+  // When the log service took the record.
+  WallMilliseconds time_ms = 0;
+  std::string payload;
+};
+
+struct LogPage {
+  // The oldest offset still kept.
+  std::uint64_t first_retained = 0;
+  // The offset that the stream's next record will get.
+  std::uint64_t end = 0;
+  std::vector<LogRecord> records;
+};
+
+class LogClient {
+ public:
+  virtual ~LogClient() = default;
+
+  // The offset of the new record. Errors: kOverloaded and kUnavailable mean
+  // certainly not appended; kOutcomeUnknown means perhaps appended.
+  using AppendCallback = std::function<void(Outcome<std::uint64_t>)>;
+  virtual void Append(std::string_view stream,
+                      std::string payload,
+                      AppendCallback callback) = 0;
+
+  // Records from `from` on, at most `max_records`; waits up to `wait` for the
+  // first one. Errors: kExpired when `from` is no longer kept; kUnavailable.
+  using ReadCallback = std::function<void(Outcome<LogPage>)>;
+  virtual void Read(std::string_view stream,
+                    std::uint64_t from,
+                    std::size_t max_records,
+                    Milliseconds wait,
+                    ReadCallback callback) = 0;
+};
+
+// `base_url`: "http://127.0.0.1:7000".
+std::unique_ptr<LogClient> CreateHttpLogClient(HttpClient& client,
+                                               std::string base_url);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibPlatform/platform.h
@@ -0,0 +1,9 @@
+// Public header of LibPlatform: what the platform gives, behind interfaces with
+// one HTTP adapter each. docs/PLATFORM.md states what the adapters assume.
+
+#pragma once
+
+#include "LibPlatform/engine_control.h"
+#include "LibPlatform/instance_list.h"
+#include "LibPlatform/log_client.h"
+#include "LibPlatform/weight_store.h"
--- /dev/null
+++ b/Libraries/LibPlatform/weight_store.h
@@ -0,0 +1,34 @@
+// The platform's weight store: which versions of a model exist.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibHTTP/http.h"
+
+namespace carobbank {
+
+struct ModelVersions {
+  std::string model;
+  // Ascending.
+  std::vector<std::uint64_t> versions;
+};
+
+class WeightStoreClient {
+ public:
+  virtual ~WeightStoreClient() = default;
+  using Callback = std::function<void(Outcome<ModelVersions>)>;
+  // Errors: kNotFound, kOverloaded (rate limit), kUnavailable.
+  virtual void Versions(std::string_view model, Callback callback) = 0;
+};
+
+std::unique_ptr<WeightStoreClient> CreateHttpWeightStoreClient(
+    HttpClient& client,
+    std::string base_url);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Builds one preset and runs every test: Meta/test.sh [debug|release|asan|tsan]
+# The closing line counts single tests: 'N passed, N failed'.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+preset="${1:-release}"
+Meta/install-dependencies.sh
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset"
+
+log="Build/$preset/test.log"
+status=0
+ctest --preset "$preset" --verbose >"$log" 2>&1 || status=$?
+[ "$status" -eq 0 ] || cat "$log"
+Meta/count-tests.sh "$log"
+exit "$status"
--- /dev/null
+++ b/Tests/LibCore/hybrid_logical_clock_test.cc
@@ -0,0 +1,39 @@
+// Tests of HybridLogicalClock: order survives clocks that disagree.
+
+#include "LibCore/core.h"
+#include "Support/manual_clock.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+TEST_GROUP(HybridLogicalClock){};
+
+TEST(HybridLogicalClock, TicksIncreaseWhileTheWallClockStands) {
+  ManualClock clock;
+  HybridLogicalClock hybrid(clock);
+  const HybridTime first = hybrid.Tick();
+  const HybridTime second = hybrid.Tick();
+  CHECK_TRUE(first < second);
+}
+
+TEST(HybridLogicalClock, AReceiptIsAfterAStampFromAFastClock) {
+  ManualClock clock;
+  HybridLogicalClock hybrid(clock);
+  const HybridTime remote{clock.WallNow() + 5000, 3};
+  CHECK_TRUE(hybrid.Observe(remote) > remote);
+  CHECK_TRUE(hybrid.Tick() > remote);
+}
+
+TEST(HybridLogicalClock, TextFormReadsBack) {
+  const HybridTime time{1'800'000'000'123, 7};
+  const auto parsed = Capture([&] { return HybridTime::Parse(time.Text()); });
+  CHECK_TRUE(parsed.Ok());
+  CHECK_TRUE(parsed.Value() == time);
+  for (const char* wrong : {"", ".", "12", "12.", "12.x", "12.3 "}) {
+    const auto failed = Capture([&] { return HybridTime::Parse(wrong); });
+    CHECK_FALSE(failed.Ok());
+  }
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/LibCore/json_test.cc
@@ -0,0 +1,38 @@
+// Tests of JSON parsing: whatever arrives from outside ends in a typed error.
+
+#include "LibCore/core.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+TEST_GROUP(Json){};
+
+TEST(Json, WhatIsWrittenReadsBack) {
+  Json::Value value;
+  value["name"] = "sea-state";
+  value["tokens"] = 17;
+  const auto parsed = Capture([&] { return ParseJson(WriteJson(value)); });
+  CHECK_TRUE(parsed.Ok());
+  CHECK_TRUE(parsed.Value() == value);
+}
+
+TEST(Json, MalformedTextIsATypedError) {
+  const std::string deep(1000, '[');
+  for (const std::string& text :
+       {std::string("{"), std::string("{} x"), std::string("{\"a\":1,\"a\":2}"),
+        std::string(""), deep}) {
+    const auto parsed = Capture([&] { return ParseJson(text); });
+    CHECK_FALSE(parsed.Ok());
+    CHECK_TRUE(parsed.GetError().kind == ErrorKind::kInvalidArgument);
+  }
+}
+
+TEST(Json, MistypedMembersFallBack) {
+  Json::Value value;
+  value["count"] = "seven";
+  LONGS_EQUAL(3, JsonInteger(value, "count", 3));
+  STRCMP_EQUAL("x", JsonString(Json::Value(4), "name", "x").c_str());
+}
+
+}  // namespace carobbank
