Tests: Add fakes of the platform's interfaces

Unit tests of folds and owners need a log, a list, a weight store and an engine's control side whose faults they can switch. The fakes hold their state in memory, answer within the call, and can hold requests or answers back until the test pumps them. Read() gains kOldestRetained, since a reader that was told kExpired had no way to learn where the kept records begin.

--- a/Libraries/LibPlatform/log_client.h
+++ b/Libraries/LibPlatform/log_client.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,6 +31,10 @@
   std::vector<LogRecord> records;
 };
 
+// Reads from the oldest record that is still kept, wherever that is now.
+inline constexpr std::uint64_t kOldestRetained =
+    std::numeric_limits<std::uint64_t>::max();
+
 class LogClient {
  public:
   virtual ~LogClient() = default;
@@ -41,8 +46,9 @@
                       std::string payload,
                       AppendCallback callback) = 0;
 
-  // Records from `from` on, at most `max_records`; waits up to `wait` for the
-  // first one. Errors: kExpired when `from` is no longer kept; kUnavailable.
+  // Records from `from` (an offset or kOldestRetained) on, at most
+  // `max_records`; waits up to `wait` for the first one. Errors: kExpired when
+  // `from` is no longer kept; kUnavailable; kCorrupt.
   using ReadCallback = std::function<void(Outcome<LogPage>)>;
   virtual void Read(std::string_view stream,
                     std::uint64_t from,
--- /dev/null
+++ b/Tests/Support/fake_engine_control.h
@@ -0,0 +1,157 @@
+// An in-memory engine's control side with switchable faults, behind
+// EngineControl. An order that was taken ends when the test calls
+// FinishOrder().
+
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "LibPlatform/platform.h"
+
+namespace carobbank {
+
+class FakeEngineControl final : public EngineControl {
+ public:
+  // Calls end in kUnavailable and have no effect.
+  bool outage = false;
+  // That many next orders are taken and end in kOutcomeUnknown.
+  std::size_t lost_answers = 0;
+  // That many next orders leave nothing and end in kOutcomeUnknown.
+  std::size_t lost_requests = 0;
+  // Whether orders with an old fencing number are refused.
+  bool checks_fencing = true;
+
+  EngineState state;
+  EngineLoad load;
+  CacheEvents cache_events;
+  std::vector<std::string> cancelled_attempts;
+  // Every order that took effect, in order.
+  std::vector<LoadVersionOrder> taken_orders;
+
+  void State(StateCallback callback) override {
+    this->Report(this->state, callback);
+  }
+
+  void Load(LoadCallback callback) override {
+    this->Report(this->load, callback);
+  }
+
+  void ReadCacheEvents(std::uint64_t from, CacheCallback callback) override {
+    CacheEvents page;
+    page.first = this->cache_events.first;
+    for (const CacheEvent& event : this->cache_events.events) {
+      if (event.sequence >= from) {
+        page.events.push_back(event);
+      }
+    }
+    this->Report(page, callback);
+  }
+
+  void LoadVersion(const LoadVersionOrder& order,
+                   OrderCallback callback) override {
+    callback(this->Take(order));
+  }
+
+  void Cancel(std::string_view attempt_id) override {
+    if (!this->outage) {
+      this->cancelled_attempts.emplace_back(attempt_id);
+    }
+  }
+
+  // Ends the order in progress, if there is one.
+  void FinishOrder(bool succeeds = true) {
+    if (!this->running_order.has_value()) {
+      return;
+    }
+    this->state.loading = false;
+    this->state.last_order_id = this->running_order->order_id;
+    this->state.last_order_failed = !succeeds;
+    if (succeeds) {
+      this->state.model = this->running_order->model;
+      this->state.version = this->running_order->version;
+    }
+    this->running_order.reset();
+  }
+
+  // The engine comes back on `version`, having forgotten orders and fencing.
+  void Restart(std::uint64_t version) {
+    EngineState fresh;
+    fresh.model = this->state.model;
+    fresh.version = version;
+    fresh.incarnation = this->state.incarnation + 1;
+    this->state = fresh;
+    this->running_order.reset();
+  }
+
+ private:
+  template <typename Value, typename Callback>
+  void Report(const Value& value, const Callback& callback) {
+    if (this->outage) {
+      callback(Down());
+      return;
+    }
+    callback(value);
+  }
+
+  static Error Down() {
+    return Error{ErrorKind::kUnavailable, "the fake engine is down",
+                 "ask again later"};
+  }
+
+  static Error LostAnswer() {
+    return Error{ErrorKind::kOutcomeUnknown, "the answer was lost",
+                 "read the engine's state"};
+  }
+
+  Outcome<bool> Take(const LoadVersionOrder& order) {
+    if (this->outage) {
+      return Down();
+    }
+    if (this->lost_requests > 0) {
+      --this->lost_requests;
+      return LostAnswer();
+    }
+    const bool stale = order.fencing < this->state.fencing;
+    if (this->checks_fencing && stale) {
+      return Error{ErrorKind::kFenced, "an order with a higher number came",
+                   "stop giving orders to this engine"};
+    }
+    if (this->IsRepeated(order)) {
+      return true;
+    }
+    if (this->running_order.has_value()) {
+      return Error{ErrorKind::kConflict, "another order is in progress",
+                   "wait until the engine's state says that it ended"};
+    }
+    this->Begin(order);
+    if (this->lost_answers > 0) {
+      --this->lost_answers;
+      return LostAnswer();
+    }
+    return true;
+  }
+
+  bool IsRepeated(const LoadVersionOrder& order) const {
+    if (this->running_order.has_value()) {
+      return this->running_order->order_id == order.order_id;
+    }
+    return !order.order_id.empty() &&
+           this->state.last_order_id == order.order_id;
+  }
+
+  void Begin(const LoadVersionOrder& order) {
+    this->state.fencing = std::max(this->state.fencing, order.fencing);
+    this->state.loading = true;
+    this->running_order = order;
+    this->taken_orders.push_back(order);
+  }
+
+  std::optional<LoadVersionOrder> running_order;
+};
+
+}  // namespace carobbank
