LibTimeline: Record typed events and metrics

Services need one place for events that can be merged over processes and for counters whose increments cost no lookup.

--- /dev/null
+++ b/Libraries/LibTimeline/metric_names.h
@@ -0,0 +1,156 @@
+// The one table of metrics that entries and sidecars record. A test checks it
+// against docs/OPERATORS.md.
+
+#pragma once
+
+#include <array>
+
+#include "LibTimeline/metric_definition.h"
+
+namespace carobbank {
+
+namespace metrics {
+
+inline constexpr MetricDefinition kRequests{
+    "carobbank_requests_total", MetricType::kCounter, "service,class",
+    "Requests admitted"};
+inline constexpr MetricDefinition kRefusals{
+    "carobbank_refusals_total", MetricType::kCounter, "service,code,execution",
+    "Requests refused, by problem code"};
+inline constexpr MetricDefinition kAnswers{
+    "carobbank_answers_total", MetricType::kCounter, "service,status",
+    "Answers that were passed on whole, by HTTP status"};
+inline constexpr MetricDefinition kCutAnswers{
+    "carobbank_cut_answers_total", MetricType::kCounter, "service",
+    "Answers that ended in an explicit error after their first byte"};
+inline constexpr MetricDefinition kAttempts{
+    "carobbank_attempts_total", MetricType::kCounter, "service,outcome",
+    "Attempts at a backend server, by outcome"};
+inline constexpr MetricDefinition kRetries{
+    "carobbank_retries_total", MetricType::kCounter, "service",
+    "Attempts after the first of a request"};
+inline constexpr MetricDefinition kRetryBudgetExhausted{
+    "carobbank_retry_budget_exhausted_total", MetricType::kCounter, "service",
+    "Retries withheld because the budget was spent"};
+inline constexpr MetricDefinition kInProgress{
+    "carobbank_requests_in_progress", MetricType::kGauge, "service",
+    "Requests admitted and not yet answered"};
+inline constexpr MetricDefinition kRequestTime{
+    "carobbank_request_seconds", MetricType::kTiming, "service",
+    "Time from admission to the end of the answer"};
+inline constexpr MetricDefinition kFirstTokenTime{
+    "carobbank_first_token_seconds", MetricType::kTiming, "service",
+    "Time from admission to the first token"};
+inline constexpr MetricDefinition kQueueTime{"carobbank_queue_seconds",
+                                             MetricType::kTiming, "service",
+                                             "Time in the sidecar's queue"};
+inline constexpr MetricDefinition kQueueLength{
+    "carobbank_queue_length", MetricType::kGauge, "service",
+    "Attempts waiting in the sidecar's queue"};
+inline constexpr MetricDefinition kServedTokens{
+    "carobbank_served_tokens_total", MetricType::kCounter, "service,phase",
+    "Tokens served; phase is prompt or generated"};
+inline constexpr MetricDefinition kPreemptions{
+    "carobbank_preemptions_total", MetricType::kCounter, "service",
+    "Attempts stopped to make room for live work"};
+inline constexpr MetricDefinition kSteps{
+    "carobbank_steps_total", MetricType::kCounter, "service,outcome",
+    "Training steps, by outcome: accepted, finished, failed"};
+inline constexpr MetricDefinition kSamples{
+    "carobbank_samples_total", MetricType::kCounter, "service,outcome",
+    "Samples, by outcome: committed, duplicate, stale, delivered, failed"};
+inline constexpr MetricDefinition kStepTime{
+    "carobbank_step_seconds", MetricType::kTiming, "service",
+    "Time from a step's acceptance to its last commit"};
+inline constexpr MetricDefinition kSampleAge{
+    "carobbank_sample_age_versions", MetricType::kGauge, "service",
+    "Versions between the named and the oldest generating one, last sample"};
+inline constexpr MetricDefinition kDiscardedTokens{
+    "carobbank_discarded_tokens_total", MetricType::kCounter, "service,reason",
+    "Generated tokens that reached nobody"};
+inline constexpr MetricDefinition kWeightVersion{
+    "carobbank_weight_version", MetricType::kGauge, "model",
+    "Weight version that the engine reports, or the newest announced"};
+inline constexpr MetricDefinition kOrders{"carobbank_engine_orders_total",
+                                          MetricType::kCounter, "outcome",
+                                          "Orders to the engine, by outcome"};
+inline constexpr MetricDefinition kLogAppends{
+    "carobbank_log_appends_total", MetricType::kCounter, "stream,outcome",
+    "Appends to the log, by outcome"};
+inline constexpr MetricDefinition kLogAppendTime{
+    "carobbank_log_append_seconds", MetricType::kTiming, "",
+    "Time that an append to the log takes"};
+inline constexpr MetricDefinition kLogUnreachable{
+    "carobbank_log_unreachable", MetricType::kGauge, "",
+    "1 while the log can't be reached, else 0"};
+inline constexpr MetricDefinition kCommitBuffer{
+    "carobbank_commit_buffer_bytes", MetricType::kGauge, "",
+    "Finished samples that wait for the log"};
+inline constexpr MetricDefinition kConfigurationOffset{
+    "carobbank_configuration_offset", MetricType::kGauge, "",
+    "Offset of the configuration in force; -1 for none"};
+inline constexpr MetricDefinition kConfigurationRefused{
+    "carobbank_configuration_refused_total", MetricType::kCounter, "verdict",
+    "Published documents that were refused, by verdict"};
+inline constexpr MetricDefinition kKnownServers{
+    "carobbank_known_servers", MetricType::kGauge, "pool,state",
+    "Backend servers in view, by state: live, leaving, suspect"};
+inline constexpr MetricDefinition kLinksReplaced{
+    "carobbank_links_replaced_total", MetricType::kCounter, "",
+    "Connections replaced because they had gone silent"};
+inline constexpr MetricDefinition kQuarantined{
+    "carobbank_quarantined_digests", MetricType::kGauge, "",
+    "Request digests that are barred"};
+inline constexpr MetricDefinition kUnresolvedClaims{
+    "carobbank_unresolved_claims", MetricType::kGauge, "service",
+    "Idempotency keys claimed whose outcome is not known"};
+inline constexpr MetricDefinition kDraining{
+    "carobbank_draining", MetricType::kGauge, "", "1 while draining, else 0"};
+inline constexpr MetricDefinition kPeerProofRefused{
+    "carobbank_peer_proof_refused_total", MetricType::kCounter, "",
+    "Requests from peers whose proof was missing, wrong or stale"};
+inline constexpr MetricDefinition kTimelineDropped{
+    "carobbank_timeline_dropped_total", MetricType::kCounter, "",
+    "Time line events dropped from the full ring"};
+
+}  // namespace metrics
+
+// Every definition above, in the order of docs/OPERATORS.md.
+inline constexpr std::array kAllMetrics = {
+    metrics::kRequests,
+    metrics::kRefusals,
+    metrics::kAnswers,
+    metrics::kCutAnswers,
+    metrics::kAttempts,
+    metrics::kRetries,
+    metrics::kRetryBudgetExhausted,
+    metrics::kInProgress,
+    metrics::kRequestTime,
+    metrics::kFirstTokenTime,
+    metrics::kQueueTime,
+    metrics::kQueueLength,
+    metrics::kServedTokens,
+    metrics::kPreemptions,
+    metrics::kSteps,
+    metrics::kSamples,
+    metrics::kStepTime,
+    metrics::kSampleAge,
+    metrics::kDiscardedTokens,
+    metrics::kWeightVersion,
+    metrics::kOrders,
+    metrics::kLogAppends,
+    metrics::kLogAppendTime,
+    metrics::kLogUnreachable,
+    metrics::kCommitBuffer,
+    metrics::kConfigurationOffset,
+    metrics::kConfigurationRefused,
+    metrics::kKnownServers,
+    metrics::kLinksReplaced,
+    metrics::kQuarantined,
+    metrics::kUnresolvedClaims,
+    metrics::kDraining,
+    metrics::kPeerProofRefused,
+    metrics::kTimelineDropped,
+};
+
+}  // namespace carobbank
