LibPlatform: Read the platform's answers strictly

What the log, list, store and engines answer comes from outside: any text may arrive. Each answer gets one parser that checks every member and, for log pages, that offsets are consecutive and inside the stream; all else is kCorrupt.

--- /dev/null
+++ b/Libraries/LibPlatform/json_members.cc
@@ -0,0 +1,112 @@
+// Typed access to JSON members, without JsonCpp's exceptions.
+
+#include "LibPlatform/json_members.h"
+
+#include <charconv>
+#include <limits>
+
+namespace carobbank {
+
+JsonMembers::JsonMembers(const Json::Value& object, std::string_view what)
+    : object(object), what(what) {
+  if (!object.isObject()) {
+    this->Reject("is no JSON object");
+  }
+}
+
+std::uint64_t JsonMembers::Unsigned(const char* key) {
+  const Json::Value& member = this->Member(key);
+  if (!member.isUInt64()) {
+    this->RejectMember(key, "an unsigned integer");
+    return 0;
+  }
+  return member.asUInt64();
+}
+
+std::uint32_t JsonMembers::Unsigned32(const char* key) {
+  const std::uint64_t value = this->Unsigned(key);
+  if (value > std::numeric_limits<std::uint32_t>::max()) {
+    this->RejectMember(key, "an unsigned integer below 2^32");
+    return 0;
+  }
+  return static_cast<std::uint32_t>(value);
+}
+
+std::int64_t JsonMembers::Integer(const char* key) {
+  const Json::Value& member = this->Member(key);
+  if (!member.isInt64()) {
+    this->RejectMember(key, "an integer");
+    return 0;
+  }
+  return member.asInt64();
+}
+
+bool JsonMembers::Boolean(const char* key) {
+  const Json::Value& member = this->Member(key);
+  if (!member.isBool()) {
+    this->RejectMember(key, "true or false");
+    return false;
+  }
+  return member.asBool();
+}
+
+std::string JsonMembers::String(const char* key) {
+  const Json::Value& member = this->Member(key);
+  if (!member.isString()) {
+    this->RejectMember(key, "a string");
+    return "";
+  }
+  return member.asString();
+}
+
+std::uint64_t JsonMembers::DecimalString(const char* key) {
+  const std::string text = this->String(key);
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    this->RejectMember(key, "an unsigned number in decimal digits");
+    return 0;
+  }
+  return value;
+}
+
+const Json::Value& JsonMembers::Array(const char* key) {
+  static const Json::Value empty(Json::arrayValue);
+  const Json::Value& member = this->Member(key);
+  if (!member.isArray()) {
+    this->RejectMember(key, "an array");
+    return empty;
+  }
+  return member;
+}
+
+void JsonMembers::Reject(std::string_view reason) {
+  if (this->Ok()) {
+    this->problem = std::string(this->what) + " " + std::string(reason);
+  }
+}
+
+Result<void> JsonMembers::Finish() const {
+  if (!this->Ok()) {
+    return Fail(ErrorKind::kCorrupt, this->problem,
+                "check that the address names the right service and that it "
+                "speaks the protocol of docs/PLATFORM.md");
+  }
+  return {};
+}
+
+const Json::Value& JsonMembers::Member(const char* key) {
+  static const Json::Value missing;
+  if (!this->object.isObject()) {
+    return missing;
+  }
+  return this->object[key];
+}
+
+void JsonMembers::RejectMember(const char* key, std::string_view expected) {
+  this->Reject("has no \"" + std::string(key) + "\" that is " +
+               std::string(expected));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibPlatform/platform_parsers.h
@@ -0,0 +1,32 @@
+// Readers of what the platform's services answer. Whatever the text holds, the
+// result is a value or kCorrupt; no exception leaves them.
+
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "LibPlatform/engine_control.h"
+#include "LibPlatform/instance_list.h"
+#include "LibPlatform/log_client.h"
+#include "LibPlatform/weight_store.h"
+
+namespace carobbank {
+
+// {"offset": N}
+Result<std::uint64_t> ParseAppendAnswer(std::string_view text);
+
+// A page of records. Offsets must be consecutive and lie within
+// [first_retained, end).
+Result<LogPage> ParseLogPage(std::string_view text);
+
+Result<InstanceListing> ParseInstanceListing(std::string_view text);
+
+// Versions come out ascending whatever their order in the text.
+Result<ModelVersions> ParseModelVersions(std::string_view text);
+
+Result<EngineState> ParseEngineState(std::string_view text);
+Result<EngineLoad> ParseEngineLoad(std::string_view text);
+Result<CacheEvents> ParseCacheEvents(std::string_view text);
+
+}  // namespace carobbank
