--- a/Libraries/LibPlatform/engine_control.h
+++ b/Libraries/LibPlatform/engine_control.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "LibHTTP/http.h"
+#include "LibPlatform/platform_client_options.h"
 
 namespace carobbank {
 
@@ -95,7 +96,9 @@
   virtual void Cancel(std::string_view attempt_id) = 0;
 };
 
-std::unique_ptr<EngineControl> CreateHttpEngineControl(HttpClient& client,
-                                                       std::string base_url);
+std::unique_ptr<EngineControl> CreateHttpEngineControl(
+    HttpClient& client,
+    std::string base_url,
+    PlatformClientOptions options = {});
 
 }  // namespace carobbank
--- a/Libraries/LibPlatform/instance_list.h
+++ b/Libraries/LibPlatform/instance_list.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibHTTP/http.h"
+#include "LibPlatform/platform_client_options.h"
 
 namespace carobbank {
 
@@ -44,6 +45,7 @@
 
 std::unique_ptr<InstanceListClient> CreateHttpInstanceListClient(
     HttpClient& client,
-    std::string base_url);
+    std::string base_url,
+    PlatformClientOptions options = {});
 
 }  // namespace carobbank
--- a/Libraries/LibPlatform/log_client.h
+++ b/Libraries/LibPlatform/log_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "LibHTTP/http.h"
+#include "LibPlatform/platform_client_options.h"
 
 namespace carobbank {
 
@@ -58,7 +59,9 @@
 };
 
 // `base_url`: "http://127.0.0.1:7000".
-std::unique_ptr<LogClient> CreateHttpLogClient(HttpClient& client,
-                                               std::string base_url);
+std::unique_ptr<LogClient> CreateHttpLogClient(
+    HttpClient& client,
+    std::string base_url,
+    PlatformClientOptions options = {});
 
 }  // namespace carobbank
--- a/Libraries/LibPlatform/weight_store.h
+++ b/Libraries/LibPlatform/weight_store.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "LibHTTP/http.h"
+#include "LibPlatform/platform_client_options.h"
 
 namespace carobbank {
 
@@ -29,6 +30,7 @@
 
 std::unique_ptr<WeightStoreClient> CreateHttpWeightStoreClient(
     HttpClient& client,
-    std::string base_url);
+    std::string base_url,
+    PlatformClientOptions options = {});
 
 }  // namespace carobbank
