--- /dev/null
+++ b/Libraries/LibLedger/ledger.h
@@ -0,0 +1,18 @@
+// Public header of LibLedger: the typed entries of the log's streams, the
+// state machine that groups appends, and the folds that turn a stream into
+// decisions. All of it is pure: time and randomness are arguments.
+
+#pragma once
+
+#include "LibLedger/cursor.h"
+#include "LibLedger/delivery_reader.h"
+#include "LibLedger/group_committer.h"
+#include "LibLedger/key_entries.h"
+#include "LibLedger/key_fold.h"
+#include "LibLedger/log_position.h"
+#include "LibLedger/ownership.h"
+#include "LibLedger/record_codec.h"
+#include "LibLedger/retention.h"
+#include "LibLedger/rollout_entries.h"
+#include "LibLedger/rollout_fold.h"
+#include "LibLedger/server_entries.h"
--- /dev/null
+++ b/Libraries/LibLedger/retention.h
@@ -0,0 +1,46 @@
+// Retention arithmetic: how long steps and keys may live, so that every fold
+// that starts from the oldest kept record decides like one that saw it all.
+
+#pragma once
+
+#include "LibLedger/log_position.h"
+
+namespace carobbank {
+
+// Before every record: a fold that read its stream from offset 0.
+inline constexpr WallMilliseconds kCoversEverything = INT64_MIN / 4;
+
+struct RetentionOptions {
+  // How long the log keeps a record.
+  Milliseconds retention{std::chrono::hours(6)};
+  // What clocks and trimming may differ by.
+  Milliseconds margin{std::chrono::minutes(5)};
+};
+
+// A step lives this long from its accept or from its last copy: half of the
+// retention. Whoever starts at the oldest record therefore sees a whole
+// lifetime before any step that still lives, and can tell a first accept from
+// a repeat of an expired one.
+Milliseconds StepLifetime(const RetentionOptions& options);
+
+// Longest key window for which all claims of an acceptable key are kept.
+Milliseconds LongestKeyWindow(const RetentionOptions& options);
+
+// When the step must be copied forward. Its owner does so at `owner_ms`,
+// every other entry that follows the stream at `others_ms`, unless a newer
+// copy has moved `lives_until_ms` on.
+struct CarrySchedule {
+  WallMilliseconds owner_ms = 0;
+  WallMilliseconds others_ms = 0;
+};
+
+CarrySchedule ScheduleCarry(const RetentionOptions& options,
+                            WallMilliseconds lives_until_ms);
+
+// Since when a fold that starts now at the oldest kept record has seen every
+// record. `first_retained` 0 means that nothing was trimmed yet.
+WallMilliseconds CoveredSince(const RetentionOptions& options,
+                              std::uint64_t first_retained,
+                              WallMilliseconds now_ms);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibLedger/rollout_entries.h
@@ -0,0 +1,133 @@
+// Entries of the stream `rollouts.<service>`: accepted steps, their owners,
+// and the samples that were finished for them.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "LibLedger/log_position.h"
+
+namespace carobbank {
+
+// One prompt of a step, to be answered `samples` times.
+struct PromptGroup {
+  std::string group_id;
+  std::string prompt;
+  std::uint32_t samples = 1;
+  std::uint32_t max_tokens = 0;
+
+  bool operator==(const PromptGroup&) const = default;
+};
+
+// "<group_id>/<number>", number from 0.
+std::string SampleId(std::string_view group_id, std::uint32_t number);
+
+// Tokens [from, to) were generated with weight version `version`; 0 stands
+// for a version that the engine did not vouch for.
+struct TokenSpan {
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  std::uint64_t version = 0;
+
+  bool operator==(const TokenSpan&) const = default;
+};
+
+// A step was accepted. The first accept of a request id counts.
+struct AcceptEntry {
+  std::string request_id;
+  std::string step;
+  std::string model;
+  // The weight version that the step names.
+  std::uint64_t named_version = 0;
+  // How many versions before the named one a sample may still use.
+  std::uint64_t max_age_versions = 0;
+  // Digest of the caller's request, to tell a repeat from a clash.
+  std::string request_digest;
+  std::vector<PromptGroup> groups;
+
+  std::uint64_t ExpectedSamples() const;
+  // The oldest version that a sample of this step may contain.
+  std::uint64_t OldestVersion() const;
+};
+
+// An entry instance takes over the work of a step. The highest term counts;
+// within a term the first. Ownership saves work and guards nothing.
+struct TakeEntry {
+  std::string request_id;
+  LogPosition accepted_at;
+  std::string owner;
+  std::uint64_t term = 0;
+};
+
+// A finished sample. The first result of a sample id counts.
+struct CommitEntry {
+  std::string request_id;
+  // Position of the accept that this sample belongs to.
+  LogPosition accepted_at;
+  std::string sample_id;
+  std::string attempt;
+  std::string text;
+  // Number of generated tokens.
+  std::uint64_t tokens = 0;
+  std::vector<TokenSpan> spans;
+  std::string finish_reason;
+};
+
+// A sample that will never be finished, and why ("quarantined").
+struct FailEntry {
+  std::string request_id;
+  LogPosition accepted_at;
+  std::string sample_id;
+  std::string code;
+};
+
+// The step is closed ("delivered", "cancelled"); later results don't count.
+struct EndEntry {
+  std::string request_id;
+  LogPosition accepted_at;
+  std::string reason;
+};
+
+// One part of a copy of a step made before its records expire. The parts
+// [0, parts) that share a carry id state together the step as the prefix of
+// the stream up to `as_of` (inclusive) defines it. Because that prefix is the
+// same for every writer, copies by different writers agree.
+struct CarryEntry {
+  std::string request_id;
+  LogPosition accepted_at;
+  std::string carry_id;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+  LogPosition as_of;
+  // Log time of the record at `as_of`.
+  WallMilliseconds as_of_ms = 0;
+  // Until when the writer knew the step to live, in log time.
+  WallMilliseconds lives_until_ms = 0;
+  // Part 0 alone carries these.
+  std::optional<AcceptEntry> accept;
+  std::string owner;
+  std::uint64_t term = 0;
+  std::string end_reason;
+  // Results in delivery order; the parts follow one another.
+  std::vector<std::variant<CommitEntry, FailEntry>> results;
+};
+
+using RolloutEntry = std::variant<AcceptEntry,
+                                  TakeEntry,
+                                  CommitEntry,
+                                  FailEntry,
+                                  EndEntry,
+                                  CarryEntry>;
+
+std::string EncodeRolloutEntry(const RolloutEntry& entry);
+DecodedRecord<RolloutEntry> DecodeRolloutRecord(const StreamRecord& record);
+
+// "rollouts.<service>"
+std::string RolloutStream(std::string_view service);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibLedger/rollout_fold.h
@@ -0,0 +1,185 @@
+// Folds the stream `rollouts.<service>` into its steps. Two folds that have
+// read up to the same position agree on every living step, wherever each of
+// them started, provided that it covers a step lifetime (see retention.h).
+//
+// Why first-wins holds across copies: a step is named by the position of its
+// first accept, and every later entry repeats that name. A copy states the
+// results that the stream up to `as_of` defines, in order; results after
+// `as_of` follow in stream order. A fold that knows the step needs no copy and
+// takes only the longer life from it. A fold that started later takes the
+// results from the first complete copy whose `as_of` it covers, then appends
+// those it read itself after `as_of`. Both end with the same ordered list, so
+// the number of a result never changes and old cursors stay valid.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "LibLedger/cursor.h"
+#include "LibLedger/log_position.h"
+#include "LibLedger/retention.h"
+#include "LibLedger/rollout_entries.h"
+
+namespace carobbank {
+
+using SampleResult = std::variant<CommitEntry, FailEntry>;
+
+struct StepOwner {
+  std::string owner;
+  // 0 while nobody has taken the step.
+  std::uint64_t term = 0;
+
+  bool operator==(const StepOwner&) const = default;
+};
+
+// What the stream says about one step.
+struct StepState {
+  AcceptEntry accept;
+  // Names the step.
+  LogPosition accepted_at;
+  // Where a reader must start to rebuild it.
+  std::uint64_t start_offset = 0;
+  // In log time; the step is dropped after it.
+  WallMilliseconds lives_until_ms = 0;
+  StepOwner owner;
+  // First results in log order; the number of a result never changes.
+  std::vector<SampleResult> results;
+  // Invariant: exactly the sample ids of `results`.
+  std::set<std::string, std::less<>> finished;
+  // Not empty once the step is closed.
+  std::string end_reason;
+
+  bool Has(std::string_view sample_id) const;
+  // No result will follow.
+  bool Complete() const;
+};
+
+struct RolloutFoldCounters {
+  std::uint64_t malformed = 0;
+  std::uint64_t repeated_accepts = 0;
+  std::uint64_t duplicate_results = 0;
+  // Spans with a gap, an unknown version or one older than the bound.
+  std::uint64_t invalid_commits = 0;
+  // Entries for a step that is unknown, expired, closed or another one.
+  std::uint64_t stray_entries = 0;
+  std::uint64_t expired_steps = 0;
+};
+
+enum class AcceptDecision {
+  // No such step: append an accept.
+  kNew,
+  // A repeat: answer with the step's cursor.
+  kRepeat,
+  // The request id is in use for another request.
+  kClash,
+};
+
+struct RolloutFoldOptions {
+  std::string service;
+  Milliseconds step_lifetime{std::chrono::hours(3)};
+  // Every record later than this is folded (CoveredSince).
+  WallMilliseconds covered_since_ms = kCoversEverything;
+  // Folds only this request id when not empty.
+  std::string only_request;
+};
+
+class RolloutFold {
+ public:
+  explicit RolloutFold(RolloutFoldOptions options)
+      : options(std::move(options)) {}
+
+  // Takes the next record. Records below `NextOffset()` are ignored, so
+  // pages may overlap.
+  void Apply(const StreamRecord& record);
+
+  // The offset to read from next.
+  std::uint64_t NextOffset() const { return this->next_offset; }
+  // Position of the last folded entry's record.
+  LogPosition LastPosition() const { return this->last_position; }
+  // Log time of the last folded record.
+  WallMilliseconds LogTime() const { return this->log_time_ms; }
+
+  // Nothing when the request id is unknown or its step has expired.
+  const StepState* Find(std::string_view request_id) const;
+  std::vector<const StepState*> Steps() const;
+
+  AcceptDecision DecideAccept(std::string_view request_id,
+                              std::string_view request_digest) const;
+  // The cursor of the step's first result.
+  Cursor FirstCursor(const StepState& step) const;
+
+  // The entries that copy the step forward, each at most about
+  // `max_part_bytes`, stated as of the last folded position.
+  std::vector<RolloutEntry> BuildCarry(const StepState& step,
+                                       std::string_view carry_id,
+                                       std::size_t max_part_bytes) const;
+
+  const RolloutFoldCounters& Counters() const { return this->counters; }
+
+ private:
+  // Results and takes of a step whose accept lies before this fold's start.
+  struct Orphan {
+    struct Result {
+      LogPosition position;
+      SampleResult result;
+    };
+    WallMilliseconds last_ms = 0;
+    std::vector<Result> results;
+    StepOwner owner;
+    LogPosition owner_at;
+    std::string end_reason;
+    LogPosition end_at;
+  };
+  struct StepName {
+    std::string request_id;
+    LogPosition accepted_at;
+    auto operator<=>(const StepName&) const = default;
+  };
+  struct CarryParts {
+    WallMilliseconds first_ms = 0;
+    std::map<std::uint32_t, CarryEntry> parts;
+  };
+
+  void ApplyEntry(PositionedEntry<RolloutEntry> positioned);
+  void OnAccept(const LogPosition& position,
+                WallMilliseconds time_ms,
+                AcceptEntry entry);
+  void OnTake(const LogPosition& position, const TakeEntry& entry);
+  void OnResult(const LogPosition& position, SampleResult result);
+  void OnEnd(const LogPosition& position, const EndEntry& entry);
+  void OnCarry(CarryEntry entry);
+  void ApplyCarry(const std::string& carry_id);
+  void ExtendLife(StepState& step, const CarryEntry& entry);
+  void Restore(const CarryParts& copy);
+  void MergeOrphan(StepState& step, const StepName& name, LogPosition as_of);
+  void AddResult(StepState& step, SampleResult result);
+  // Nothing when the entry belongs to no living step known here.
+  StepState* FindNamed(std::string_view request_id,
+                       const LogPosition& accepted_at);
+  Orphan* OrphanFor(std::string_view request_id,
+                    const LogPosition& accepted_at);
+  void DropExpired();
+
+  RolloutFoldOptions options;
+  std::uint64_t next_offset = 0;
+  LogPosition last_position;
+  WallMilliseconds log_time_ms = kCoversEverything;
+  // One living step per request id.
+  std::map<std::string, StepState, std::less<>> steps;
+  std::map<StepName, Orphan> orphans;
+  // By carry id, until complete or too old.
+  std::map<std::string, CarryParts, std::less<>> carries;
+  RolloutFoldCounters counters;
+};
+
+// True when the spans cover [0, tokens) without gap or overlap and every
+// version is known and at least `oldest_version`.
+bool SpansValid(const CommitEntry& commit, std::uint64_t oldest_version);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibLedger/server_entries.h
@@ -0,0 +1,50 @@
+// Entries of the streams `servers` (sidecars and crashes) and `versions`
+// (announced weights).
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "LibLedger/log_position.h"
+
+namespace carobbank {
+
+inline constexpr std::string_view kServerStream = "servers";
+inline constexpr std::string_view kVersionStream = "versions";
+
+// A sidecar started; its offset is the fencing number of its orders.
+struct SidecarEntry {
+  std::string instance;
+  std::uint64_t incarnation = 0;
+};
+
+// A backend server crashed while it ran the work with this digest.
+struct CrashEntry {
+  std::string digest;
+  std::string instance;
+  std::uint64_t incarnation = 0;
+};
+
+// The work with this digest must not be run any more.
+struct QuarantineEntry {
+  std::string digest;
+};
+
+using ServerEntry = std::variant<SidecarEntry, CrashEntry, QuarantineEntry>;
+
+std::string EncodeServerEntry(const ServerEntry& entry);
+DecodedRecord<ServerEntry> DecodeServerRecord(const StreamRecord& record);
+
+// A trainer stored new weights.
+struct AnnounceEntry {
+  std::string model;
+  std::uint64_t version = 0;
+};
+
+std::string EncodeAnnounceEntry(const AnnounceEntry& entry);
+DecodedRecord<AnnounceEntry> DecodeVersionRecord(const StreamRecord& record);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibMembership/membership.h
@@ -0,0 +1,11 @@
+// Public header of LibMembership: instances, data centers, links, and the view
+// of backend servers that joins the lagging list with direct evidence. Pure:
+// time and randomness are arguments.
+
+#pragma once
+
+#include "LibMembership/data_center.h"
+#include "LibMembership/instance.h"
+#include "LibMembership/link.h"
+#include "LibMembership/server_view.h"
+#include "LibMembership/watched_subset.h"
--- /dev/null
+++ b/Libraries/LibRouting/routing.h
@@ -0,0 +1,12 @@
+// Public header of LibRouting: the choice of a backend server for each
+// attempt, retries, quarantine of fatal requests, and the plan of a step's
+// samples. Pure: time and randomness are arguments.
+
+#pragma once
+
+#include "LibRouting/crash_quarantine.h"
+#include "LibRouting/idle_lower_bound.h"
+#include "LibRouting/retry_policy.h"
+#include "LibRouting/router.h"
+#include "LibRouting/server_table.h"
+#include "LibRouting/step_plan.h"
