--- /dev/null
+++ b/Libraries/LibScheduling/concurrency_limit.cc
@@ -0,0 +1,50 @@
+// Places and memory, with headroom for live work.
+
+#include "LibScheduling/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+void ConcurrencyLimit::Start(PriorityClass priority_class,
+                             std::uint64_t memory_tokens) {
+  ++this->running[ClassIndex(priority_class)];
+  this->memory_in_use += memory_tokens;
+}
+
+void ConcurrencyLimit::Finish(PriorityClass priority_class,
+                              std::uint64_t memory_tokens) {
+  --this->running[ClassIndex(priority_class)];
+  this->memory_in_use -= memory_tokens;
+}
+
+StartableClasses ConcurrencyLimit::Startable() const {
+  const std::uint32_t total = this->Running();
+  const std::uint32_t others =
+      total - this->running[ClassIndex(PriorityClass::kLive)];
+  // One place is always open to the others, or they would never run.
+  const std::uint32_t headroom =
+      std::min(this->limits.live_headroom,
+               this->limits.places == 0 ? 0 : this->limits.places - 1);
+  const bool has_place = total < this->limits.places;
+  const bool others_allowed =
+      has_place && others < this->limits.places - headroom;
+  return {{has_place, others_allowed, others_allowed}};
+}
+
+bool ConcurrencyLimit::MemoryAllows(std::uint64_t memory_tokens) const {
+  if (this->limits.memory_tokens == 0 || this->Running() == 0) {
+    return true;
+  }
+  return this->memory_in_use + memory_tokens <= this->limits.memory_tokens;
+}
+
+std::uint32_t ConcurrencyLimit::Running() const {
+  return this->running[0] + this->running[1] + this->running[2];
+}
+
+std::uint32_t ConcurrencyLimit::Running(PriorityClass priority_class) const {
+  return this->running[ClassIndex(priority_class)];
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibScheduling/concurrency_limit.h
@@ -0,0 +1,42 @@
+// How many works may run at once at the backend server, and for whom.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "LibScheduling/queue_discipline.h"
+
+namespace carobbank {
+
+struct ConcurrencyLimits {
+  // Works that the backend server runs at once: an engine's max_batch.
+  std::uint32_t places = 16;
+  // Places that training and background never take.
+  std::uint32_t live_headroom = 1;
+  // Prompt and generated tokens that running works may hold in the engine's
+  // memory together; 0 means no limit.
+  std::uint64_t memory_tokens = 0;
+};
+
+class ConcurrencyLimit {
+ public:
+  void SetLimits(const ConcurrencyLimits& limits) { this->limits = limits; }
+  const ConcurrencyLimits& Limits() const { return this->limits; }
+
+  void Start(PriorityClass priority_class, std::uint64_t memory_tokens);
+  void Finish(PriorityClass priority_class, std::uint64_t memory_tokens);
+
+  StartableClasses Startable() const;
+  // A work larger than the whole memory may run when nothing else does.
+  bool MemoryAllows(std::uint64_t memory_tokens) const;
+  std::uint32_t Running() const;
+  std::uint32_t Running(PriorityClass priority_class) const;
+
+ private:
+  ConcurrencyLimits limits;
+  std::array<std::uint32_t, kPriorityClassCount> running{};
+  std::uint64_t memory_in_use = 0;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibScheduling/work_table.cc
@@ -0,0 +1,57 @@
+// Slots with a free list, and the registry of services.
+
+#include "LibScheduling/work_table.h"
+
+namespace carobbank {
+
+WorkSlot WorkTable::Allocate() {
+  if (this->free_slots.empty()) {
+    this->works.emplace_back();
+    return static_cast<WorkSlot>(this->works.size() - 1);
+  }
+  const WorkSlot slot = this->free_slots.back();
+  this->free_slots.pop_back();
+  return slot;
+}
+
+void WorkTable::Release(WorkSlot slot) {
+  const std::uint32_t next_generation = this->works[slot].generation + 1;
+  this->works[slot] = ScheduledWork();
+  this->works[slot].generation = next_generation;
+  this->free_slots.push_back(slot);
+}
+
+WorkHandle WorkTable::HandleOf(WorkSlot slot) const {
+  return {slot, this->works[slot].generation};
+}
+
+std::optional<WorkSlot> WorkTable::Find(WorkHandle handle) const {
+  if (handle.slot >= this->works.size()) {
+    return std::nullopt;
+  }
+  const ScheduledWork& work = this->works[handle.slot];
+  const bool same =
+      work.generation == handle.generation && work.state != WorkState::kFree;
+  return same ? std::optional<WorkSlot>(handle.slot) : std::nullopt;
+}
+
+ServiceIndex WorkTable::AddService(std::string_view name) {
+  if (const auto known = this->FindService(name)) {
+    return *known;
+  }
+  const auto index = static_cast<ServiceIndex>(this->services.size());
+  this->services.emplace_back();
+  this->service_indices.emplace(std::string(name), index);
+  return index;
+}
+
+std::optional<ServiceIndex> WorkTable::FindService(
+    std::string_view name) const {
+  const auto found = this->service_indices.find(name);
+  if (found == this->service_indices.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+}  // namespace carobbank
