--- a/Benchmarks/Scheduling/scheduler_benchmark.cc
+++ b/Benchmarks/Scheduling/scheduler_benchmark.cc
@@ -39,7 +39,7 @@
 }
 
 // One iteration: one work is pushed, one is started, and one finishes.
-void PushAndStart(benchmark::State& state, SchedulingStrategy strategy) {
+void PushAndStart(benchmark::State& state, QueueStrategy strategy) {
   const auto depth = static_cast<std::size_t>(state.range(0));
   const std::vector<ServicePolicy> policies = Policies();
   SchedulerOptions options;
@@ -63,11 +63,11 @@
 }
 
 void FairShare(benchmark::State& state) {
-  PushAndStart(state, SchedulingStrategy::kFairShare);
+  PushAndStart(state, QueueStrategy::kFairShare);
 }
 
 void Fifo(benchmark::State& state) {
-  PushAndStart(state, SchedulingStrategy::kFifo);
+  PushAndStart(state, QueueStrategy::kFifo);
 }
 
 BENCHMARK(FairShare)->Arg(1'000)->Arg(10'000)->Arg(100'000);
--- a/Libraries/LibScheduling/scheduler.cc
+++ b/Libraries/LibScheduling/scheduler.cc
@@ -16,11 +16,10 @@
 constexpr Milliseconds kMaximumRetryAfter{30'000};
 constexpr Milliseconds kRetryAfterWithoutHistory{1'000};
 
-std::unique_ptr<QueueDiscipline> CreateDiscipline(SchedulingStrategy strategy,
+std::unique_ptr<QueueDiscipline> CreateDiscipline(QueueStrategy strategy,
                                                   WorkTable& table) {
-  return strategy == SchedulingStrategy::kFifo
-             ? CreateFifoDiscipline(table)
-             : CreateFairShareDiscipline(table);
+  return strategy == QueueStrategy::kFifo ? CreateFifoDiscipline(table)
+                                          : CreateFairShareDiscipline(table);
 }
 
 double CostOf(std::uint32_t prompt_tokens, std::uint32_t generated_tokens) {
--- a/Libraries/LibScheduling/scheduler.h
+++ b/Libraries/LibScheduling/scheduler.h
@@ -18,7 +18,7 @@
 
 namespace carobbank {
 
-enum class SchedulingStrategy { kFairShare, kFifo };
+enum class QueueStrategy { kFairShare, kFifo };
 
 // Cost of one token to its service. A generated one takes a whole step of the
 // engine, while a prompt's are worked on together.
@@ -26,7 +26,7 @@
 inline constexpr double kGeneratedTokenCost = 2.0;
 
 struct SchedulerOptions {
-  SchedulingStrategy strategy = SchedulingStrategy::kFairShare;
+  QueueStrategy strategy = QueueStrategy::kFairShare;
   ConcurrencyLimits limits;
   // Queued works of all services together.
   std::size_t max_queued = 4'096;
--- a/Tests/LibScheduling/scheduler_test.cc
+++ b/Tests/LibScheduling/scheduler_test.cc
@@ -164,7 +164,7 @@
 
 TEST(Scheduler, FifoKeepsArrivalOrderWhateverTheClass) {
   SchedulerOptions options = Places(1);
-  options.strategy = SchedulingStrategy::kFifo;
+  options.strategy = QueueStrategy::kFifo;
   SchedulerHarness harness(options, OneOfEachClass());
   for (const char* service : {"background", "training", "live"}) {
     harness.Push(service, 1);
@@ -269,8 +269,8 @@
     Random random(*rc::gen::arbitrary<std::uint64_t>());
     SchedulerOptions options = Places(Bookkeeper::kPlaces, 1);
     options.max_queued = 12;
-    options.strategy = random.Below(2) == 0 ? SchedulingStrategy::kFifo
-                                            : SchedulingStrategy::kFairShare;
+    options.strategy =
+        random.Below(2) == 0 ? QueueStrategy::kFifo : QueueStrategy::kFairShare;
     SchedulerHarness harness(options, OneOfEachClass());
     Bookkeeper books;
     for (int step = 0; step < 300; ++step) {
