--- /dev/null
+++ b/Libraries/LibVersions/order_machine.cc
@@ -0,0 +1,167 @@
+// Transitions of the order state machine.
+
+#include "LibVersions/order_machine.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+std::string_view OrderStateName(OrderState state) {
+  switch (state) {
+    case OrderState::kIdle:
+      return "idle";
+    case OrderState::kIssued:
+      return "issued";
+    case OrderState::kTaken:
+      return "taken";
+    case OrderState::kUnknown:
+      return "unknown";
+    case OrderState::kConfirmed:
+      return "confirmed";
+    case OrderState::kFailed:
+      return "failed";
+    case OrderState::kSuperseded:
+      return "superseded";
+  }
+  return "idle";
+}
+
+void OrderMachine::SetTarget(const TargetVersion& target) {
+  if (this->target == target) {
+    return;
+  }
+  const bool rises = !this->target || this->target->version < target.version ||
+                     this->target->model != target.model;
+  this->target = target;
+  if (rises && !this->IsOutstanding() &&
+      this->state != OrderState::kSuperseded) {
+    this->failures = 0;
+    this->GiveUp(OrderState::kIdle, MonotonicTime::min());
+  }
+}
+
+void OrderMachine::SetAuthority(std::optional<OrderAuthority> authority) {
+  const bool newer =
+      authority &&
+      (!this->authority || authority->fencing > this->authority->fencing);
+  this->authority = authority;
+  if (newer && this->state == OrderState::kSuperseded) {
+    this->GiveUp(OrderState::kIdle, MonotonicTime::min());
+  }
+}
+
+bool OrderMachine::IsOutstanding() const {
+  return this->state == OrderState::kIssued ||
+         this->state == OrderState::kTaken ||
+         this->state == OrderState::kUnknown;
+}
+
+void OrderMachine::OnReport(const EngineReport& report, MonotonicTime now) {
+  const bool restarted =
+      this->report && this->report->incarnation != report.incarnation;
+  this->report = report;
+  if (restarted && this->IsOutstanding()) {
+    // The order died with the engine that took it.
+    this->GiveUp(OrderState::kIdle, now);
+  }
+  if (this->authority && report.fencing > this->authority->fencing) {
+    this->GiveUp(OrderState::kSuperseded, MonotonicTime::max());
+    return;
+  }
+  this->ReadBack(report, now);
+}
+
+void OrderMachine::ReadBack(const EngineReport& report, MonotonicTime now) {
+  if (!this->target || this->state == OrderState::kSuperseded) {
+    return;
+  }
+  if (this->IsOutstanding() && report.last_order_id == this->order.order_id) {
+    if (report.last_order_failed) {
+      ++this->failures;
+      this->GiveUp(OrderState::kFailed, now + this->Backoff());
+    } else {
+      this->failures = 0;
+      this->GiveUp(OrderState::kIdle, now);
+    }
+  }
+  if (this->IsOutstanding()) {
+    const bool traceless =
+        !report.loading && now - this->issued_at >= this->options.trace_timeout;
+    if (traceless) {
+      this->GiveUp(OrderState::kIdle, now);
+    }
+    return;
+  }
+  // An engine past the target heard of a newer version from a newer sidecar;
+  // going back would age every sample.
+  const bool reached =
+      !report.loading && report.version >= this->target->version;
+  if (reached) {
+    this->state = OrderState::kConfirmed;
+  } else if (this->state == OrderState::kConfirmed) {
+    // A late order of an earlier holder, or a restart, undid it.
+    this->GiveUp(OrderState::kIdle, now);
+  }
+}
+
+void OrderMachine::OnAnswer(std::string_view order_id,
+                            OrderAnswer answer,
+                            MonotonicTime now) {
+  if (this->state != OrderState::kIssued || order_id != this->order.order_id) {
+    return;
+  }
+  switch (answer) {
+    case OrderAnswer::kTaken:
+      this->state = OrderState::kTaken;
+      break;
+    case OrderAnswer::kUnknown:
+      this->state = OrderState::kUnknown;
+      break;
+    case OrderAnswer::kNotTaken:
+      ++this->failures;
+      this->GiveUp(OrderState::kFailed, now + this->Backoff());
+      break;
+    case OrderAnswer::kFenced:
+      this->GiveUp(OrderState::kSuperseded, MonotonicTime::max());
+      break;
+  }
+}
+
+std::optional<VersionOrder> OrderMachine::Next(MonotonicTime now) {
+  const bool may_issue =
+      this->state == OrderState::kIdle || this->state == OrderState::kFailed;
+  if (!may_issue || !this->target || !this->report || !this->authority) {
+    return std::nullopt;
+  }
+  const bool wanted =
+      !this->report->loading && this->report->version < this->target->version;
+  const bool due = now >= this->retry_at && now >= this->target->not_before;
+  if (!wanted || !due || !this->authority->AllowsAt(now)) {
+    return std::nullopt;
+  }
+  ++this->orders_issued;
+  this->order.order_id = this->instance + "/" +
+                         std::to_string(this->authority->fencing) + "/" +
+                         std::to_string(this->orders_issued);
+  this->order.fencing = this->authority->fencing;
+  this->order.model = this->target->model;
+  this->order.version = this->target->version;
+  this->issued_at = now;
+  this->state = OrderState::kIssued;
+  return this->order;
+}
+
+void OrderMachine::GiveUp(OrderState next, MonotonicTime retry_at) {
+  this->state = next;
+  this->retry_at = retry_at;
+}
+
+Milliseconds OrderMachine::Backoff() const {
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(this->failures > 0 ? this->failures - 1 : 0, 16);
+  return std::min(
+      this->options.initial_backoff * (std::int64_t{1} << doublings),
+      this->options.maximum_backoff);
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibVersions/versions.h
@@ -0,0 +1,11 @@
+// Public header of LibVersions: which weight versions a sample may come from,
+// the labels of its tokens, and the orders that bring an engine to a version.
+// Pure: time is an argument, and nothing here touches a thread or a socket.
+
+#pragma once
+
+#include "LibVersions/order_authority.h"
+#include "LibVersions/order_machine.h"
+#include "LibVersions/staleness.h"
+#include "LibVersions/swap_plan.h"
+#include "LibVersions/version_spans.h"
--- /dev/null
+++ b/Tests/LibVersions/order_machine_test.cc
@@ -0,0 +1,213 @@
+// Orders under lost answers, restarts, failed changes and late predecessors.
+
+#include "LibVersions/versions.h"
+
+#include "Support/manual_clock.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+OrderAuthority Unlimited(std::uint64_t fencing) {
+  OrderAuthority authority;
+  authority.fencing = fencing;
+  return authority;
+}
+
+EngineReport AtVersion(std::uint64_t version) {
+  EngineReport report;
+  report.version = version;
+  return report;
+}
+
+// A machine that has just issued the order for version 2.
+struct IssuedFixture {
+  IssuedFixture() {
+    this->machine.SetTarget({"m", 2, MonotonicTime()});
+    this->machine.SetAuthority(Unlimited(10));
+    this->machine.OnReport(AtVersion(1), this->clock.Now());
+    this->order = *this->machine.Next(this->clock.Now());
+  }
+
+  void Report(EngineReport report) {
+    this->machine.OnReport(report, this->clock.Now());
+  }
+
+  bool Issues() { return this->machine.Next(this->clock.Now()).has_value(); }
+
+  ManualClock clock;
+  OrderMachine machine{"server-1", OrderMachineOptions()};
+  VersionOrder order;
+};
+
+}  // namespace
+
+TEST_GROUP(OrderMachine){};
+
+TEST(OrderMachine, NothingIsIssuedWithoutTargetReportAndAuthority) {
+  for (int missing = 0; missing < 3; ++missing) {
+    ManualClock clock;
+    OrderMachine machine("server-1", {});
+    if (missing != 0) {
+      machine.SetTarget({"m", 2, MonotonicTime()});
+    }
+    if (missing != 1) {
+      machine.SetAuthority(Unlimited(10));
+    }
+    if (missing != 2) {
+      machine.OnReport(AtVersion(1), clock.Now());
+    }
+    CHECK_FALSE(machine.Next(clock.Now()).has_value());
+  }
+}
+
+TEST(OrderMachine, AnOrderIsIssuedOnceAndConfirmedByTheReport) {
+  IssuedFixture fixture;
+  CHECK_FALSE(fixture.Issues());
+  fixture.machine.OnAnswer(fixture.order.order_id, OrderAnswer::kTaken,
+                           fixture.clock.Now());
+  EngineReport report = AtVersion(1);
+  report.loading = true;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.machine.State() == OrderState::kTaken);
+  report = AtVersion(2);
+  report.last_order_id = fixture.order.order_id;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.machine.State() == OrderState::kConfirmed);
+  CHECK_FALSE(fixture.Issues());
+}
+
+TEST(OrderMachine, AnswersLeadToTheirStates) {
+  struct Case {
+    OrderAnswer answer;
+    OrderState state;
+    bool issues_later;
+  };
+  const Case cases[] = {
+      {OrderAnswer::kTaken, OrderState::kTaken, false},
+      {OrderAnswer::kUnknown, OrderState::kUnknown, false},
+      {OrderAnswer::kNotTaken, OrderState::kFailed, true},
+      {OrderAnswer::kFenced, OrderState::kSuperseded, false},
+  };
+  for (const Case& row : cases) {
+    IssuedFixture fixture;
+    fixture.machine.OnAnswer(fixture.order.order_id, row.answer,
+                             fixture.clock.Now());
+    CHECK_TRUE(fixture.machine.State() == row.state);
+    CHECK_FALSE(fixture.Issues());
+    fixture.clock.Advance(Milliseconds(1'000));
+    CHECK_EQUAL(row.issues_later, fixture.Issues());
+  }
+}
+
+TEST(OrderMachine, ALateAnswerOfAnOldOrderChangesNothing) {
+  IssuedFixture fixture;
+  fixture.machine.OnAnswer("server-1/9/1", OrderAnswer::kFenced,
+                           fixture.clock.Now());
+  CHECK_TRUE(fixture.machine.State() == OrderState::kIssued);
+}
+
+TEST(OrderMachine, AnOrderWithoutTraceIsIssuedAgainUnderANewId) {
+  IssuedFixture fixture;
+  fixture.machine.OnAnswer(fixture.order.order_id, OrderAnswer::kUnknown,
+                           fixture.clock.Now());
+  fixture.clock.Advance(Milliseconds(4'999));
+  fixture.Report(AtVersion(1));
+  CHECK_FALSE(fixture.Issues());
+  fixture.clock.Advance(Milliseconds(1));
+  fixture.Report(AtVersion(1));
+  const auto again = fixture.machine.Next(fixture.clock.Now());
+  CHECK_TRUE(again.has_value());
+  CHECK_TRUE(again->order_id != fixture.order.order_id);
+}
+
+TEST(OrderMachine, ALostAnswerOfAnOrderThatWorkedIsReadBack) {
+  IssuedFixture fixture;
+  fixture.machine.OnAnswer(fixture.order.order_id, OrderAnswer::kUnknown,
+                           fixture.clock.Now());
+  EngineReport report = AtVersion(2);
+  report.last_order_id = fixture.order.order_id;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.machine.State() == OrderState::kConfirmed);
+}
+
+TEST(OrderMachine, AFailedChangeIsTriedAgainAfterABackoff) {
+  IssuedFixture fixture;
+  EngineReport report = AtVersion(1);
+  report.last_order_id = fixture.order.order_id;
+  report.last_order_failed = true;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.machine.State() == OrderState::kFailed);
+  CHECK_FALSE(fixture.Issues());
+  fixture.clock.Advance(Milliseconds(200));
+  CHECK_TRUE(fixture.Issues());
+}
+
+TEST(OrderMachine, ARestartedEngineIsOrderedAnew) {
+  IssuedFixture fixture;
+  EngineReport report = AtVersion(1);
+  report.incarnation = 1;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.Issues());
+}
+
+TEST(OrderMachine, ALateOrderOfAnEarlierHolderIsUndone) {
+  IssuedFixture fixture;
+  EngineReport report = AtVersion(2);
+  report.last_order_id = fixture.order.order_id;
+  fixture.Report(report);
+  report = AtVersion(1);
+  report.last_order_id = "server-1/3/4";
+  fixture.Report(report);
+  CHECK_TRUE(fixture.Issues());
+}
+
+TEST(OrderMachine, ANewerHolderEndsTheOrders) {
+  IssuedFixture fixture;
+  EngineReport report = AtVersion(1);
+  report.fencing = 11;
+  fixture.Report(report);
+  CHECK_TRUE(fixture.machine.State() == OrderState::kSuperseded);
+  fixture.machine.SetTarget({"m", 3, MonotonicTime()});
+  CHECK_FALSE(fixture.Issues());
+  fixture.machine.SetAuthority(Unlimited(12));
+  CHECK_TRUE(fixture.Issues());
+}
+
+TEST(OrderMachine, TheEngineIsNeverTakenBack) {
+  ManualClock clock;
+  OrderMachine machine("server-1", {});
+  machine.SetTarget({"m", 2, MonotonicTime()});
+  machine.SetAuthority(Unlimited(10));
+  machine.OnReport(AtVersion(3), clock.Now());
+  CHECK_FALSE(machine.Next(clock.Now()).has_value());
+  CHECK_TRUE(machine.State() == OrderState::kConfirmed);
+}
+
+TEST(OrderMachine, OrdersKeepWithinLeaseAndTurn) {
+  struct Case {
+    std::int64_t from_ms;
+    std::int64_t until_ms;
+    std::int64_t not_before_ms;
+    bool issues;
+  };
+  const Case cases[] = {
+      {0, 1, 0, true},  {-9, 9, -9, true}, {1, 9, 0, false},
+      {0, 0, 0, false}, {-9, 0, 0, false}, {0, 9, 1, false},
+  };
+  for (const Case& row : cases) {
+    ManualClock clock;
+    OrderMachine machine("server-1", {});
+    OrderAuthority authority;
+    authority.usable_from = clock.Now() + Milliseconds(row.from_ms);
+    authority.usable_until = clock.Now() + Milliseconds(row.until_ms);
+    machine.SetAuthority(authority);
+    machine.SetTarget({"m", 2, clock.Now() + Milliseconds(row.not_before_ms)});
+    machine.OnReport(AtVersion(1), clock.Now());
+    CHECK_EQUAL(row.issues, machine.Next(clock.Now()).has_value());
+  }
+}
+
+}  // namespace carobbank
