LibLedger: Add entries, group commit and the folds

A step is named by the position of its first accept and every later entry repeats that name. This keeps a reused request id apart from its predecessor and lets a fold that starts late say that it does not know, where guessing would hand out wrong samples.

--- a/Libraries/LibLedger/delivery_reader.h
+++ b/Libraries/LibLedger/delivery_reader.h
@@ -37,19 +37,20 @@
  public:
   DeliveryReader(Cursor cursor, Milliseconds step_lifetime);
 
-  std::uint64_t NextOffset() const { return this->next_offset; }
-  void Apply(const StreamRecord& record);
+  std::uint64_t NextOffset() const { return this->fold.NextOffset(); }
+  // As RolloutFold::Apply.
+  bool Apply(const StreamRecord& record);
   // Starts again at the oldest kept record.
-  void Restart(std::uint64_t first_retained, WallMilliseconds covered_since_ms);
+  void Restart(std::uint64_t first_retained);
 
   // As ReadDelivery. `stream_end` is the log's end: once everything before it
   // is folded and the step is still unknown, the error is kExpired.
-  Result<DeliveryPage> Read(std::uint64_t stream_end, std::size_t max_results);
+  Result<DeliveryPage> Read(std::uint64_t stream_end,
+                            std::size_t max_results) const;
 
  private:
   Cursor cursor;
   Milliseconds step_lifetime;
-  std::uint64_t next_offset = 0;
   RolloutFold fold;
 };
 
--- /dev/null
+++ b/Libraries/LibLedger/key_fold.cc
@@ -0,0 +1,227 @@
+// The fold of `keys`: the first live claim by position holds the key.
+
+#include "LibLedger/key_fold.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+namespace {
+
+// When to come back while another attempt runs the request.
+constexpr Milliseconds kInProgressRetryAfter{1000};
+
+}  // namespace
+
+bool KeyFold::Apply(const StreamRecord& record) {
+  if (record.offset < this->next_offset) {
+    return true;
+  }
+  if (record.offset > this->next_offset) {
+    return false;
+  }
+  this->next_offset = record.offset + 1;
+  this->log_time_ms = std::max(this->log_time_ms, record.time_ms);
+  this->ForgetOld();
+  const DecodedRecord<KeyEntry> decoded = DecodeKeyRecord(record);
+  this->counters.malformed += decoded.skipped;
+  for (const PositionedEntry<KeyEntry>& positioned : decoded.entries) {
+    if (const auto* claim = std::get_if<ClaimEntry>(&positioned.entry)) {
+      this->OnClaim(*claim, record.time_ms);
+    } else if (const auto* release =
+                   std::get_if<ReleaseEntry>(&positioned.entry)) {
+      this->OnRelease(*release, record.time_ms);
+    } else if (const auto* done = std::get_if<DoneEntry>(&positioned.entry)) {
+      this->OnDone(*done);
+    }
+  }
+  return true;
+}
+
+bool KeyFold::InWindow(WallMilliseconds issued_ms,
+                       WallMilliseconds time_ms) const {
+  return time_ms <= issued_ms + this->options.window.count() &&
+         time_ms >= issued_ms - this->options.skew.count();
+}
+
+void KeyFold::OnClaim(const ClaimEntry& entry, WallMilliseconds time_ms) {
+  if (!this->InWindow(entry.issued_ms, time_ms)) {
+    ++this->counters.claims_out_of_window;
+    return;
+  }
+  KeyState& state = this->StateFor(
+      entry.name, entry.issued_ms + this->options.memory.count());
+  const bool repeat =
+      state.attempt == entry.attempt &&
+      (state.phase == KeyPhase::kClaimed || state.phase == KeyPhase::kDone);
+  if (repeat) {
+    return;
+  }
+  if (!this->MayHold(state, entry)) {
+    ++this->counters.claims_lost;
+    this->Spend(state, entry.attempt);
+    return;
+  }
+  ++this->counters.claims_won;
+  state.phase = KeyPhase::kClaimed;
+  state.attempt = entry.attempt;
+  state.issued_ms = entry.issued_ms;
+  state.deadline_ms = entry.deadline_ms;
+  state.request_digest = entry.request_digest;
+}
+
+bool KeyFold::MayHold(const KeyState& state, const ClaimEntry& entry) const {
+  const bool held =
+      state.phase == KeyPhase::kClaimed || state.phase == KeyPhase::kDone;
+  if (held || state.spent.size() >= this->options.max_spent_attempts ||
+      this->IsSpent(state, entry.attempt)) {
+    return false;
+  }
+  const bool held_before = state.phase == KeyPhase::kReleased;
+  return !held_before || (state.issued_ms == entry.issued_ms &&
+                          state.request_digest == entry.request_digest);
+}
+
+void KeyFold::OnRelease(const ReleaseEntry& entry, WallMilliseconds time_ms) {
+  KeyState& state =
+      this->StateFor(entry.name, time_ms + this->options.memory.count());
+  if (state.phase == KeyPhase::kDone && state.attempt == entry.attempt) {
+    ++this->counters.stray_entries;
+    return;
+  }
+  if (state.phase == KeyPhase::kClaimed && state.attempt == entry.attempt) {
+    state.phase = KeyPhase::kReleased;
+  }
+  // Also without a claim: a delayed copy of the claim may still arrive.
+  this->Spend(state, entry.attempt);
+}
+
+void KeyFold::OnDone(const DoneEntry& entry) {
+  const auto found = this->keys.find(entry.name);
+  if (found == this->keys.end() || found->second.phase != KeyPhase::kClaimed ||
+      found->second.attempt != entry.attempt) {
+    ++this->counters.stray_entries;
+    return;
+  }
+  found->second.phase = KeyPhase::kDone;
+  found->second.outcome = entry.outcome;
+}
+
+KeyFold::KeyState& KeyFold::StateFor(const KeyName& name,
+                                     WallMilliseconds forget_ms) {
+  KeyState& state = this->keys[name];
+  if (forget_ms > state.forget_ms) {
+    this->forgetting.erase({state.forget_ms, name});
+    state.forget_ms = forget_ms;
+    this->forgetting.insert({forget_ms, name});
+  }
+  return state;
+}
+
+void KeyFold::Spend(KeyState& state, const std::string& attempt) {
+  const bool full = state.spent.size() >= this->options.max_spent_attempts;
+  if (!full && !this->IsSpent(state, attempt)) {
+    state.spent.push_back(attempt);
+  }
+}
+
+bool KeyFold::IsSpent(const KeyState& state, std::string_view attempt) const {
+  return std::find(state.spent.begin(), state.spent.end(), attempt) !=
+         state.spent.end();
+}
+
+void KeyFold::ForgetOld() {
+  while (!this->forgetting.empty() &&
+         this->forgetting.begin()->forget_ms < this->log_time_ms) {
+    this->keys.erase(this->forgetting.begin()->name);
+    this->forgetting.erase(this->forgetting.begin());
+  }
+}
+
+KeyDecision KeyFold::Decide(const KeyName& name,
+                            WallMilliseconds issued_ms,
+                            std::string_view request_digest,
+                            WallMilliseconds now_ms) const {
+  const auto found = this->keys.find(name);
+  const KeyState* state = found == this->keys.end() ? nullptr : &found->second;
+  const bool claimed_before =
+      state != nullptr && state->phase != KeyPhase::kNone;
+  if (claimed_before && state->request_digest != request_digest) {
+    return {.action = KeyAction::kMismatch};
+  }
+  const bool held = claimed_before && state->phase != KeyPhase::kReleased;
+  if (held) {
+    return this->DecideHeld(*state, now_ms);
+  }
+  const bool covered =
+      issued_ms - this->options.skew.count() > this->options.covered_since_ms;
+  if (!covered || !this->InWindow(issued_ms, now_ms)) {
+    return {.action = this->ExpiredAction(issued_ms, now_ms)};
+  }
+  if (claimed_before && state->issued_ms != issued_ms) {
+    return {.action = KeyAction::kMismatch};
+  }
+  if (state != nullptr &&
+      state->spent.size() >= this->options.max_spent_attempts) {
+    return {.action = KeyAction::kExhausted};
+  }
+  return {.action = KeyAction::kClaim};
+}
+
+KeyDecision KeyFold::DecideHeld(const KeyState& state,
+                                WallMilliseconds now_ms) const {
+  if (state.phase == KeyPhase::kDone) {
+    return {.action = KeyAction::kDone, .outcome = state.outcome};
+  }
+  if (now_ms <= state.deadline_ms + this->options.skew.count()) {
+    return {.action = KeyAction::kInProgress,
+            .retry_after = kInProgressRetryAfter};
+  }
+  return {.action = KeyAction::kUnresolved};
+}
+
+KeyAction KeyFold::ExpiredAction(WallMilliseconds issued_ms,
+                                 WallMilliseconds now_ms) const {
+  // Every valid claim lies within the window. When the fold has read past the
+  // window's end, covers its beginning and has not forgotten the key, then
+  // "nobody holds it" is final.
+  const WallMilliseconds opens = issued_ms - this->options.skew.count();
+  const WallMilliseconds closes = issued_ms + this->options.window.count();
+  // Before the window's beginning, clocks allowed for, no valid claim exists.
+  const bool before_window = now_ms < opens - this->options.skew.count();
+  const bool whole_window =
+      opens > this->options.covered_since_ms && this->log_time_ms > closes &&
+      this->log_time_ms <= issued_ms + this->options.memory.count();
+  return before_window || whole_window ? KeyAction::kExpiredNotRun
+                                       : KeyAction::kExpiredUnknown;
+}
+
+ClaimStatus KeyFold::StatusOf(const KeyName& name,
+                              std::string_view attempt,
+                              const LogPosition& claimed_at) const {
+  if (claimed_at.offset >= this->next_offset) {
+    return ClaimStatus::kPending;
+  }
+  const auto found = this->keys.find(name);
+  const bool holds = found != this->keys.end() &&
+                     found->second.phase == KeyPhase::kClaimed &&
+                     found->second.attempt == attempt;
+  return holds ? ClaimStatus::kWon : ClaimStatus::kLost;
+}
+
+KeyPhase KeyFold::PhaseOf(const KeyName& name) const {
+  const auto found = this->keys.find(name);
+  return found == this->keys.end() ? KeyPhase::kNone : found->second.phase;
+}
+
+std::vector<OpenClaim> KeyFold::OpenClaims() const {
+  std::vector<OpenClaim> open;
+  for (const auto& [name, state] : this->keys) {
+    if (state.phase == KeyPhase::kClaimed) {
+      open.push_back({name, state.attempt, state.deadline_ms});
+    }
+  }
+  return open;
+}
+
+}  // namespace carobbank
--- a/Libraries/LibLedger/key_fold.h
+++ b/Libraries/LibLedger/key_fold.h
@@ -24,6 +24,8 @@
   Milliseconds memory{std::chrono::hours(4)};
   // Every record later than this is folded (CoveredSince).
   WallMilliseconds covered_since_ms = kCoversEverything;
+  // The first offset that is folded.
+  std::uint64_t start_offset = 0;
   // Attempts of one key that may end released or lost; further claims are
   // void.
   std::size_t max_spent_attempts = 64;
@@ -53,13 +55,13 @@
 
 struct KeyDecision {
   KeyAction action = KeyAction::kClaim;
-  StoredOutcome outcome;
+  StoredOutcome outcome{};
   // With kInProgress: until the holder's deadline has surely passed.
   Milliseconds retry_after{0};
 };
 
 enum class ClaimStatus {
-  // The fold has not met this attempt's claim yet.
+  // The fold has not reached the claim's position yet.
   kPending,
   // This attempt, and no other, may send the request: once.
   kWon,
@@ -85,9 +87,11 @@
 
 class KeyFold {
  public:
-  explicit KeyFold(KeyFoldOptions options) : options(options) {}
+  explicit KeyFold(KeyFoldOptions options)
+      : options(options), next_offset(options.start_offset) {}
 
-  void Apply(const StreamRecord& record);
+  // As RolloutFold::Apply.
+  bool Apply(const StreamRecord& record);
   std::uint64_t NextOffset() const { return this->next_offset; }
   WallMilliseconds LogTime() const { return this->log_time_ms; }
 
@@ -98,8 +102,10 @@
                      std::string_view request_digest,
                      WallMilliseconds now_ms) const;
 
-  // Once the claim's own append got a position, fold up to it and ask.
-  ClaimStatus StatusOf(const KeyName& name, std::string_view attempt) const;
+  // `claimed_at`: where the claim's own append was reported.
+  ClaimStatus StatusOf(const KeyName& name,
+                       std::string_view attempt,
+                       const LogPosition& claimed_at) const;
 
   KeyPhase PhaseOf(const KeyName& name) const;
   std::vector<OpenClaim> OpenClaims() const;
@@ -128,13 +134,16 @@
   };
 
   void OnClaim(const ClaimEntry& entry, WallMilliseconds time_ms);
+  bool MayHold(const KeyState& state, const ClaimEntry& entry) const;
   void OnRelease(const ReleaseEntry& entry, WallMilliseconds time_ms);
   void OnDone(const DoneEntry& entry);
   KeyState& StateFor(const KeyName& name, WallMilliseconds forget_ms);
   void Spend(KeyState& state, const std::string& attempt);
   bool IsSpent(const KeyState& state, std::string_view attempt) const;
-  KeyDecision DecideExpired(const KeyState* state,
-                            WallMilliseconds issued_ms) const;
+  KeyDecision DecideHeld(const KeyState& state, WallMilliseconds now_ms) const;
+  KeyAction ExpiredAction(WallMilliseconds issued_ms,
+                          WallMilliseconds now_ms) const;
+  bool InWindow(WallMilliseconds issued_ms, WallMilliseconds time_ms) const;
   void ForgetOld();
 
   KeyFoldOptions options;
--- /dev/null
+++ b/Libraries/LibLedger/record_codec.cc
@@ -0,0 +1,31 @@
+// The outer form of a log record.
+
+#include "LibLedger/record_codec.h"
+
+namespace carobbank {
+
+std::string EncodeRecord(std::span<const std::string> entries) {
+  std::string payload = "{\"entries\":[";
+  for (std::size_t index = 0; index < entries.size(); ++index) {
+    if (index > 0) {
+      payload += ',';
+    }
+    payload += entries[index];
+  }
+  payload += "]}";
+  return payload;
+}
+
+std::optional<Json::Value> DecodeRecordEntries(std::string_view payload) {
+  Outcome<Json::Value> parsed = Capture([&] { return ParseJson(payload); });
+  if (!parsed.Ok() || !parsed.Value().isObject()) {
+    return std::nullopt;
+  }
+  Json::Value entries = parsed.Value()["entries"];
+  if (!entries.isArray()) {
+    return std::nullopt;
+  }
+  return entries;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibLedger/rollout_carry.cc
@@ -0,0 +1,169 @@
+// Copies of steps carried forward: writing them, and rebuilding a step from
+// one whose accept is no longer kept.
+
+#include <algorithm>
+#include <utility>
+
+#include "LibLedger/rollout_fold.h"
+
+namespace carobbank {
+
+namespace {
+
+// What a result takes up besides its texts, roughly.
+constexpr std::size_t kResultFrameBytes = 256;
+
+std::size_t RoughBytes(const SampleResult& result) {
+  std::size_t bytes = kResultFrameBytes;
+  if (const auto* commit = std::get_if<CommitEntry>(&result)) {
+    bytes += commit->text.size() + commit->spans.size() * 64;
+  }
+  return bytes;
+}
+
+std::size_t RoughBytes(const AcceptEntry& accept) {
+  std::size_t bytes = kResultFrameBytes;
+  for (const PromptGroup& group : accept.groups) {
+    bytes += group.prompt.size() + kResultFrameBytes;
+  }
+  return bytes;
+}
+
+bool SameCopy(const CarryEntry& left, const CarryEntry& right) {
+  return left.request_id == right.request_id &&
+         left.accepted_at == right.accepted_at && left.parts == right.parts &&
+         left.as_of_offset == right.as_of_offset &&
+         left.as_of_ms == right.as_of_ms &&
+         left.lives_until_ms == right.lives_until_ms;
+}
+
+}  // namespace
+
+std::vector<RolloutEntry> RolloutFold::BuildCarry(
+    const StepState& step,
+    std::string_view carry_id,
+    std::size_t max_part_bytes) const {
+  CarryEntry blank;
+  blank.request_id = step.accept.request_id;
+  blank.accepted_at = step.accepted_at;
+  blank.carry_id = carry_id;
+  blank.as_of_offset = this->next_offset - 1;
+  blank.as_of_ms = this->log_time_ms;
+  blank.lives_until_ms = step.lives_until_ms;
+
+  std::vector<CarryEntry> parts{blank};
+  parts.front().accept = step.accept;
+  parts.front().owner = step.owner.owner;
+  parts.front().term = step.owner.term;
+  parts.front().end_reason = step.end_reason;
+  std::size_t bytes = RoughBytes(step.accept);
+  for (const SampleResult& result : step.results) {
+    bytes += RoughBytes(result);
+    if (bytes > max_part_bytes) {
+      parts.push_back(blank);
+      bytes = RoughBytes(result);
+    }
+    parts.back().results.push_back(result);
+  }
+
+  std::vector<RolloutEntry> entries;
+  for (std::size_t index = 0; index < parts.size(); ++index) {
+    parts[index].part = static_cast<std::uint32_t>(index);
+    parts[index].parts = static_cast<std::uint32_t>(parts.size());
+    entries.emplace_back(std::move(parts[index]));
+  }
+  return entries;
+}
+
+void RolloutFold::OnCarry(WallMilliseconds time_ms, CarryEntry entry) {
+  const auto [found, added] = this->carries.try_emplace(entry.carry_id);
+  CarryParts& copy = found->second;
+  if (added) {
+    copy.first_ms = time_ms;
+  }
+  if (!copy.parts.empty() && !SameCopy(copy.parts.begin()->second, entry)) {
+    ++this->counters.stray_entries;
+    return;
+  }
+  const std::uint32_t part = entry.part;
+  const std::uint32_t parts = entry.parts;
+  copy.parts.try_emplace(part, std::move(entry));
+  if (copy.parts.size() < parts) {
+    return;
+  }
+  CarryParts complete = std::move(copy);
+  this->carries.erase(found);
+  this->CompleteCarry(std::move(complete));
+}
+
+void RolloutFold::CompleteCarry(CarryParts copy) {
+  const CarryEntry& head = copy.parts.begin()->second;
+  // A copy of a step that had expired before the copy was whole is void, by
+  // the copy's own statement, so that every fold decides alike.
+  if (this->log_time_ms > head.lives_until_ms ||
+      head.as_of_offset >= this->next_offset) {
+    ++this->counters.stray_entries;
+    return;
+  }
+  const StepName name{head.request_id, head.accepted_at};
+  if (StepState* step = this->FindNamed(name)) {
+    step->lives_until_ms =
+        std::max(step->lives_until_ms,
+                 head.as_of_ms + this->options.step_lifetime.count());
+    step->start_offset = std::max(step->start_offset, head.as_of_offset + 1);
+    return;
+  }
+  const bool read_all_since =
+      head.as_of_offset + 1 >= this->options.start_offset;
+  if (!read_all_since || this->steps.contains(head.request_id)) {
+    ++this->counters.stray_entries;
+    return;
+  }
+  this->Restore(std::move(copy));
+}
+
+void RolloutFold::Restore(CarryParts copy) {
+  CarryEntry& head = copy.parts.begin()->second;
+  StepState step;
+  step.accept = std::move(*head.accept);
+  step.accepted_at = head.accepted_at;
+  step.start_offset = head.as_of_offset + 1;
+  step.lives_until_ms = head.as_of_ms + this->options.step_lifetime.count();
+  step.owner = {head.owner, head.term};
+  for (auto& [part, entry] : copy.parts) {
+    for (SampleResult& result : entry.results) {
+      this->AddResult(step, std::move(result));
+    }
+  }
+  step.end_reason = head.end_reason;
+  this->MergeOrphan(step, head.as_of_offset);
+  const std::string request_id = step.accept.request_id;
+  this->steps.emplace(request_id, std::move(step));
+}
+
+void RolloutFold::MergeOrphan(StepState& step, std::uint64_t as_of_offset) {
+  const auto found =
+      this->orphans.find({step.accept.request_id, step.accepted_at});
+  if (found == this->orphans.end()) {
+    return;
+  }
+  Orphan orphan = std::move(found->second);
+  this->orphans.erase(found);
+  for (Orphan::Take& take : orphan.takes) {
+    if (take.offset > as_of_offset && take.owner.term > step.owner.term) {
+      step.owner = std::move(take.owner);
+    }
+  }
+  for (Orphan::Result& result : orphan.results) {
+    if (result.offset > as_of_offset) {
+      this->AddResult(step, std::move(result.result));
+    }
+  }
+  const bool ended_since =
+      !orphan.end_reason.empty() && orphan.end_offset > as_of_offset;
+  if (ended_since && step.end_reason.empty()) {
+    step.end_reason = orphan.end_reason;
+  }
+}
+
+}  // namespace carobbank
--- a/Libraries/LibLedger/rollout_entries.h
+++ b/Libraries/LibLedger/rollout_entries.h
@@ -14,6 +14,9 @@
 
 namespace carobbank {
 
+// Largest number of samples of one step.
+inline constexpr std::uint64_t kMaxSamplesPerStep = 1'000'000;
+
 // One prompt of a step, to be answered `samples` times.
 struct PromptGroup {
   std::string group_id;
@@ -51,6 +54,7 @@
   std::vector<PromptGroup> groups;
 
   std::uint64_t ExpectedSamples() const;
+  bool Expects(std::string_view sample_id) const;
   // The oldest version that a sample of this step may contain.
   std::uint64_t OldestVersion() const;
 };
@@ -94,17 +98,17 @@
 };
 
 // One part of a copy of a step made before its records expire. The parts
-// [0, parts) that share a carry id state together the step as the prefix of
-// the stream up to `as_of` (inclusive) defines it. Because that prefix is the
-// same for every writer, copies by different writers agree.
+// [0, parts) that share a carry id state together the step as the records up
+// to `as_of_offset` (inclusive) define it. Because those are the same for
+// every writer, copies by different writers agree.
 struct CarryEntry {
   std::string request_id;
   LogPosition accepted_at;
   std::string carry_id;
   std::uint32_t part = 0;
   std::uint32_t parts = 1;
-  LogPosition as_of;
-  // Log time of the record at `as_of`.
+  std::uint64_t as_of_offset = 0;
+  // Log time of the record at `as_of_offset`.
   WallMilliseconds as_of_ms = 0;
   // Until when the writer knew the step to live, in log time.
   WallMilliseconds lives_until_ms = 0;
--- a/Libraries/LibLedger/rollout_fold.h
+++ b/Libraries/LibLedger/rollout_fold.h
@@ -4,17 +4,23 @@
 //
 // Why first-wins holds across copies: a step is named by the position of its
 // first accept, and every later entry repeats that name. A copy states the
-// results that the stream up to `as_of` defines, in order; results after
-// `as_of` follow in stream order. A fold that knows the step needs no copy and
+// results that the records up to `as_of_offset` define, in order; later
+// results follow in stream order. A fold that knows the step needs no copy and
 // takes only the longer life from it. A fold that started later takes the
-// results from the first complete copy whose `as_of` it covers, then appends
-// those it read itself after `as_of`. Both end with the same ordered list, so
-// the number of a result never changes and old cursors stay valid.
+// results from the first complete copy after whose `as_of_offset` it has read
+// everything, then appends those it read itself since. Both end with the same
+// ordered list, so the number of a result never changes and old cursors stay
+// valid.
+//
+// A fold that starts late can't tell a first accept from a repeat until it has
+// read one step lifetime, so it takes no accept before. Steps accepted in that
+// time have expired by now, unless a copy brings them.
 
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -30,6 +36,15 @@
 
 using SampleResult = std::variant<CommitEntry, FailEntry>;
 
+// Names a step for ever, also when its request id is used again later.
+struct StepName {
+  std::string request_id;
+  // Position of the accept.
+  LogPosition accepted_at;
+
+  auto operator<=>(const StepName&) const = default;
+};
+
 struct StepOwner {
   std::string owner;
   // 0 while nobody has taken the step.
@@ -85,23 +100,24 @@
   Milliseconds step_lifetime{std::chrono::hours(3)};
   // Every record later than this is folded (CoveredSince).
   WallMilliseconds covered_since_ms = kCoversEverything;
-  // Folds only this request id when not empty.
-  std::string only_request;
+  // The first offset that is folded.
+  std::uint64_t start_offset = 0;
+  // Folds this step alone, whose accept needs no check then.
+  std::optional<StepName> only_step;
 };
 
 class RolloutFold {
  public:
-  explicit RolloutFold(RolloutFoldOptions options)
-      : options(std::move(options)) {}
+  explicit RolloutFold(RolloutFoldOptions options);
 
-  // Takes the next record. Records below `NextOffset()` are ignored, so
-  // pages may overlap.
-  void Apply(const StreamRecord& record);
+  // Takes the next record. Records below `NextOffset()` are ignored, so pages
+  // may overlap. Returns false, and takes nothing, when records before this
+  // one are missing: start a new fold at the oldest kept record.
+  bool Apply(const StreamRecord& record);
 
+  const std::string& Service() const { return this->options.service; }
   // The offset to read from next.
   std::uint64_t NextOffset() const { return this->next_offset; }
-  // Position of the last folded entry's record.
-  LogPosition LastPosition() const { return this->last_position; }
   // Log time of the last folded record.
   WallMilliseconds LogTime() const { return this->log_time_ms; }
 
@@ -110,12 +126,15 @@
   std::vector<const StepState*> Steps() const;
 
   AcceptDecision DecideAccept(std::string_view request_id,
-                              std::string_view request_digest) const;
+                              std::string_view request_digest,
+                              WallMilliseconds now_ms) const;
   // The cursor of the step's first result.
   Cursor FirstCursor(const StepState& step) const;
 
   // The entries that copy the step forward, each at most about
-  // `max_part_bytes`, stated as of the last folded position.
+  // `max_part_bytes`, stated as of the last folded record. The copy extends
+  // the step's life from that record's time: when the stream has been quiet,
+  // append a take first and fold it.
   std::vector<RolloutEntry> BuildCarry(const StepState& step,
                                        std::string_view carry_id,
                                        std::size_t max_part_bytes) const;
@@ -126,21 +145,21 @@
   // Results and takes of a step whose accept lies before this fold's start.
   struct Orphan {
     struct Result {
-      LogPosition position;
+      std::uint64_t offset = 0;
       SampleResult result;
     };
+    struct Take {
+      std::uint64_t offset = 0;
+      StepOwner owner;
+    };
+    // Log time of the last entry.
     WallMilliseconds last_ms = 0;
     std::vector<Result> results;
-    StepOwner owner;
-    LogPosition owner_at;
+    std::vector<Take> takes;
     std::string end_reason;
-    LogPosition end_at;
-  };
-  struct StepName {
-    std::string request_id;
-    LogPosition accepted_at;
-    auto operator<=>(const StepName&) const = default;
+    std::uint64_t end_offset = 0;
   };
+  // Parts of one copy, until it is complete.
   struct CarryParts {
     WallMilliseconds first_ms = 0;
     std::map<std::uint32_t, CarryEntry> parts;
@@ -153,22 +172,23 @@
   void OnTake(const LogPosition& position, const TakeEntry& entry);
   void OnResult(const LogPosition& position, SampleResult result);
   void OnEnd(const LogPosition& position, const EndEntry& entry);
-  void OnCarry(CarryEntry entry);
-  void ApplyCarry(const std::string& carry_id);
-  void ExtendLife(StepState& step, const CarryEntry& entry);
-  void Restore(const CarryParts& copy);
-  void MergeOrphan(StepState& step, const StepName& name, LogPosition as_of);
+  void OnCarry(WallMilliseconds time_ms, CarryEntry entry);
+  void CompleteCarry(CarryParts copy);
+  void Restore(CarryParts copy);
+  void MergeOrphan(StepState& step, std::uint64_t as_of_offset);
   void AddResult(StepState& step, SampleResult result);
+  bool Wants(const RolloutEntry& entry) const;
   // Nothing when the entry belongs to no living step known here.
-  StepState* FindNamed(std::string_view request_id,
-                       const LogPosition& accepted_at);
-  Orphan* OrphanFor(std::string_view request_id,
-                    const LogPosition& accepted_at);
+  StepState* FindNamed(const StepName& name);
+  // Where to keep an entry whose step may still be brought by a copy; nothing
+  // when that can't be.
+  Orphan* OrphanFor(const StepName& name);
+  bool TooEarlyToAccept(const LogPosition& position,
+                        WallMilliseconds time_ms) const;
   void DropExpired();
 
   RolloutFoldOptions options;
   std::uint64_t next_offset = 0;
-  LogPosition last_position;
   WallMilliseconds log_time_ms = kCoversEverything;
   // One living step per request id.
   std::map<std::string, StepState, std::less<>> steps;
--- /dev/null
+++ b/Libraries/LibLedger/server_entries.cc
@@ -0,0 +1,91 @@
+// JSON forms of the entries of `servers` and `versions`.
+
+#include "LibLedger/server_entries.h"
+
+#include <optional>
+
+#include "LibLedger/entry_reader.h"
+#include "LibLedger/record_codec.h"
+
+namespace carobbank {
+
+namespace {
+
+Json::Value ToJson(const SidecarEntry& entry) {
+  Json::Value value;
+  value["kind"] = "sidecar";
+  value["instance"] = entry.instance;
+  value["incarnation"] = Json::UInt64(entry.incarnation);
+  return value;
+}
+
+Json::Value ToJson(const CrashEntry& entry) {
+  Json::Value value;
+  value["kind"] = "crash";
+  value["digest"] = entry.digest;
+  value["instance"] = entry.instance;
+  value["incarnation"] = Json::UInt64(entry.incarnation);
+  return value;
+}
+
+Json::Value ToJson(const QuarantineEntry& entry) {
+  Json::Value value;
+  value["kind"] = "quarantine";
+  value["digest"] = entry.digest;
+  return value;
+}
+
+std::optional<ServerEntry> DecodeServerEntry(const Json::Value& value) {
+  EntryReader reader(value);
+  const std::string kind = reader.Text("kind");
+  std::optional<ServerEntry> entry;
+  if (kind == "sidecar") {
+    entry = SidecarEntry{reader.Identifier("instance"),
+                         reader.Unsigned("incarnation")};
+  } else if (kind == "crash") {
+    entry =
+        CrashEntry{reader.Identifier("digest"), reader.Identifier("instance"),
+                   reader.Unsigned("incarnation")};
+  } else if (kind == "quarantine") {
+    entry = QuarantineEntry{reader.Identifier("digest")};
+  }
+  if (!reader.Ok()) {
+    return std::nullopt;
+  }
+  return entry;
+}
+
+std::optional<AnnounceEntry> DecodeAnnounceEntry(const Json::Value& value) {
+  EntryReader reader(value);
+  const bool announce = reader.Text("kind") == "announce";
+  AnnounceEntry entry{reader.Identifier("model"), reader.Unsigned("version")};
+  if (!announce || !reader.Ok() || entry.version == 0) {
+    return std::nullopt;
+  }
+  return entry;
+}
+
+}  // namespace
+
+std::string EncodeServerEntry(const ServerEntry& entry) {
+  return std::visit([](const auto& item) { return WriteJson(ToJson(item)); },
+                    entry);
+}
+
+DecodedRecord<ServerEntry> DecodeServerRecord(const StreamRecord& record) {
+  return DecodeRecord<ServerEntry>(record, DecodeServerEntry);
+}
+
+std::string EncodeAnnounceEntry(const AnnounceEntry& entry) {
+  Json::Value value;
+  value["kind"] = "announce";
+  value["model"] = entry.model;
+  value["version"] = Json::UInt64(entry.version);
+  return WriteJson(value);
+}
+
+DecodedRecord<AnnounceEntry> DecodeVersionRecord(const StreamRecord& record) {
+  return DecodeRecord<AnnounceEntry>(record, DecodeAnnounceEntry);
+}
+
+}  // namespace carobbank
