LibMembership: Join the list with evidence, watch links, choose subsets

The instance list lags, so the view keeps what heartbeats, refusals and crash reports say, per incarnation: leaving is sticky, unreachable and crashed are not, and news of a lower incarnation is dropped.

Servers choose their watching entries by rendezvous hashing instead of entries choosing servers: with 330 entries of 64 out of 6,000 servers, the mean is 3.5 watchers and an independent choice by each entry would leave about 3% of the servers with none.

--- a/Libraries/LibMembership/link.h
+++ b/Libraries/LibMembership/link.h
@@ -79,9 +79,8 @@
 
  private:
   void Open(MonotonicTime now, std::vector<LinkAction>& actions);
-  void ReplaceSilent(MonotonicTime now, std::vector<LinkAction>& actions);
+  void ScheduleHeartbeat(MonotonicTime now);
   void ProbeFailed(MonotonicTime now, std::vector<LinkAction>& actions);
-  void Retry(MonotonicTime now, std::vector<LinkAction>& actions);
 
   LinkOptions options;
   LinkState state = LinkState::kConnecting;
--- a/Libraries/LibMembership/server_view.h
+++ b/Libraries/LibMembership/server_view.h
@@ -85,8 +85,12 @@
     bool unreachable = false;
     bool crashed = false;
     bool listed = true;
+    // Listings with news in a row that did not name it.
+    std::uint32_t listings_missed = 0;
   };
 
+  void ApplyRow(const Instance& instance);
+  void ForgetUnlisted();
   Entry* Known(std::string_view id, std::uint64_t incarnation);
   void Derive(Entry& entry);
   void StartIncarnation(Entry& entry, std::uint64_t incarnation);
--- /dev/null
+++ b/Tests/LibMembership/watched_subset_test.cc
@@ -0,0 +1,147 @@
+// Tests of the watched subsets: spread, own data center first, and few moves
+// when an entry or a server comes or goes.
+
+#include "LibMembership/membership.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::size_t kDataCenters = 9;
+
+// Instances spread evenly over the data centers.
+struct Fleet {
+  std::vector<std::string> ids;
+  std::vector<std::string> data_centers;
+  std::vector<Placed> placed;
+
+  Fleet(const std::string& prefix, std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+      this->ids.push_back(prefix + std::to_string(index));
+      this->data_centers.push_back("dc-" +
+                                   std::to_string(index % kDataCenters));
+    }
+    for (std::size_t index = 0; index < count; ++index) {
+      this->placed.push_back({this->ids[index], this->data_centers[index]});
+    }
+  }
+};
+
+using Watched = std::set<std::string_view>;
+
+Watched WatchedBy(std::string_view self,
+                  std::span<const Placed> entries,
+                  std::span<const Placed> servers) {
+  Watched ids;
+  for (std::size_t index : ChooseWatched({}, self, entries, servers)) {
+    ids.insert(servers[index].id);
+  }
+  return ids;
+}
+
+std::size_t Differing(const Watched& left, const Watched& right) {
+  std::vector<std::string_view> difference;
+  std::set_symmetric_difference(left.begin(), left.end(), right.begin(),
+                                right.end(), std::back_inserter(difference));
+  return difference.size();
+}
+
+}  // namespace
+
+TEST_GROUP(WatchedSubset){};
+
+TEST(WatchedSubset, EveryServerHasItsWatchersAndHalfAreNear) {
+  const Fleet entries("entry-", 45);
+  const Fleet servers("server-", 900);
+  std::vector<std::size_t> watchers(servers.ids.size());
+  std::vector<std::size_t> near(servers.ids.size());
+  std::size_t largest = 0;
+  for (const Placed& entry : entries.placed) {
+    const auto watched =
+        ChooseWatched({}, entry.id, entries.placed, servers.placed);
+    largest = std::max(largest, watched.size());
+    for (std::size_t index : watched) {
+      ++watchers[index];
+      near[index] += servers.data_centers[index] == entry.data_center ? 1 : 0;
+    }
+  }
+  const std::size_t expected = WatchersPerServer({}, 45, 900);
+  LONGS_EQUAL(4, expected);
+  for (std::size_t index = 0; index < watchers.size(); ++index) {
+    LONGS_EQUAL(expected, watchers[index]);
+    CHECK_TRUE(near[index] >= 2);
+  }
+  // The mean is 80 per entry.
+  CHECK_TRUE(largest <= 120);
+}
+
+TEST(WatchedSubset, FewEntriesWatchEverything) {
+  const Fleet entries("entry-", 3);
+  const Fleet servers("server-", 20);
+  for (const Placed& entry : entries.placed) {
+    LONGS_EQUAL(
+        20, ChooseWatched({}, entry.id, entries.placed, servers.placed).size());
+  }
+  LONGS_EQUAL(
+      0, ChooseWatched({}, "unlisted", entries.placed, servers.placed).size());
+}
+
+TEST(WatchedSubset, DataCenterWithoutEntriesIsWatchedFromOthers) {
+  const Fleet entries("entry-", 6);
+  const Fleet servers("server-", 180);
+  std::vector<std::size_t> watchers(servers.ids.size());
+  for (const Placed& entry : entries.placed) {
+    for (std::size_t index :
+         ChooseWatched({}, entry.id, entries.placed, servers.placed)) {
+      ++watchers[index];
+    }
+  }
+  for (std::size_t count : watchers) {
+    LONGS_EQUAL(WatchersPerServer({}, 6, 180), count);
+  }
+}
+
+TEST(WatchedSubset, OneEntryOrServerMoreMovesFew) {
+  const Fleet entries("entry-", 45);
+  const Fleet servers("server-", 900);
+  const std::span<const Placed> all_entries = entries.placed;
+  const std::span<const Placed> all_servers = servers.placed;
+  std::size_t total = 0;
+  std::size_t moved_by_entry = 0;
+  std::size_t moved_by_server = 0;
+  for (const Placed& entry : all_entries.first(44)) {
+    const Watched now = WatchedBy(entry.id, all_entries, all_servers);
+    total += now.size();
+    moved_by_entry +=
+        Differing(now, WatchedBy(entry.id, all_entries.first(44), all_servers));
+    moved_by_server += Differing(
+        now, WatchedBy(entry.id, all_entries, all_servers.first(899)));
+  }
+  // The new entry takes one share of 45 from the others, and no server gets
+  // other watchers beyond the one whom the newcomer displaced.
+  CHECK_TRUE(moved_by_entry <= total / 45 * 3 / 2);
+  CHECK_TRUE(moved_by_server <= WatchersPerServer({}, 45, 900));
+}
+
+TEST(WatchedSubset, RendezvousTopMovesOnlyTheLostOnesNames) {
+  const std::vector<std::string_view> four = {"e1", "e2", "e3", "e4"};
+  const std::vector<std::string_view> three = {"e1", "e2", "e4"};
+  std::size_t from_e3 = 0;
+  for (int name = 0; name < 200; ++name) {
+    const std::string text = "stream-" + std::to_string(name);
+    const auto before = RendezvousTop(text, four, 1);
+    const auto after = RendezvousTop(text, three, 1);
+    from_e3 += before[0] == "e3" ? 1 : 0;
+    CHECK_TRUE(before[0] == "e3" || before == after);
+  }
+  CHECK_TRUE(from_e3 > 25 && from_e3 < 80);
+  LONGS_EQUAL(4, RendezvousTop("x", four, 9).size());
+}
+
+}  // namespace carobbank
