LibHTTP: Add the event loop, the server and the client

Cause: every process talks HTTP, and the interfaces had no implementation.

Change: EventLoop over asio::io_context; HttpServer over RESTinio with a socket type of its own, which times progress instead of whole operations, sends a problem document before it closes on a request that cannot be read, and answers half-closed callers; HttpClient over libcurl's multi interface, which refuses libcurl's silent resend on a pooled connection, so that a request leaves at most once. Problem documents, query decoding and server-sent events.

--- /dev/null
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -0,0 +1,244 @@
+// Sockets and the timer of libcurl's multi interface, on Asio.
+
+#include "LibHTTP/curl_multi.h"
+
+#include <asio/error.hpp>
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "LibHTTP/socket_options.h"
+
+namespace carobbank {
+
+namespace {
+
+// setsockopt() behind the interface that SetConnectionOptions() takes.
+class RawSocket {
+ public:
+  explicit RawSocket(curl_socket_t descriptor) : descriptor(descriptor) {}
+
+  template <typename Option>
+  // NOLINTNEXTLINE(readability-identifier-naming): Asio's name.
+  void set_option(const Option& option, asio::error_code& /*error*/) {
+    ::setsockopt(this->descriptor, option.level(0), option.name(0),
+                 option.data(0), static_cast<socklen_t>(option.size(0)));
+  }
+
+ private:
+  curl_socket_t descriptor;
+};
+
+}  // namespace
+
+// One socket of libcurl's. Waits are asked for again after each event while
+// libcurl still wants it.
+struct CurlMulti::Watch {
+  Watch(asio::io_context& context, curl_socket_t socket)
+      : descriptor(context, socket), socket(socket) {}
+
+  asio::posix::stream_descriptor descriptor;
+  curl_socket_t socket;
+  bool wants_read = false;
+  bool wants_write = false;
+  // Invariant: at most one wait of each direction is outstanding.
+  bool reading = false;
+  bool writing = false;
+};
+
+CurlMulti::CurlMulti(asio::io_context& context,
+                     HttpClientOptions options,
+                     DoneHandler done)
+    : context(context),
+      options(options),
+      done(std::move(done)),
+      timer(context) {
+  static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialized);
+  this->multi = curl_multi_init();
+  curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+  curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(this->options.max_idle_connections));
+}
+
+CurlMulti::~CurlMulti() {
+  *this->alive = false;
+  this->running = true;
+  curl_multi_cleanup(this->multi);
+  this->watches.clear();
+}
+
+void CurlMulti::Prepare(CURL* easy) {
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpen);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnOptions);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClose);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  const auto idle_seconds = std::chrono::duration_cast<std::chrono::seconds>(
+      this->options.max_idle_time);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   std::max<long>(idle_seconds.count(), 1));
+}
+
+void CurlMulti::Add(CURL* easy) {
+  this->running = true;
+  curl_multi_add_handle(this->multi, easy);
+  this->running = false;
+  // Begins the transfer at once instead of at the next turn of the timer.
+  this->Act(CURL_SOCKET_TIMEOUT, 0);
+}
+
+void CurlMulti::Remove(CURL* easy) {
+  this->running = true;
+  curl_multi_remove_handle(this->multi, easy);
+  this->running = false;
+}
+
+void CurlMulti::Unpause(CURL* easy) {
+  this->running = true;
+  curl_easy_pause(easy, CURLPAUSE_CONT);
+  this->running = false;
+  this->Act(CURL_SOCKET_TIMEOUT, 0);
+}
+
+void CurlMulti::Act(curl_socket_t socket, int events) {
+  int active = 0;
+  this->running = true;
+  curl_multi_socket_action(this->multi, socket, events, &active);
+  this->running = false;
+  this->Collect();
+}
+
+void CurlMulti::Collect() {
+  const std::shared_ptr<bool> still_alive = this->alive;
+  int remaining = 0;
+  while (*still_alive) {
+    const CURLMsg* message = curl_multi_info_read(this->multi, &remaining);
+    if (message == nullptr) {
+      return;
+    }
+    if (message->msg == CURLMSG_DONE) {
+      this->done(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+int CurlMulti::OnSocket(CURL* /*easy*/,
+                        curl_socket_t socket,
+                        int action,
+                        void* self,
+                        void* /*watch*/) {
+  auto* const multi = static_cast<CurlMulti*>(self);
+  const auto found = multi->watches.find(socket);
+  if (found == multi->watches.end()) {
+    return 0;
+  }
+  const std::shared_ptr<Watch> watch = found->second;
+  watch->wants_read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
+  watch->wants_write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
+  multi->WaitRead(watch);
+  multi->WaitWrite(watch);
+  return 0;
+}
+
+void CurlMulti::WaitRead(const std::shared_ptr<Watch>& watch) {
+  if (!watch->wants_read || watch->reading) {
+    return;
+  }
+  watch->reading = true;
+  watch->descriptor.async_wait(
+      asio::posix::stream_descriptor::wait_read,
+      [this, watch, alive = this->alive](const asio::error_code& error) {
+        watch->reading = false;
+        if (error || !*alive) {
+          return;
+        }
+        if (watch->wants_read) {
+          this->Act(watch->socket, CURL_CSELECT_IN);
+        }
+        if (*alive && watch->descriptor.is_open()) {
+          this->WaitRead(watch);
+        }
+      });
+}
+
+void CurlMulti::WaitWrite(const std::shared_ptr<Watch>& watch) {
+  if (!watch->wants_write || watch->writing) {
+    return;
+  }
+  watch->writing = true;
+  watch->descriptor.async_wait(
+      asio::posix::stream_descriptor::wait_write,
+      [this, watch, alive = this->alive](const asio::error_code& error) {
+        watch->writing = false;
+        if (error || !*alive) {
+          return;
+        }
+        if (watch->wants_write) {
+          this->Act(watch->socket, CURL_CSELECT_OUT);
+        }
+        if (*alive && watch->descriptor.is_open()) {
+          this->WaitWrite(watch);
+        }
+      });
+}
+
+int CurlMulti::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
+  auto* const multi = static_cast<CurlMulti*>(self);
+  if (timeout_ms < 0) {
+    multi->timer.cancel();
+    return 0;
+  }
+  multi->timer.expires_after(Milliseconds(timeout_ms));
+  multi->timer.async_wait(
+      [multi, alive = multi->alive](const asio::error_code& error) {
+        if (!error && *alive) {
+          multi->Act(CURL_SOCKET_TIMEOUT, 0);
+        }
+      });
+  return 0;
+}
+
+curl_socket_t CurlMulti::OnOpen(void* self,
+                                curlsocktype /*purpose*/,
+                                curl_sockaddr* address) {
+  auto* const multi = static_cast<CurlMulti*>(self);
+  const int socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC,
+                              address->protocol);
+  if (socket < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  multi->watches[socket] = std::make_shared<Watch>(multi->context, socket);
+  return socket;
+}
+
+int CurlMulti::OnOptions(void* self,
+                         curl_socket_t socket,
+                         curlsocktype /*purpose*/) {
+  const auto* const multi = static_cast<CurlMulti*>(self);
+  RawSocket options(socket);
+  SetConnectionOptions(options, multi->options.silent_timeout);
+  return CURL_SOCKOPT_OK;
+}
+
+int CurlMulti::OnClose(void* self, curl_socket_t socket) {
+  auto* const multi = static_cast<CurlMulti*>(self);
+  const auto found = multi->watches.find(socket);
+  if (found == multi->watches.end()) {
+    return ::close(socket);
+  }
+  const std::shared_ptr<Watch> watch = found->second;
+  multi->watches.erase(found);
+  watch->wants_read = false;
+  watch->wants_write = false;
+  asio::error_code ignored;
+  watch->descriptor.close(ignored);
+  return 0;
+}
+
+}  // namespace carobbank
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -22,6 +22,12 @@
   Milliseconds connect_timeout{1'000};
   // Ends the exchange when no byte came for this long; zero means never.
   Milliseconds idle_timeout{0};
+  // Takes a new connection instead of a pooled one. For requests that must not
+  // fail because the server closed an idle connection at the same moment.
+  // Either way the request is sent at most once.
+  bool fresh_connection = false;
+  // Fetch() fails when the answer's body grows past this.
+  std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
 // What is certain about a failed exchange.
@@ -63,6 +69,9 @@
   // given up, so that one gone silent doesn't hold its requests.
   Milliseconds silent_timeout{10'000};
   std::size_t max_idle_connections = 1'000;
+  // A pooled connection idle for longer is not used again. Keep it below the
+  // servers' keep-alive timeout.
+  Milliseconds max_idle_time{30'000};
 };
 
 class HttpClient {
@@ -77,7 +86,8 @@
       HttpClientHandlers handlers) = 0;
 
   // Reads a whole answer of at most `max_body_bytes`. Keeps the exchange alive
-  // by itself; there is no cancelling it.
+  // by itself; there is no cancelling it. Destroying the client drops the
+  // callback.
   using FetchCallback = std::function<void(Outcome<HttpResponse>)>;
   // Failures: kUnavailable when nothing was sent, else kOutcomeUnknown.
   void Fetch(HttpClientRequest request, FetchCallback callback);
--- /dev/null
+++ b/Libraries/LibHTTP/http_message.cc
@@ -0,0 +1,113 @@
+// Header lookup, query decoding and JSON answers.
+
+#include "LibHTTP/http_message.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kHexadecimalBase = 16;
+
+bool EqualIgnoringCase(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         std::equal(left.begin(), left.end(), right.begin(),
+                    [](unsigned char a, unsigned char b) {
+                      return std::tolower(a) == std::tolower(b);
+                    });
+}
+
+std::optional<int> HexadecimalDigit(char digit) {
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  if (digit >= 'a' && digit <= 'f') {
+    return digit - 'a' + 10;
+  }
+  if (digit >= 'A' && digit <= 'F') {
+    return digit - 'A' + 10;
+  }
+  return std::nullopt;
+}
+
+// The byte that a "%XX" at `position` stands for, or nothing.
+std::optional<char> EscapedByte(std::string_view text, std::size_t position) {
+  if (text[position] != '%' || position + 2 >= text.size()) {
+    return std::nullopt;
+  }
+  const std::optional<int> high = HexadecimalDigit(text[position + 1]);
+  const std::optional<int> low = HexadecimalDigit(text[position + 2]);
+  if (!high || !low) {
+    return std::nullopt;
+  }
+  return static_cast<char>(*high * kHexadecimalBase + *low);
+}
+
+// application/x-www-form-urlencoded (WHATWG URL, section 5.1): '+' is a space,
+// an incomplete escape stands for itself.
+std::string DecodeFormText(std::string_view text) {
+  std::string decoded;
+  decoded.reserve(text.size());
+  for (std::size_t position = 0; position < text.size(); ++position) {
+    if (const std::optional<char> byte = EscapedByte(text, position)) {
+      decoded.push_back(*byte);
+      position += 2;
+    } else {
+      decoded.push_back(text[position] == '+' ? ' ' : text[position]);
+    }
+  }
+  return decoded;
+}
+
+}  // namespace
+
+std::optional<std::string_view> FindHeader(const HttpHeaders& headers,
+                                           std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (EqualIgnoringCase(header.name, name)) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+void SetHeader(HttpHeaders& headers, std::string_view name, std::string value) {
+  std::erase_if(headers, [&](const HttpHeader& header) {
+    return EqualIgnoringCase(header.name, name);
+  });
+  headers.push_back({std::string(name), std::move(value)});
+}
+
+std::string_view HttpRequest::Path() const {
+  const std::string_view whole = this->target;
+  return whole.substr(0, whole.find('?'));
+}
+
+std::optional<std::string> HttpRequest::Query(std::string_view name) const {
+  std::string_view rest = this->target;
+  const std::size_t question_mark = rest.find('?');
+  if (question_mark == std::string_view::npos) {
+    return std::nullopt;
+  }
+  rest.remove_prefix(question_mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (DecodeFormText(pair.substr(0, equals)) != name) {
+      continue;
+    }
+    return equals == std::string_view::npos
+               ? std::string()
+               : DecodeFormText(pair.substr(equals + 1));
+  }
+  return std::nullopt;
+}
+
+HttpResponse JsonResponse(int status, const Json::Value& value) {
+  return {status, {{"Content-Type", "application/json"}}, WriteJson(value)};
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/http_server.cc
@@ -0,0 +1,254 @@
+// HttpServer over restinio::http_server_t, on the event loop's io_context.
+
+#include "LibHTTP/http_server.h"
+
+#include <asio/post.hpp>
+
+#include <netinet/tcp.h>
+
+#include <utility>
+
+#include "LibHTTP/connection_registry.h"
+#include "LibHTTP/event_loop_implementation.h"
+#include "LibHTTP/parser_refusal.h"
+#include "LibHTTP/server_responder.h"
+#include "LibHTTP/server_socket.h"
+#include "LibHTTP/socket_options.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::size_t kReadBufferBytes = 8 * 1024;
+constexpr std::size_t kMaximumHeaderFields = 200;
+// Reading stops while a request is handled: RESTinio 0.6.16 restarts its parser
+// in the middle of a pipelined request otherwise.
+constexpr std::size_t kPipelinedRequests = 1;
+
+// Hands the parser's errors to the registry; everything else is not logged.
+class ParserErrorLogger {
+ public:
+  explicit ParserErrorLogger(std::shared_ptr<ConnectionRegistry> registry)
+      : registry(std::move(registry)) {}
+
+  // NOLINTBEGIN(readability-identifier-naming): RESTinio's names.
+  template <typename Builder>
+  void trace(Builder&& /*builder*/) const noexcept {}
+  template <typename Builder>
+  void info(Builder&& /*builder*/) const noexcept {}
+  template <typename Builder>
+  void warn(Builder&& /*builder*/) const noexcept {}
+  template <typename Builder>
+  void error(Builder&& builder) const {
+    std::string text = builder();
+    if (text.find("parser error") != std::string::npos) {
+      this->registry->NoteParserError(std::move(text));
+    }
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  std::shared_ptr<ConnectionRegistry> registry;
+};
+
+struct ServerTraits
+    : public restinio::traits_t<restinio::null_timer_manager_t,
+                                ParserErrorLogger,
+                                restinio::default_request_handler_t,
+                                restinio::noop_strand_t,
+                                ServerSocket> {
+  using connection_state_listener_t = ConnectionRegistry;
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name.
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+HttpRequest ToRequest(const restinio::request_t& request, std::string peer) {
+  HttpRequest converted;
+  converted.method = request.header().method().c_str();
+  converted.target = request.header().request_target();
+  converted.peer = std::move(peer);
+  request.header().for_each_field([&](const auto& field) {
+    converted.headers.push_back({field.name(), field.value()});
+  });
+  converted.body = request.body();
+  return converted;
+}
+
+std::size_t HeadBytes(const HttpRequest& request) {
+  // ": " and the line's end.
+  constexpr std::size_t kBytesPerField = 4;
+  std::size_t bytes = request.method.size() + request.target.size();
+  for (const HttpHeader& header : request.headers) {
+    bytes += header.name.size() + header.value.size() + kBytesPerField;
+  }
+  return bytes;
+}
+
+void Handle(ConnectionRegistry& registry,
+            HttpRequest request,
+            std::shared_ptr<HttpResponder> responder) {
+  if (!registry.handler) {
+    return;
+  }
+  if (HeadBytes(request) > registry.Options().max_header_bytes) {
+    responder->Send(RefusalForLongHead(registry.Options()).ToResponse());
+    return;
+  }
+  registry.handler(std::move(request), std::move(responder));
+}
+
+restinio::request_handling_status_t Accept(
+    const std::shared_ptr<ConnectionRegistry>& registry,
+    restinio::request_handle_t request) {
+  const auto connection = registry->Find(request->connection_id());
+  if (!connection || !registry->handler) {
+    return restinio::request_rejected();
+  }
+  connection->RequestArrived();
+  HttpRequest converted = ToRequest(*request, connection->Peer());
+  auto exchange = std::make_shared<ServerExchange>(registry, connection,
+                                                   std::move(request));
+  exchange->Attach();
+  // Never answered within this call: see kPipelinedRequests.
+  asio::post(registry->Context(),
+             [registry, converted = std::move(converted),
+              responder = MakeResponder(std::move(exchange))]() mutable {
+               Handle(*registry, std::move(converted), std::move(responder));
+             });
+  return restinio::request_accepted();
+}
+
+class RestinioServer final : public HttpServer {
+ public:
+  explicit RestinioServer(std::shared_ptr<ConnectionRegistry> registry)
+      : registry(std::move(registry)) {}
+
+  ~RestinioServer() override {
+    this->StopAccepting();
+    this->registry->Shutdown();
+  }
+
+  void Open(const asio::ip::address& address) {
+    restinio::server_settings_t<ServerTraits> settings;
+    this->Configure(settings, address);
+    this->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
+        restinio::external_io_context(this->registry->Context()),
+        std::move(settings));
+    this->server->open_sync();
+    this->registry->StartSweeping();
+  }
+
+  std::uint16_t Port() const override { return this->port; }
+
+  void StopAccepting() override {
+    this->registry->draining = true;
+    if (this->server) {
+      this->server->close_sync();
+    }
+  }
+
+  std::size_t RequestsInProgress() const override {
+    return this->registry->requests_in_progress;
+  }
+
+ private:
+  void Configure(restinio::server_settings_t<ServerTraits>& settings,
+                 const asio::ip::address& address) {
+    const HttpServerOptions& options = this->registry->Options();
+    settings.address(address)
+        .port(options.port)
+        .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
+        .buffer_size(kReadBufferBytes)
+        .max_pipelined_requests(kPipelinedRequests)
+        .max_parallel_connections(options.max_connections)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t()
+                .max_url_size(options.max_header_bytes)
+                .max_field_name_size(options.max_header_bytes)
+                .max_field_value_size(options.max_header_bytes)
+                .max_field_count(kMaximumHeaderFields)
+                .max_body_size(options.max_body_bytes))
+        .connection_state_listener(this->registry)
+        .logger(this->registry)
+        .acceptor_options_setter([](auto& acceptor) {
+          acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        })
+        .acceptor_post_bind_hook([this](auto& acceptor) {
+          this->port = acceptor.local_endpoint().port();
+        })
+        .socket_options_setter(
+            [silent_timeout = options.silent_timeout](auto& socket) {
+              SetConnectionOptions(socket, silent_timeout);
+            })
+        .request_handler(
+            [registry = this->registry](restinio::request_handle_t request) {
+              return Accept(registry, std::move(request));
+            });
+  }
+
+  std::shared_ptr<ConnectionRegistry> registry;
+  std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+  std::uint16_t port = 0;
+};
+
+Result<std::shared_ptr<asio::ssl::context>> MakeTlsContext(
+    const HttpServerOptions& options) {
+  if (options.certificate_file.empty() || options.private_key_file.empty()) {
+    return std::shared_ptr<asio::ssl::context>();
+  }
+  auto context =
+      std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+  asio::error_code error;
+  context->set_options(
+      asio::ssl::context::no_tlsv1 | asio::ssl::context::no_tlsv1_1, error);
+  context->use_certificate_chain_file(options.certificate_file, error);
+  if (error) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "cannot read the certificate " + options.certificate_file +
+                    ": " + error.message(),
+                "name a PEM file that holds the certificate chain");
+  }
+  context->use_private_key_file(options.private_key_file,
+                                asio::ssl::context::pem, error);
+  if (error) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "cannot use the private key " + options.private_key_file +
+                    ": " + error.message(),
+                "name the PEM file with the key that fits the certificate");
+  }
+  return context;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    EventLoop& loop,
+    HttpServerOptions options,
+    HttpHandler handler) {
+  asio::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(options.address, error);
+  if (error) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "\"" + options.address + "\" is not an IP address",
+                "give the listening address as IPv4 or IPv6 numbers");
+  }
+  BOOST_LEAF_AUTO(tls_context, MakeTlsContext(options));
+  const std::string place =
+      options.address + ":" + std::to_string(options.port);
+  auto registry = std::make_shared<ConnectionRegistry>(
+      loop.GetImplementation().context, std::move(options));
+  registry->handler = std::move(handler);
+  registry->tls_context = std::move(tls_context);
+  auto server = std::make_unique<RestinioServer>(std::move(registry));
+  try {
+    server->Open(address);
+  } catch (const std::exception& exception) {
+    return Fail(ErrorKind::kUnavailable,
+                "cannot listen on " + place + ": " + exception.what(),
+                "free the port or choose another one");
+  }
+  return std::unique_ptr<HttpServer>(std::move(server));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/server_connection.cc
@@ -0,0 +1,247 @@
+// Deadlines, resets and refusals of one accepted connection.
+
+#include "LibHTTP/server_connection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include <poll.h>
+
+#include <sstream>
+
+#include "LibHTTP/connection_registry.h"
+#include "LibHTTP/parser_refusal.h"
+
+namespace carobbank {
+
+namespace {
+
+// How long the rest of a refused request is read and thrown away, so that the
+// kernel's reset does not overtake the refusal (RFC 9112, section 9.6).
+constexpr Milliseconds kDiscardTime{1'000};
+
+std::string EndpointText(const ServerConnection::LowestLayer& stream) {
+  asio::error_code error;
+  const auto endpoint = stream.remote_endpoint(error);
+  if (error) {
+    return "unknown";
+  }
+  std::ostringstream text;
+  text << endpoint;
+  return text.str();
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(asio::io_context& context,
+                                   std::shared_ptr<ConnectionRegistry> registry,
+                                   asio::ssl::context* tls_context)
+    : registry(std::move(registry)) {
+  if (tls_context != nullptr) {
+    this->tls = std::make_unique<TlsStream>(context, *tls_context);
+  } else {
+    this->tcp.emplace(context);
+  }
+}
+
+ServerConnection::~ServerConnection() {
+  this->registry->Remove(this->id);
+}
+
+ServerConnection::LowestLayer& ServerConnection::Lowest() {
+  if (this->tls) {
+    return this->tls->lowest_layer();
+  }
+  return this->tcp->lowest_layer();
+}
+
+void ServerConnection::Begin(std::uint64_t connection_id) {
+  this->id = connection_id;
+  this->peer = EndpointText(this->Lowest());
+  this->read_deadline =
+      std::chrono::steady_clock::now() + this->registry->Options().read_timeout;
+  this->registry->Add(*this);
+}
+
+void ServerConnection::BeginRequests() {
+  this->phase = Phase::kIdle;
+  this->WatchForReset();
+}
+
+void ServerConnection::RequestArrived() {
+  this->phase = Phase::kHandling;
+  this->first_request = false;
+  this->read_deadline = MonotonicTime::max();
+}
+
+void ServerConnection::ReadStarted() {
+  if (this->phase == Phase::kReading) {
+    return;
+  }
+  this->phase = Phase::kIdle;
+  const HttpServerOptions& options = this->registry->Options();
+  // A peer that connects and says nothing holds its place no longer than one
+  // that is slow to ask.
+  this->read_deadline =
+      std::chrono::steady_clock::now() +
+      (this->first_request ? options.read_timeout : options.keep_alive_timeout);
+}
+
+void ServerConnection::ReadDone(std::size_t bytes) {
+  if (bytes == 0 || this->phase != Phase::kIdle) {
+    return;
+  }
+  this->phase = Phase::kReading;
+  this->read_deadline =
+      std::chrono::steady_clock::now() + this->registry->Options().read_timeout;
+}
+
+void ServerConnection::WriteStarted() {
+  this->write_deadline = std::chrono::steady_clock::now() +
+                         this->registry->Options().write_timeout;
+}
+
+void ServerConnection::WriteDone() {
+  this->write_deadline = MonotonicTime::max();
+}
+
+asio::error_code ServerConnection::Translate(
+    const asio::error_code& error) const {
+  return error && this->failure ? this->failure : error;
+}
+
+void ServerConnection::CheckDeadlines(MonotonicTime now) {
+  if (now < this->read_deadline && now < this->write_deadline) {
+    return;
+  }
+  this->read_deadline = MonotonicTime::max();
+  this->write_deadline = MonotonicTime::max();
+  this->failure = asio::error::timed_out;
+  asio::error_code ignored;
+  this->Lowest().cancel(ignored);
+}
+
+// While a request is handled nothing is read, so that a half-closed caller
+// still gets its answer; a reset shows all the same.
+void ServerConnection::WatchForReset() {
+  this->Lowest().async_wait(
+      LowestLayer::wait_error,
+      [weak = this->weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+          return;
+        }
+        if (self->WasReset()) {
+          self->Abort();
+        } else {
+          self->WatchForReset();
+        }
+      });
+}
+
+bool ServerConnection::WasReset() {
+  pollfd descriptor{};
+  descriptor.fd = this->Lowest().native_handle();
+  ::poll(&descriptor, 1, 0);
+  return (descriptor.revents & (POLLERR | POLLHUP)) != 0;
+}
+
+void ServerConnection::SetClosedHandler(std::function<void()> handler) {
+  this->closed_handler = std::move(handler);
+}
+
+void ServerConnection::NotifyClosed() {
+  if (!this->closed_handler) {
+    return;
+  }
+  const std::function<void()> notify = std::move(this->closed_handler);
+  this->closed_handler = nullptr;
+  notify();
+}
+
+void ServerConnection::Abort() {
+  if (!this->failure) {
+    this->failure = asio::error::connection_aborted;
+  }
+  this->CloseStream();
+  this->NotifyClosed();
+}
+
+void ServerConnection::CloseStream() {
+  this->read_deadline = MonotonicTime::max();
+  this->write_deadline = MonotonicTime::max();
+  asio::error_code ignored;
+  this->Lowest().close(ignored);
+}
+
+std::optional<Problem> ServerConnection::DueRefusal() {
+  const std::string parser_error = this->registry->TakeParserError();
+  if (!this->Lowest().is_open() || this->phase == Phase::kHandshake) {
+    return std::nullopt;
+  }
+  if (!parser_error.empty()) {
+    return RefusalForParserError(parser_error, this->registry->Options());
+  }
+  if (this->failure == asio::error::timed_out &&
+      this->phase == Phase::kReading) {
+    return RefusalForReadTimeout(this->registry->Options());
+  }
+  return std::nullopt;
+}
+
+void ServerConnection::EndOfUse() {
+  if (!this->refusal.empty()) {
+    return;
+  }
+  if (const std::optional<Problem> problem = this->DueRefusal()) {
+    this->SendRefusal(*problem);
+  } else {
+    this->CloseStream();
+  }
+  this->NotifyClosed();
+}
+
+void ServerConnection::SendRefusal(const Problem& problem) {
+  this->refusal = RefusalText(problem);
+  this->failure = asio::error_code();
+  this->write_deadline = std::chrono::steady_clock::now() + kDiscardTime;
+  auto written = [self = this->shared_from_this()](
+                     const asio::error_code& error, std::size_t /*bytes*/) {
+    if (error) {
+      self->CloseStream();
+      return;
+    }
+    asio::error_code ignored;
+    self->Lowest().shutdown(LowestLayer::shutdown_send, ignored);
+    self->DiscardInput();
+  };
+  if (this->tls) {
+    asio::async_write(*this->tls, asio::buffer(this->refusal),
+                      std::move(written));
+  } else {
+    asio::async_write(*this->tcp, asio::buffer(this->refusal),
+                      std::move(written));
+  }
+}
+
+void ServerConnection::DiscardInput() {
+  this->Lowest().async_wait(
+      LowestLayer::wait_read,
+      [self = this->shared_from_this()](const asio::error_code& error) {
+        if (error) {
+          self->CloseStream();
+          return;
+        }
+        const ssize_t received =
+            ::recv(self->Lowest().native_handle(), self->discarded.data(),
+                   self->discarded.size(), MSG_DONTWAIT);
+        if (received <= 0) {
+          self->CloseStream();
+          return;
+        }
+        self->DiscardInput();
+      });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/server_responder.cc
@@ -0,0 +1,303 @@
+// Answers: whole, streamed, cut off or forgotten.
+
+#include "LibHTTP/server_responder.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "LibHTTP/status_phrase.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+// Framing is the server's own, whatever the handler copied from elsewhere.
+constexpr std::array<std::string_view, 4> kFramingHeaders = {
+    "connection", "content-length", "transfer-encoding", "keep-alive"};
+
+char LowerCase(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a')
+                                        : letter;
+}
+
+bool IsFramingHeader(std::string_view name) {
+  return std::any_of(
+      kFramingHeaders.begin(), kFramingHeaders.end(),
+      [&](std::string_view framing) {
+        return std::equal(
+            name.begin(), name.end(), framing.begin(), framing.end(),
+            [](char left, char right) { return LowerCase(left) == right; });
+      });
+}
+
+// A line break in a value would let its author forge header fields
+// (RFC 9110, section 5.5).
+std::string WithoutLineBreaks(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char letter) {
+        return letter == '\r' || letter == '\n' || letter == '\0';
+      },
+      ' ');
+  return text;
+}
+
+restinio::http_status_line_t StatusLine(int status) {
+  return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
+          std::string(StatusPhrase(status))};
+}
+
+Problem NoAnswerProblem() {
+  Problem problem;
+  problem.status = 500;
+  problem.code = "no_answer";
+  problem.detail = "the request's handler ended without an answer";
+  problem.remedy = "report this as a defect, with the request's id";
+  problem.execution = Execution::kMayHaveRun;
+  return problem;
+}
+
+Problem OldVersionProblem() {
+  Problem problem;
+  problem.status = 505;
+  problem.code = "http_version";
+  problem.detail = "a streamed answer cannot be framed in HTTP/1.0";
+  problem.remedy = "send the request as HTTP/1.1";
+  // The handler has begun its answer, so it may have acted.
+  problem.execution = Execution::kMayHaveRun;
+  return problem;
+}
+
+class Responder final : public HttpResponder {
+ public:
+  explicit Responder(std::shared_ptr<ServerExchange> exchange)
+      : exchange(std::move(exchange)) {}
+  ~Responder() override { this->exchange->Dropped(); }
+
+  void Send(HttpResponse response) override {
+    this->exchange->Send(std::move(response));
+  }
+  void Start(int status, HttpHeaders headers) override {
+    this->exchange->Start(status, std::move(headers));
+  }
+  void Write(std::string chunk, std::function<void(bool)> written) override {
+    this->exchange->Write(std::move(chunk), std::move(written));
+  }
+  void Finish() override { this->exchange->Finish(); }
+  void Abort() override { this->exchange->Abort(); }
+  void OnClosed(std::function<void()> closed) override {
+    this->exchange->OnClosed(std::move(closed));
+  }
+
+ private:
+  std::shared_ptr<ServerExchange> exchange;
+};
+
+}  // namespace
+
+ServerExchange::ServerExchange(std::shared_ptr<ConnectionRegistry> registry,
+                               std::shared_ptr<ServerConnection> connection,
+                               restinio::request_handle_t request)
+    : registry(std::move(registry)),
+      connection(std::move(connection)),
+      request(std::move(request)) {
+  const auto& header = this->request->header();
+  this->head_only = header.method() == restinio::http_method_head();
+  this->chunks_understood = header.http_major() > 1 || header.http_minor() > 0;
+  ++this->registry->requests_in_progress;
+}
+
+ServerExchange::~ServerExchange() {
+  this->End();
+}
+
+void ServerExchange::End() {
+  if (this->state != State::kEnded) {
+    this->state = State::kEnded;
+    --this->registry->requests_in_progress;
+  }
+}
+
+void ServerExchange::Attach() {
+  this->connection->SetClosedHandler(
+      [self = this->shared_from_this()] { self->HandleClosed(); });
+}
+
+void ServerExchange::Post(std::function<void()> task) {
+  asio::post(this->registry->Context(), std::move(task));
+}
+
+bool ServerExchange::AnswerHasBody(int status) const {
+  // RFC 9110, section 6.4.1.
+  return !this->head_only && status != kNoContent && status != kNotModified;
+}
+
+template <typename Builder>
+void ServerExchange::AddHeaders(Builder& builder, const HttpHeaders& headers) {
+  for (const HttpHeader& header : headers) {
+    if (!IsFramingHeader(header.name)) {
+      builder.append_header(WithoutLineBreaks(header.name),
+                            WithoutLineBreaks(header.value));
+    }
+  }
+  if (this->registry->draining ||
+      FindHeader(headers, "connection") == "close") {
+    builder.connection_close();
+  }
+}
+
+void ServerExchange::Send(HttpResponse response) {
+  if (this->state != State::kWaiting) {
+    return;
+  }
+  this->state = State::kFinishing;
+  if (!this->AnswerHasBody(response.status)) {
+    this->SendWithoutBody(response);
+    return;
+  }
+  auto builder = this->request->create_response(StatusLine(response.status));
+  this->request.reset();
+  this->AddHeaders(builder, response.headers);
+  builder.set_body(std::move(response.body));
+  builder.done([self = this->shared_from_this()](const auto& /*error*/) {
+    self->AnswerWritten();
+  });
+}
+
+void ServerExchange::SendWithoutBody(const HttpResponse& response) {
+  auto builder =
+      this->request->create_response<restinio::user_controlled_output_t>(
+          StatusLine(response.status));
+  this->request.reset();
+  this->AddHeaders(builder, response.headers);
+  builder.set_content_length(response.body.size());
+  builder.done([self = this->shared_from_this()](const auto& /*error*/) {
+    self->AnswerWritten();
+  });
+}
+
+void ServerExchange::Start(int status, HttpHeaders headers) {
+  if (this->state != State::kWaiting) {
+    return;
+  }
+  if (!this->chunks_understood) {
+    this->Send(OldVersionProblem().ToResponse());
+    return;
+  }
+  if (!this->AnswerHasBody(status)) {
+    this->Send({status, std::move(headers), ""});
+    return;
+  }
+  this->state = State::kStreaming;
+  this->builder.emplace(
+      this->request->create_response<restinio::chunked_output_t>(
+          StatusLine(status)));
+  this->request.reset();
+  this->AddHeaders(*this->builder, headers);
+  // A first chunk written in the same turn travels with the head.
+  this->Post([self = this->shared_from_this()] { self->FlushHead(); });
+}
+
+void ServerExchange::FlushHead() {
+  if (this->state == State::kStreaming && !this->head_flushed) {
+    this->head_flushed = true;
+    this->builder->flush();
+  }
+}
+
+void ServerExchange::Write(std::string chunk,
+                           std::function<void(bool)> written) {
+  if (this->state != State::kStreaming) {
+    this->Post([written = std::move(written)] { written(false); });
+    return;
+  }
+  this->head_flushed = true;
+  this->pending_chunks.push_back(std::move(written));
+  this->builder->append_chunk(std::move(chunk));
+  this->builder->flush([self = this->shared_from_this()](const auto& error) {
+    self->ChunkWritten(!error);
+  });
+}
+
+void ServerExchange::ChunkWritten(bool success) {
+  // Empty when the connection ended first: the callbacks were told already.
+  if (this->pending_chunks.empty()) {
+    return;
+  }
+  const std::function<void(bool)> written =
+      std::move(this->pending_chunks.front());
+  this->pending_chunks.pop_front();
+  // RESTinio calls from a noexcept function that goes on to use its state.
+  this->Post([written, success] { written(success); });
+}
+
+void ServerExchange::Finish() {
+  if (this->state != State::kStreaming) {
+    return;
+  }
+  this->state = State::kFinishing;
+  ChunkedBuilder last = std::move(*this->builder);
+  this->builder.reset();
+  last.done([self = this->shared_from_this()](const auto& /*error*/) {
+    self->AnswerWritten();
+  });
+}
+
+void ServerExchange::AnswerWritten() {
+  if (this->state != State::kFinishing) {
+    return;
+  }
+  this->End();
+  this->closed = nullptr;
+  this->connection->SetClosedHandler(nullptr);
+}
+
+void ServerExchange::Abort() {
+  if (this->state == State::kEnded) {
+    return;
+  }
+  this->closed = nullptr;
+  this->connection->Abort();
+}
+
+void ServerExchange::HandleClosed() {
+  this->End();
+  this->builder.reset();
+  this->request.reset();
+  for (std::function<void(bool)>& written : this->pending_chunks) {
+    this->Post([written = std::move(written)] { written(false); });
+  }
+  this->pending_chunks.clear();
+  if (this->closed) {
+    this->Post(std::exchange(this->closed, nullptr));
+  }
+}
+
+void ServerExchange::OnClosed(std::function<void()> closed) {
+  if (this->state == State::kEnded) {
+    this->Post(std::move(closed));
+    return;
+  }
+  this->closed = std::move(closed);
+}
+
+void ServerExchange::Dropped() {
+  if (this->state == State::kWaiting) {
+    this->Send(NoAnswerProblem().ToResponse());
+  } else if (this->state == State::kStreaming) {
+    this->Abort();
+  }
+}
+
+std::shared_ptr<HttpResponder> MakeResponder(
+    std::shared_ptr<ServerExchange> exchange) {
+  return std::make_shared<Responder>(std::move(exchange));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/server_sent_events.cc
@@ -0,0 +1,114 @@
+// Line-based reader and writer of text/event-stream.
+
+#include "LibHTTP/server_sent_events.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+namespace {
+
+// The value after the colon; one leading space is not part of it.
+std::string_view FieldValue(std::string_view line, std::size_t colon) {
+  std::string_view value = line.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string WriteServerSentEvent(const ServerSentEvent& event) {
+  std::string text;
+  text.reserve(event.event.size() + event.data.size() + 24);
+  if (!event.event.empty()) {
+    text.append("event: ").append(event.event).append("\n");
+  }
+  std::string_view rest = event.data;
+  while (true) {
+    // A CR ends a line too, so it cannot stand inside one.
+    const std::size_t end = rest.find_first_of("\r\n");
+    text.append("data: ").append(rest.substr(0, end)).append("\n");
+    if (end == std::string_view::npos) {
+      break;
+    }
+    rest.remove_prefix(end + 1);
+  }
+  text.append("\n");
+  return text;
+}
+
+Result<std::vector<ServerSentEvent>> ServerSentEventReader::Feed(
+    std::string_view bytes) {
+  std::vector<ServerSentEvent> events;
+  while (!bytes.empty()) {
+    // A line ends with CR, LF or both; the LF after a CR is skipped.
+    if (this->after_carriage_return) {
+      this->after_carriage_return = false;
+      if (bytes.front() == '\n') {
+        bytes.remove_prefix(1);
+        continue;
+      }
+    }
+    const std::size_t end = std::min(bytes.find_first_of("\r\n"), bytes.size());
+    this->pending_line.append(bytes.substr(0, end));
+    if (this->pending_line.size() + this->current.data.size() >
+        this->max_event_bytes) {
+      return Fail(ErrorKind::kCorrupt,
+                  "an event of the stream is longer than " +
+                      std::to_string(this->max_event_bytes) + " bytes",
+                  "send smaller events, or raise the reader's limit");
+    }
+    if (end == bytes.size()) {
+      break;
+    }
+    this->after_carriage_return = bytes[end] == '\r';
+    bytes.remove_prefix(end + 1);
+    this->TakeLine(events);
+  }
+  return events;
+}
+
+void ServerSentEventReader::TakeLine(std::vector<ServerSentEvent>& events) {
+  const std::string_view line = this->pending_line;
+  if (line.empty()) {
+    this->Dispatch(events);
+    return;
+  }
+  const std::size_t colon = std::min(line.find(':'), line.size());
+  const std::string_view value =
+      colon == line.size() ? std::string_view() : FieldValue(line, colon);
+  this->TakeField(line.substr(0, colon), value);
+  this->pending_line.clear();
+}
+
+void ServerSentEventReader::TakeField(std::string_view name,
+                                      std::string_view value) {
+  if (name == "event") {
+    this->current.event = value;
+  } else if (name == "data") {
+    if (this->has_data) {
+      this->current.data.push_back('\n');
+    }
+    this->current.data.append(value);
+    this->has_data = true;
+  }
+  // Other fields and comments (an empty name) are ignored, as the
+  // specification asks.
+}
+
+void ServerSentEventReader::Dispatch(std::vector<ServerSentEvent>& events) {
+  if (this->has_data) {
+    events.push_back(std::move(this->current));
+  }
+  this->current = ServerSentEvent();
+  this->has_data = false;
+}
+
+bool ServerSentEventReader::AtEventBoundary() const {
+  return this->pending_line.empty() && !this->has_data &&
+         this->current.event.empty();
+}
+
+}  // namespace carobbank
--- a/Libraries/LibHTTP/server_sent_events.h
+++ b/Libraries/LibHTTP/server_sent_events.h
@@ -31,10 +31,17 @@
   bool AtEventBoundary() const;
 
  private:
+  void TakeLine(std::vector<ServerSentEvent>& events);
+  void TakeField(std::string_view name, std::string_view value);
+  void Dispatch(std::vector<ServerSentEvent>& events);
+
   std::size_t max_event_bytes;
+  // Invariant: holds no line terminator.
   std::string pending_line;
   ServerSentEvent current;
   bool has_data = false;
+  // The last byte was a CR, so an LF that follows ends no further line.
+  bool after_carriage_return = false;
 };
 
 }  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibHTTP/status_phrase.h
@@ -0,0 +1,12 @@
+// The reason phrases of HTTP status codes (RFC 9110, section 15).
+
+#pragma once
+
+#include <string_view>
+
+namespace carobbank {
+
+// "Not Found" for 404; the class's name for a code that is not registered.
+std::string_view StatusPhrase(int status);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/LibHTTP/http_exchange_test.cc
@@ -0,0 +1,230 @@
+// Client and server against each other, and each against bare sockets.
+
+#include "LibHTTP/http.h"
+
+#include <optional>
+
+#include "Support/loop_runner.h"
+#include "Support/raw_socket.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+// What one exchange reported.
+struct Observed {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  int done = 0;
+  std::optional<HttpClientFailure> failure;
+
+  bool Ended() const { return this->done > 0 || this->failure.has_value(); }
+  HttpClientHandlers Handlers() {
+    return {
+        [this](int status, const HttpHeaders& headers) {
+          this->status = status;
+          this->headers = headers;
+        },
+        [this](std::string_view bytes) { this->body.append(bytes); },
+        [this] { ++this->done; },
+        [this](const HttpClientFailure& failure) { this->failure = failure; }};
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(HttpExchange) {
+  LoopRunner runner;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(this->runner.loop);
+
+  void Serve(HttpHandler handler) {
+    auto made = Capture([&] {
+      return HttpServer::Create(this->runner.loop, {}, std::move(handler));
+    });
+    CHECK_TRUE(made.Ok());
+    this->server = std::move(made.Value());
+  }
+
+  std::string Url(std::uint16_t port) {
+    return "http://127.0.0.1:" + std::to_string(port) + "/path?q=1";
+  }
+
+  HttpClientRequest Request(std::string method, std::string body = "") {
+    HttpClientRequest request;
+    request.method = std::move(method);
+    request.url = this->Url(this->server->Port());
+    request.body = std::move(body);
+    return request;
+  }
+};
+
+TEST(HttpExchange, RequestArrivesAsItWasSent) {
+  HttpRequest seen;
+  this->Serve([&](HttpRequest request, auto responder) {
+    seen = std::move(request);
+    responder->Send({201, {{"X-Answer", "yes"}}, "made"});
+  });
+  HttpClientRequest request = this->Request("POST", "the body");
+  request.headers = {{"X-One", "1"}, {"X-Empty", ""}};
+  Observed observed;
+  const auto exchange =
+      this->client->Start(std::move(request), observed.Handlers());
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.Ended(); }));
+  CHECK_EQUAL(1, observed.done);
+  CHECK_EQUAL(201, observed.status);
+  STRCMP_EQUAL("made", observed.body.c_str());
+  CHECK_TRUE(FindHeader(observed.headers, "x-answer") == "yes");
+  STRCMP_EQUAL("POST", seen.method.c_str());
+  STRCMP_EQUAL("/path?q=1", seen.target.c_str());
+  STRCMP_EQUAL("the body", seen.body.c_str());
+  CHECK_TRUE(FindHeader(seen.headers, "X-One") == "1");
+  CHECK_TRUE(FindHeader(seen.headers, "X-Empty") == "");
+  CHECK_FALSE(FindHeader(seen.headers, "Expect").has_value());
+  CHECK_TRUE(this->runner.RunUntil(
+      [&] { return this->server->RequestsInProgress() == 0; }));
+}
+
+TEST(HttpExchange, EveryMethodKeepsItsFraming) {
+  this->Serve([&](HttpRequest request, auto responder) {
+    responder->Send({200, {{"X-Method", request.method}}, request.body});
+  });
+  for (const char* const method :
+       {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"}) {
+    Observed observed;
+    const bool has_body = std::string_view(method) == "PUT";
+    const auto exchange = this->client->Start(
+        this->Request(method, has_body ? "text" : ""), observed.Handlers());
+    CHECK_TRUE_TEXT(this->runner.RunUntil([&] { return observed.Ended(); }),
+                    method);
+    CHECK_EQUAL_TEXT(1, observed.done, method);
+    CHECK_TRUE(FindHeader(observed.headers, "X-Method") == method);
+    STRCMP_EQUAL(has_body ? "text" : "", observed.body.c_str());
+  }
+}
+
+TEST(HttpExchange, ChunksArriveOneByOne) {
+  std::shared_ptr<HttpResponder> responder;
+  this->Serve([&](HttpRequest /*request*/, auto given) { responder = given; });
+  Observed observed;
+  const auto exchange =
+      this->client->Start(this->Request("GET"), observed.Handlers());
+  CHECK_TRUE(this->runner.RunUntil([&] { return responder != nullptr; }));
+  responder->Start(200, {{"Content-Type", "text/event-stream"}});
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.status == 200; }));
+  STRCMP_EQUAL("", observed.body.c_str());
+  int written = 0;
+  responder->Write("one", [&](bool ok) { written += ok ? 1 : 0; });
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.body == "one"; }));
+  responder->Write(" two", [&](bool ok) { written += ok ? 1 : 0; });
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.body == "one two"; }));
+  CHECK_EQUAL(0, observed.done);
+  CHECK_EQUAL(1U, this->server->RequestsInProgress());
+  responder->Finish();
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.Ended(); }));
+  CHECK_EQUAL(1, observed.done);
+  CHECK_EQUAL(2, written);
+  CHECK_TRUE(this->runner.RunUntil(
+      [&] { return this->server->RequestsInProgress() == 0; }));
+}
+
+TEST(HttpExchange, CutAnswersNeverLookWhole) {
+  this->Serve([&](HttpRequest /*request*/, auto responder) {
+    responder->Start(200, {});
+    responder->Write("part", [responder](bool) { responder->Abort(); });
+  });
+  Observed observed;
+  const auto exchange =
+      this->client->Start(this->Request("GET"), observed.Handlers());
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.Ended(); }));
+  CHECK_EQUAL(0, observed.done);
+  CHECK_TRUE(observed.failure->send_state == SendState::kMayHaveBeenSent);
+  CHECK_TRUE(observed.failure->error.kind == ErrorKind::kOutcomeUnknown);
+}
+
+TEST(HttpExchange, DroppedResponderAnswersOrCuts) {
+  this->Serve([&](HttpRequest request, auto responder) {
+    if (request.method == "PUT") {
+      responder->Start(200, {});
+      responder->Write("part", [](bool) {});
+    }
+  });
+  Observed unanswered;
+  Observed cut;
+  const auto first =
+      this->client->Start(this->Request("GET"), unanswered.Handlers());
+  const auto second = this->client->Start(this->Request("PUT"), cut.Handlers());
+  CHECK_TRUE(
+      this->runner.RunUntil([&] { return unanswered.Ended() && cut.Ended(); }));
+  CHECK_EQUAL(500, unanswered.status);
+  CHECK_TRUE(Problem::FromText(500, unanswered.body)->code == "no_answer");
+  CHECK_TRUE(cut.failure.has_value());
+}
+
+TEST(HttpExchange, RefusedConnectionIsCertainlyNotSent) {
+  std::uint16_t free_port = 0;
+  {
+    const RawListener listener;
+    free_port = listener.Port();
+  }
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = this->Url(free_port);
+  Observed observed;
+  const auto exchange =
+      this->client->Start(std::move(request), observed.Handlers());
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.Ended(); }));
+  CHECK_TRUE(observed.failure->send_state == SendState::kNotSent);
+  CHECK_TRUE(observed.failure->error.kind == ErrorKind::kUnavailable);
+}
+
+TEST(HttpExchange, FetchGivesTheWholeAnswerOrOneError) {
+  this->Serve([&](HttpRequest request, auto responder) {
+    responder->Send({200, {}, std::string(request.body.size() * 2, 'x')});
+  });
+  for (const std::size_t limit : {1'000U, 7U}) {
+    HttpClientRequest request = this->Request("POST", "1234");
+    request.max_body_bytes = limit;
+    std::optional<Outcome<HttpResponse>> result;
+    this->client->Fetch(std::move(request), [&](Outcome<HttpResponse> outcome) {
+      result = std::move(outcome);
+    });
+    CHECK_TRUE(this->runner.RunUntil([&] { return result.has_value(); }));
+    CHECK_EQUAL(limit == 1'000U, result->Ok());
+  }
+}
+
+TEST(HttpExchange, ExchangeMayBeDestroyedInsideItsOwnHandlers) {
+  this->Serve([&](HttpRequest /*request*/, auto responder) {
+    responder->Start(200, {});
+    responder->Write("part", [responder](bool) { responder->Finish(); });
+  });
+  for (int place = 0; place < 3; ++place) {
+    std::unique_ptr<HttpExchange> exchange;
+    int calls = 0;
+    const auto destroy_at = [&](int here) {
+      ++calls;
+      if (here == place) {
+        exchange.reset();
+      }
+    };
+    HttpClientHandlers handlers;
+    handlers.on_headers = [&](int, const HttpHeaders&) { destroy_at(0); };
+    handlers.on_body = [&](std::string_view) { destroy_at(1); };
+    handlers.on_done = [&] { destroy_at(2); };
+    exchange = this->client->Start(this->Request("GET"), std::move(handlers));
+    CHECK_TRUE(this->runner.RunUntil([&] { return exchange == nullptr; }));
+    CHECK_EQUAL(place + 1, calls);
+  }
+  // The client is whole afterwards.
+  Observed observed;
+  const auto exchange =
+      this->client->Start(this->Request("GET"), observed.Handlers());
+  CHECK_TRUE(this->runner.RunUntil([&] { return observed.Ended(); }));
+  CHECK_EQUAL(1, observed.done);
+}
+
+}  // namespace carobbank
