--- a/Libraries/LibHTTP/http.h
+++ b/Libraries/LibHTTP/http.h
@@ -8,4 +8,5 @@
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_message.h"
 #include "LibHTTP/http_server.h"
+#include "LibHTTP/peer_proof.h"
 #include "LibHTTP/server_sent_events.h"
