LibRouting: Choose servers, bound retries, quarantine, plan steps

The router keeps one pool's servers by data center and version, so that the sampling strategies touch a few servers whatever the number known. Load is the lagging report corrected by this entry's own starts and ends since. Prefix affinity follows probable holders and a home that every entry finds alike, within a load bound.

A crash condemns a digest only at its second server and only when it is the one possible cause; until then it runs alone. A duplicate of a straggler goes on from the original's progress, because a fresh seed would favour short samples.

--- a/Libraries/LibLedger/server_entries.cc
+++ b/Libraries/LibLedger/server_entries.cc
@@ -22,9 +22,13 @@
 Json::Value ToJson(const CrashEntry& entry) {
   Json::Value value;
   value["kind"] = "crash";
-  value["digest"] = entry.digest;
   value["instance"] = entry.instance;
   value["incarnation"] = Json::UInt64(entry.incarnation);
+  value["complete"] = entry.complete;
+  value["digests"] = Json::Value(Json::arrayValue);
+  for (const std::string& digest : entry.digests) {
+    value["digests"].append(digest);
+  }
   return value;
 }
 
@@ -35,6 +39,21 @@
   return value;
 }
 
+CrashEntry ReadCrash(EntryReader& reader) {
+  CrashEntry entry;
+  entry.instance = reader.Identifier("instance");
+  entry.incarnation = reader.Unsigned("incarnation");
+  entry.complete = reader.Boolean("complete");
+  for (const Json::Value& digest : reader.Array("digests")) {
+    if (!digest.isString() || digest.asString().empty()) {
+      reader.Reject();
+      return {};
+    }
+    entry.digests.push_back(digest.asString());
+  }
+  return entry;
+}
+
 std::optional<ServerEntry> DecodeServerEntry(const Json::Value& value) {
   EntryReader reader(value);
   const std::string kind = reader.Text("kind");
@@ -43,9 +62,7 @@
     entry = SidecarEntry{reader.Identifier("instance"),
                          reader.Unsigned("incarnation")};
   } else if (kind == "crash") {
-    entry =
-        CrashEntry{reader.Identifier("digest"), reader.Identifier("instance"),
-                   reader.Unsigned("incarnation")};
+    entry = ReadCrash(reader);
   } else if (kind == "quarantine") {
     entry = QuarantineEntry{reader.Identifier("digest")};
   }
--- a/Libraries/LibLedger/server_entries.h
+++ b/Libraries/LibLedger/server_entries.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "LibLedger/log_position.h"
 
@@ -21,11 +22,13 @@
   std::uint64_t incarnation = 0;
 };
 
-// A backend server crashed while it ran the work with this digest.
+// A backend server crashed while it ran the work with these digests.
 struct CrashEntry {
-  std::string digest;
   std::string instance;
   std::uint64_t incarnation = 0;
+  std::vector<std::string> digests;
+  // Nothing else ran there.
+  bool complete = false;
 };
 
 // The work with this digest must not be run any more.
--- /dev/null
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -0,0 +1,101 @@
+// Suspects and quarantine of requests that crash servers.
+
+#include "LibRouting/crash_quarantine.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+CrashQuarantine::Suspect& CrashQuarantine::SuspectFor(
+    const std::string& digest) {
+  const auto [found, added] = this->suspects.try_emplace(digest);
+  if (added) {
+    this->ages.push_back(digest);
+    found->second.age = std::prev(this->ages.end());
+  }
+  return found->second;
+}
+
+bool CrashQuarantine::AnyQuarantined(const CrashReport& report) const {
+  return std::any_of(report.digests.begin(), report.digests.end(),
+                     [&](const std::string& digest) {
+                       return this->StandingOf(digest) ==
+                              DigestStanding::kQuarantined;
+                     });
+}
+
+std::optional<std::string> CrashQuarantine::OnCrash(const CrashReport& report) {
+  if (this->AnyQuarantined(report)) {
+    // The cause is known; the others only ran beside it.
+    return std::nullopt;
+  }
+  std::vector<std::string> possible_causes;
+  for (const std::string& digest : report.digests) {
+    Suspect& suspect = this->SuspectFor(digest);
+    const bool known = std::find(suspect.servers.begin(), suspect.servers.end(),
+                                 report.instance) != suspect.servers.end();
+    if (!known &&
+        suspect.servers.size() < this->options.servers_to_quarantine) {
+      suspect.servers.push_back(report.instance);
+    }
+    if (suspect.servers.size() >= this->options.servers_to_quarantine) {
+      possible_causes.push_back(digest);
+    }
+  }
+  std::optional<std::string> cause;
+  if (report.complete && possible_causes.size() == 1) {
+    cause = possible_causes.front();
+    this->Quarantine(this->SuspectFor(*cause));
+  }
+  this->ForgetOldest();
+  return cause;
+}
+
+void CrashQuarantine::Quarantine(Suspect& suspect) {
+  if (suspect.quarantined) {
+    return;
+  }
+  suspect.quarantined = true;
+  this->ages.erase(suspect.age);
+}
+
+void CrashQuarantine::OnQuarantined(std::string_view digest) {
+  this->Quarantine(this->SuspectFor(std::string(digest)));
+}
+
+void CrashQuarantine::OnFinished(std::string_view digest) {
+  const auto found = this->suspects.find(digest);
+  if (found == this->suspects.end() || found->second.quarantined) {
+    return;
+  }
+  this->ages.erase(found->second.age);
+  this->suspects.erase(found);
+}
+
+void CrashQuarantine::ForgetOldest() {
+  while (this->ages.size() > this->options.max_suspects) {
+    this->suspects.erase(this->ages.front());
+    this->ages.pop_front();
+  }
+}
+
+DigestStanding CrashQuarantine::StandingOf(std::string_view digest) const {
+  const auto found = this->suspects.find(digest);
+  if (found == this->suspects.end()) {
+    return DigestStanding::kClear;
+  }
+  return found->second.quarantined ? DigestStanding::kQuarantined
+                                   : DigestStanding::kAlone;
+}
+
+std::vector<std::string> CrashQuarantine::Quarantined() const {
+  std::vector<std::string> digests;
+  for (const auto& [digest, suspect] : this->suspects) {
+    if (suspect.quarantined) {
+      digests.push_back(digest);
+    }
+  }
+  return digests;
+}
+
+}  // namespace carobbank
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -1,6 +1,7 @@
 // Requests that crash each backend server that runs them. Two distinct servers
 // that crash while they run the same digest put it in quarantine; after the
-// first crash it runs alone.
+// first crash it runs alone, so that the second one tells it from its
+// neighbours.
 
 #pragma once
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,10 +19,12 @@
 namespace carobbank {
 
 struct CrashReport {
-  std::string digest;
   // The crashed server.
   std::string instance;
-  std::uint64_t incarnation = 0;
+  // Digests of the work that it ran.
+  std::vector<std::string> digests;
+  // Nothing else ran there: only the sidecar knows, or who sent it alone.
+  bool complete = false;
 };
 
 enum class DigestStanding {
@@ -43,10 +47,10 @@
  public:
   explicit CrashQuarantine(CrashQuarantineOptions options) : options(options) {}
 
-  // The digests that ran at a server when it crashed are all reported; those
-  // that ran alone decide at once, the others need a second server. Returns
-  // the standing after the report.
-  DigestStanding OnCrash(const CrashReport& report);
+  // Returns the digest that this report has put in quarantine, or nothing.
+  // When several digests of a report stand at their second server, each of
+  // them may be the cause; they go on running alone until one is found out.
+  std::optional<std::string> OnCrash(const CrashReport& report);
   // Another process has put it in quarantine.
   void OnQuarantined(std::string_view digest);
   // The work was finished somewhere: it is no longer suspect.
@@ -63,7 +67,10 @@
     bool quarantined = false;
   };
 
-  Suspect& SuspectFor(std::string_view digest);
+  Suspect& SuspectFor(const std::string& digest);
+  bool AnyQuarantined(const CrashReport& report) const;
+  void Quarantine(Suspect& suspect);
+  void ForgetOldest();
 
   CrashQuarantineOptions options;
   std::map<std::string, Suspect, std::less<>> suspects;
--- a/Libraries/LibRouting/home_tree.h
+++ b/Libraries/LibRouting/home_tree.h
@@ -1,7 +1,8 @@
 // Homes by hierarchical rendezvous hashing: a trie over the hashes of server
 // ids, where each level picks a child by a rendezvous score weighted with the
-// servers below it. Finding a home takes a logarithmic number of scores, and a
-// server that comes or goes moves only its own keys.
+// servers below it. Finding a home takes a logarithmic number of scores. A
+// server that comes or goes moves its own keys, and at most about as many
+// others for each level above it.
 
 #pragma once
 
@@ -17,12 +18,14 @@
   HomeTree();
 
   // `hash` is a well-mixed hash of the server's id, `value` what Find gives.
+  // A hash that is already there keeps its value.
   void Insert(std::uint64_t hash, std::uint32_t value);
   void Erase(std::uint64_t hash, std::uint32_t value);
 
   // The home of a key; `kNone` when the tree is empty.
   std::uint32_t Find(std::uint64_t key) const;
-  std::size_t Size() const;
+  // Servers that can be homes.
+  std::size_t Size() const { return this->nodes.front().count; }
 
   static constexpr std::uint32_t kNone = UINT32_MAX;
 
@@ -40,9 +43,13 @@
     bool leaf = true;
   };
 
+  bool Contains(std::uint64_t hash) const;
+  static int ChildOf(std::uint64_t hash, int depth);
   std::uint32_t NewNode();
   void Split(std::uint32_t node, int depth);
 
+  // Invariant: never empty, the root comes first; a node's count is the number
+  // of servers below it.
   std::vector<Node> nodes;
   std::vector<std::uint32_t> free_nodes;
 };
--- a/Libraries/LibRouting/prefix_index.h
+++ b/Libraries/LibRouting/prefix_index.h
@@ -22,12 +22,23 @@
   std::uint64_t prefix = 0;
 };
 
+inline constexpr std::size_t kMaxPrefixHolders = 4;
+
+struct PrefixHolders {
+  std::array<ServerIndex, kMaxPrefixHolders> servers{};
+  std::size_t count = 0;
+
+  std::span<const ServerIndex> All() const {
+    return std::span(this->servers).first(this->count);
+  }
+};
+
 class PrefixIndex {
  public:
   explicit PrefixIndex(std::size_t max_prefixes) : max_prefixes(max_prefixes) {}
 
-  // Events from the server, in order; a gap before `first` voids what events
-  // said of it, since evictions may have been lost.
+  // Events from the server, in order; a gap before `first` voids what was
+  // known of it, since evictions may have been lost.
   void OnEvents(ServerIndex server,
                 std::uint64_t first,
                 std::span<const PrefixEvent> events);
@@ -37,19 +48,29 @@
   void Forget(ServerIndex server);
 
   // Probable holders, latest first.
-  std::span<const ServerIndex> Holders(std::uint64_t prefix) const;
+  PrefixHolders Holders(std::uint64_t prefix) const;
   // The sequence to read the server's events from.
   std::uint64_t NextSequence(ServerIndex server) const;
   std::size_t Size() const { return this->entries.size(); }
 
-  static constexpr std::size_t kMaxHolders = 4;
-
  private:
+  struct Holder {
+    ServerIndex server = kNoServer;
+    // Void when the server's knowledge has a later epoch.
+    std::uint32_t epoch = 0;
+  };
   struct Entry {
-    std::array<ServerIndex, kMaxHolders> holders{};
-    std::size_t count = 0;
+    // Latest first; the last ones may be unused.
+    std::array<Holder, kMaxPrefixHolders> holders{};
     std::list<std::uint64_t>::iterator age;
   };
+  // What is known of one server's events.
+  struct Knowledge {
+    std::uint64_t next_sequence = 0;
+    std::uint32_t epoch = 0;
+  };
+
+  Knowledge& KnowledgeOf(ServerIndex server);
 
   void Add(ServerIndex server, std::uint64_t prefix);
   void Drop(ServerIndex server, std::uint64_t prefix);
@@ -58,7 +79,8 @@
   std::unordered_map<std::uint64_t, Entry> entries;
   // Least recently used last.
   std::list<std::uint64_t> ages;
-  std::unordered_map<ServerIndex, std::uint64_t> next_sequence;
+  // By server index.
+  std::vector<Knowledge> knowledge;
 };
 
 }  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibRouting/route_context.cc
@@ -0,0 +1,104 @@
+// Costs and sampling for one choice.
+
+#include <algorithm>
+
+#include "LibRouting/routing_strategy.h"
+
+namespace carobbank {
+
+RouteContext::RouteContext(const RouterOptions& options,
+                           const ServerTable& servers,
+                           const PrefixIndex& prefixes,
+                           const RouteRequest& request,
+                           const std::vector<double>* hints,
+                           Random& random)
+    : options(options),
+      servers(servers),
+      prefixes(prefixes),
+      request(request),
+      random(random),
+      hints(hints),
+      newest_version(servers.NewestIn(request.versions)) {}
+
+bool RouteContext::Usable(ServerIndex server) const {
+  const RoutedServer& candidate = this->servers.At(server);
+  if (!this->request.versions.Contains(candidate.version)) {
+    return false;
+  }
+  if (this->request.idle_only && candidate.CorrectedLoad() > 0) {
+    return false;
+  }
+  return std::find(this->request.tried.begin(), this->request.tried.end(),
+                   candidate.id) == this->request.tried.end();
+}
+
+double RouteContext::Cost(ServerIndex server) const {
+  const RoutedServer& candidate = this->servers.At(server);
+  double cost = candidate.CorrectedLoad();
+  cost += candidate.latency_ms * this->options.cost_per_latency_ms;
+  cost += static_cast<double>(this->newest_version - candidate.version) *
+          this->options.cost_per_version;
+  const double reported =
+      static_cast<double>(candidate.load.running) + candidate.load.waiting;
+  if (this->request.traffic_class == RouteClass::kLive && reported > 0) {
+    cost += this->options.cost_of_training_share * candidate.load.training /
+            reported;
+  }
+  if (this->hints != nullptr && server < this->hints->size()) {
+    cost += (*this->hints)[server];
+  }
+  return cost;
+}
+
+std::size_t RouteContext::CountInRange() const {
+  std::size_t count = 0;
+  for (const DataCenterServers& data_center : this->servers.DataCenters()) {
+    for (const ServerGroup& group : data_center.groups) {
+      const bool allowed = this->request.versions.Contains(group.version);
+      count += allowed ? group.servers.size() : 0;
+    }
+  }
+  return count;
+}
+
+ServerIndex RouteContext::NthInRange(std::size_t number) const {
+  for (const DataCenterServers& data_center : this->servers.DataCenters()) {
+    for (const ServerGroup& group : data_center.groups) {
+      if (!this->request.versions.Contains(group.version)) {
+        continue;
+      }
+      if (number < group.servers.size()) {
+        return group.servers[number];
+      }
+      number -= group.servers.size();
+    }
+  }
+  return kNoServer;
+}
+
+ServerIndex RouteContext::AnyInRange() const {
+  const std::size_t count = this->CountInRange();
+  return count == 0 ? kNoServer : this->NthInRange(this->random.Below(count));
+}
+
+ServerIndex RouteContext::Scan() const {
+  ServerIndex best = kNoServer;
+  double best_cost = 0;
+  for (const DataCenterServers& data_center : this->servers.DataCenters()) {
+    for (const ServerGroup& group : data_center.groups) {
+      for (ServerIndex server : group.servers) {
+        if (!this->Usable(server)) {
+          continue;
+        }
+        const double cost = this->Cost(server);
+        if (best == kNoServer || cost < best_cost) {
+          best = server;
+          best_cost = cost;
+        }
+      }
+    }
+  }
+  return best;
+}
+
+}  // namespace carobbank
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -20,17 +21,8 @@
 
 enum class RouteClass { kLive, kTraining, kBackground };
 
-struct VersionRange {
-  // Both inclusive; a plain service has version 0.
-  std::uint64_t oldest = 0;
-  std::uint64_t newest = UINT64_MAX;
-
-  bool Contains(std::uint64_t version) const {
-    return version >= this->oldest && version <= this->newest;
-  }
-};
-
 struct RouteRequest {
+  std::string_view service;
   RouteClass traffic_class = RouteClass::kTraining;
   VersionRange versions;
   // FastHash of the prompt's beginning; 0 when it has none.
@@ -84,6 +76,12 @@
   std::size_t max_prefixes = 65536;
 };
 
+// Extra cost, in requests, of one server for one service.
+struct FairnessHint {
+  std::string_view server;
+  double cost = 0;
+};
+
 class RoutingStrategy;
 
 class Router {
@@ -102,6 +100,11 @@
   void Quarantine(std::string digest);
   bool IsQuarantined(std::string_view digest) const;
 
+  // Replaces the service's hints: a positive cost keeps it away from servers
+  // where it has had more than its share.
+  void SetFairnessHints(std::string_view service,
+                        std::span<const FairnessHint> hints);
+
   RouteChoice Choose(const RouteRequest& request, Random& random);
 
   // The request went to / is over at the chosen server.
@@ -115,13 +118,20 @@
   void RemoveServer(std::string_view id);
 
  private:
+  // Costs by server index; 0 beyond the end.
+  struct ServiceHints {
+    std::vector<double> costs;
+  };
+
   explicit Router(RouterOptions options);
+  const std::vector<double>* HintsFor(std::string_view service) const;
   RouteFailure WhyNone(const RouteRequest& request) const;
 
   RouterOptions options;
   ServerTable servers;
   PrefixIndex prefixes;
   std::unordered_set<std::string> quarantined;
+  std::map<std::string, ServiceHints, std::less<>> hints;
   std::unique_ptr<RoutingStrategy> strategy;
 };
 
--- a/Libraries/LibRouting/server_table.h
+++ b/Libraries/LibRouting/server_table.h
@@ -21,6 +21,16 @@
 using ServerIndex = std::uint32_t;
 inline constexpr ServerIndex kNoServer = UINT32_MAX;
 
+struct VersionRange {
+  // Both inclusive; a plain service has version 0.
+  std::uint64_t oldest = 0;
+  std::uint64_t newest = UINT64_MAX;
+
+  bool Contains(std::uint64_t version) const {
+    return version >= this->oldest && version <= this->newest;
+  }
+};
+
 // A server's own report; it lags.
 struct ReportedLoad {
   // When it was measured, on this process's monotonic clock.
@@ -41,9 +51,7 @@
   ReportedLoad load;
   // One-way latency from this entry, in milliseconds.
   double latency_ms = 0;
-  // Extra cost, in requests, of sending the service in question here; set by
-  // SetFairnessHint.
-  double fairness_cost = 0;
+  // This entry's own unfinished requests there.
   std::uint32_t in_flight = 0;
 
   // Requests at the server, as far as this entry can tell: the report,
@@ -61,9 +69,9 @@
   // Starts and ends of this entry's requests after `load.as_of`, oldest first.
   std::deque<MonotonicTime> starts;
   std::deque<MonotonicTime> ends;
-  // Position within its group's list.
-  std::uint32_t slot = 0;
-  bool present = false;
+  // Positions within its group's and its in-flight level's lists.
+  std::uint32_t group_slot = 0;
+  std::uint32_t level_slot = 0;
 };
 
 // Servers of one data center with one version, for sampling.
@@ -72,6 +80,11 @@
   std::vector<ServerIndex> servers;
 };
 
+// Servers at which this entry has equally many requests.
+struct InFlightLevel {
+  std::vector<ServerIndex> servers;
+};
+
 // One data center's servers. Invariant: every server stands in one group and
 // once in `homes`.
 struct DataCenterServers {
@@ -95,7 +108,6 @@
   void SetVersion(ServerIndex server, std::uint64_t version);
   // A report older than the known one is ignored.
   void SetLoad(ServerIndex server, const ReportedLoad& load);
-  void SetFairnessCost(ServerIndex server, double cost);
   void OnSent(ServerIndex server, MonotonicTime now);
   void OnFinished(ServerIndex server, MonotonicTime now);
 
@@ -106,20 +118,31 @@
   const std::vector<DataCenterServers>& DataCenters() const {
     return this->data_centers;
   }
+  // By the number of this entry's own requests, fewest first; no empty levels.
+  const std::map<std::uint32_t, InFlightLevel>& InFlightLevels() const {
+    return this->levels;
+  }
   std::size_t Size() const { return this->by_id.size(); }
   // Mean corrected load over all servers.
   double MeanLoad() const;
+  // Newest version that any server has and the range holds; 0 for none.
+  std::uint64_t NewestIn(const VersionRange& versions) const;
 
  private:
   DataCenterServers& DataCenterOf(const RoutedServer& server);
   void Attach(ServerIndex server);
   void Detach(ServerIndex server);
+  void AttachToGroup(ServerIndex server);
+  void DetachFromGroup(ServerIndex server);
+  void AttachToLevel(ServerIndex server);
+  void DetachFromLevel(ServerIndex server);
   void Recompute(RoutedServer& server);
 
   std::vector<RoutedServer> servers;
   std::vector<ServerIndex> free_slots;
   std::unordered_map<std::string, ServerIndex> by_id;
   std::vector<DataCenterServers> data_centers;
+  std::map<std::uint32_t, InFlightLevel> levels;
   // Invariant: sum of corrected_load over present servers.
   double total_load = 0;
 };
--- a/Libraries/LibRouting/step_plan.h
+++ b/Libraries/LibRouting/step_plan.h
@@ -25,8 +25,8 @@
   std::uint32_t max_attempts_per_sample = 2;
   // Duplicates of one step at once.
   std::uint32_t max_duplicates = 16;
-  // A duplicate must promise to end this much earlier than the original, as a
-  // share of the original's expected rest.
+  // A duplicate must promise to shorten the original's expected rest by this
+  // share.
   double minimum_gain = 0.25;
 };
 
@@ -50,10 +50,13 @@
   std::string attempt;
   // Expected length in tokens; 0 when nothing is known yet.
   std::uint64_t expected_tokens = 0;
-  // Generated already; the attempt goes on from it.
+  // Generated already by a broken attempt; this one goes on from it.
   PartialSample partial;
-  // A second attempt beside a running one: idle servers only.
+  // A second attempt beside the running one `beside`: on an idle server only,
+  // going on from what that one has streamed so far, or else with its seed. A
+  // fresh seed would favour short samples.
   bool duplicate = false;
+  std::string beside;
   // Time until the sample would delay its step, from the expected rest of the
   // longest sample.
   Milliseconds slack{0};
@@ -86,7 +89,7 @@
   // A running sample worth a second attempt on an idle server.
   std::optional<Dispatch> NextDuplicate(std::string attempt, MonotonicTime now);
 
-  void OnProgress(const AttemptProgress& progress);
+  void OnProgress(const AttemptProgress& progress, MonotonicTime now);
   // The attempt broke off. The longest partial of a sample is kept; the sample
   // is pending again when no other attempt runs. `partial` must be whole and
   // usable under the step's bound, or empty.
@@ -108,6 +111,9 @@
     std::string name;
     std::uint64_t tokens = 0;
     MonotonicTime started{};
+    MonotonicTime last_progress{};
+    // Tokens that it started from.
+    std::uint64_t resumed_tokens = 0;
     bool duplicate = false;
   };
   struct Sample {
@@ -116,20 +122,28 @@
     std::vector<Attempt> attempts;
     PartialSample partial;
   };
-  // Lengths of a group's finished samples.
+  // A group's finished samples, and how many were started.
   struct GroupLengths {
-    std::uint64_t count = 0;
-    std::uint64_t total = 0;
-    std::uint64_t longest = 0;
+    std::uint64_t started = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t total_tokens = 0;
+
+    std::uint64_t Mean() const {
+      return this->finished == 0 ? 0 : this->total_tokens / this->finished;
+    }
   };
 
   StepPlan() = default;
-  std::optional<std::size_t> FindSample(std::string_view sample_id) const;
-  std::optional<std::size_t> FindAttempt(std::string_view attempt) const;
+  Sample* FindSample(std::string_view sample_id);
+  const Sample* FindSample(std::string_view sample_id) const;
+  std::uint64_t Generated(const Sample& sample) const;
   std::uint64_t Expected(const Sample& sample) const;
   std::uint64_t ExpectedRest(const Sample& sample) const;
   std::uint64_t LongestRest() const;
-  std::size_t PickPending() const;
+  // Larger starts earlier.
+  std::uint64_t Urgency(const Sample& sample) const;
+  std::optional<std::size_t> PickPending() const;
+  bool WorthDuplicating(const Sample& sample, MonotonicTime now) const;
   Dispatch Start(std::size_t index,
                  std::string attempt,
                  MonotonicTime now,
--- /dev/null
+++ b/Libraries/LibRouting/strategies.cc
@@ -0,0 +1,223 @@
+// The strategies, and their table of names.
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "LibRouting/routing_strategy.h"
+
+namespace carobbank {
+
+namespace {
+
+// Samples that a strategy draws before it gives up for a full scan.
+constexpr int kMaxDraws = 8;
+// Versions of one data center that are sampled, newest first.
+constexpr std::size_t kMaxVersionsSampled = 3;
+// Servers looked at in one level of the least loaded.
+constexpr std::size_t kMaxLevelLooks = 16;
+
+// The cheaper of the servers offered to it.
+class Cheapest {
+ public:
+  explicit Cheapest(const RouteContext& context) : context(context) {}
+
+  // `bonus` is taken off the server's cost.
+  void Offer(ServerIndex server, double bonus = 0) {
+    if (server == kNoServer || !this->context.Usable(server)) {
+      return;
+    }
+    const double cost = this->context.Cost(server) - bonus;
+    if (cost < this->cost) {
+      this->cost = cost;
+      this->server = server;
+    }
+  }
+  ServerIndex Server() const { return this->server; }
+
+ private:
+  const RouteContext& context;
+  ServerIndex server = kNoServer;
+  double cost = std::numeric_limits<double>::infinity();
+};
+
+void OfferTwo(const RouteContext& context,
+              const ServerGroup& group,
+              Cheapest& cheapest) {
+  const std::size_t size = group.servers.size();
+  const std::size_t first = context.random.Below(size);
+  cheapest.Offer(group.servers[first]);
+  if (size > 1) {
+    // A second one that differs from the first.
+    const std::size_t step = 1 + context.random.Below(size - 1);
+    cheapest.Offer(group.servers[(first + step) % size]);
+  }
+}
+
+void OfferDataCenter(const RouteContext& context,
+                     const DataCenterServers& data_center,
+                     Cheapest& cheapest) {
+  std::size_t sampled = 0;
+  for (const ServerGroup& group : data_center.groups) {
+    if (!context.request.versions.Contains(group.version)) {
+      continue;
+    }
+    OfferTwo(context, group, cheapest);
+    if (++sampled == kMaxVersionsSampled) {
+      return;
+    }
+  }
+}
+
+class RandomStrategy final : public RoutingStrategy {
+ public:
+  ServerIndex Pick(const RouteContext& context) override {
+    for (int draw = 0; draw < kMaxDraws; ++draw) {
+      const ServerIndex server = context.AnyInRange();
+      if (server != kNoServer && context.Usable(server)) {
+        return server;
+      }
+    }
+    return kNoServer;
+  }
+};
+
+class RoundRobinStrategy final : public RoutingStrategy {
+ public:
+  ServerIndex Pick(const RouteContext& context) override {
+    const std::size_t count = context.CountInRange();
+    for (int draw = 0; count > 0 && draw < kMaxDraws; ++draw) {
+      const ServerIndex server = context.NthInRange(this->next++ % count);
+      if (context.Usable(server)) {
+        return server;
+      }
+    }
+    return kNoServer;
+  }
+
+ private:
+  std::size_t next = 0;
+};
+
+// Fewest requests of this entry's own, whatever other entries send.
+class LeastConnectionsStrategy final : public RoutingStrategy {
+ public:
+  ServerIndex Pick(const RouteContext& context) override {
+    for (const auto& [in_flight, level] : context.servers.InFlightLevels()) {
+      const std::size_t size = level.servers.size();
+      const std::size_t start = context.random.Below(size);
+      const std::size_t looks = std::min(size, kMaxLevelLooks);
+      for (std::size_t look = 0; look < looks; ++look) {
+        const ServerIndex server = level.servers[(start + look) % size];
+        if (context.Usable(server)) {
+          return server;
+        }
+      }
+    }
+    return kNoServer;
+  }
+};
+
+class TwoChoicesStrategy final : public RoutingStrategy {
+ public:
+  ServerIndex Pick(const RouteContext& context) override {
+    return PickTwoChoices(context);
+  }
+};
+
+// A cached prefix is worth some load, but never more than the bound
+// (consistent hashing with bounded loads, Mirrokni et al. 2018).
+class PrefixAffinityStrategy final : public RoutingStrategy {
+ public:
+  ServerIndex Pick(const RouteContext& context) override {
+    const ServerIndex sampled = PickTwoChoices(context);
+    if (context.request.prefix == 0) {
+      return sampled;
+    }
+    const RouterOptions& options = context.options;
+    const double most_load =
+        options.bounded_load_factor * context.servers.MeanLoad() + 1;
+    Cheapest cheapest(context);
+    cheapest.Offer(sampled);
+    const auto offer = [&](ServerIndex server, double bonus) {
+      const bool within_bound =
+          server != kNoServer &&
+          context.servers.At(server).CorrectedLoad() <= most_load;
+      if (within_bound) {
+        cheapest.Offer(server, bonus);
+      }
+    };
+    const PrefixHolders holders =
+        context.prefixes.Holders(context.request.prefix);
+    for (ServerIndex holder : holders.All()) {
+      offer(holder, options.prefix_benefit);
+    }
+    if (!context.servers.DataCenters().empty()) {
+      // Other entries send the prefix to the same home.
+      const HomeTree& homes = context.servers.DataCenters().front().homes;
+      offer(homes.Find(context.request.prefix), options.prefix_benefit / 2);
+    }
+    return cheapest.Server();
+  }
+};
+
+struct NamedStrategy {
+  std::string_view name;
+  std::unique_ptr<RoutingStrategy> (*create)();
+};
+
+template <typename Strategy>
+std::unique_ptr<RoutingStrategy> Make() {
+  return std::make_unique<Strategy>();
+}
+
+constexpr std::array kStrategies = {
+    NamedStrategy{"random", Make<RandomStrategy>},
+    NamedStrategy{"round_robin", Make<RoundRobinStrategy>},
+    NamedStrategy{"least_connections", Make<LeastConnectionsStrategy>},
+    NamedStrategy{"two_choices", Make<TwoChoicesStrategy>},
+    NamedStrategy{"prefix_affinity", Make<PrefixAffinityStrategy>},
+};
+
+constexpr auto kStrategyNames = [] {
+  std::array<std::string_view, kStrategies.size()> names{};
+  for (std::size_t index = 0; index < names.size(); ++index) {
+    names[index] = kStrategies[index].name;
+  }
+  return names;
+}();
+
+}  // namespace
+
+ServerIndex PickTwoChoices(const RouteContext& context) {
+  const auto& data_centers = context.servers.DataCenters();
+  if (data_centers.empty()) {
+    return kNoServer;
+  }
+  Cheapest cheapest(context);
+  OfferDataCenter(context, data_centers.front(), cheapest);
+  const ServerIndex nearest = cheapest.Server();
+  const bool spill =
+      nearest == kNoServer || context.servers.At(nearest).Utilization() >
+                                  context.options.spill_utilization;
+  if (spill && data_centers.size() > 1) {
+    const std::size_t other = 1 + context.random.Below(data_centers.size() - 1);
+    OfferDataCenter(context, data_centers[other], cheapest);
+  }
+  return cheapest.Server();
+}
+
+std::unique_ptr<RoutingStrategy> CreateRoutingStrategy(std::string_view name) {
+  for (const NamedStrategy& strategy : kStrategies) {
+    if (strategy.name == name) {
+      return strategy.create();
+    }
+  }
+  return nullptr;
+}
+
+std::span<const std::string_view> RoutingStrategyNames() {
+  return kStrategyNames;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -0,0 +1,148 @@
+// Tests of retries and of the quarantine of fatal requests, as tables.
+
+#include "LibRouting/routing.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+TEST_GROUP(RetryPolicy) {
+  Random random{7};
+};
+
+TEST(RetryPolicy, OnlyRepeatableWorkWithinItsBounds) {
+  struct Case {
+    const char* what;
+    FailedAttempt failed;
+    RetryRefusal refusal;
+  };
+  using Execution = AttemptExecution;
+  const Milliseconds minute(60000);
+  const Milliseconds none(0);
+  const Case cases[] = {
+      {"not run",
+       {Execution::kNotRun, false, 1, minute, none},
+       RetryRefusal::kNone},
+      {"may have run",
+       {Execution::kMayHaveRun, false, 1, minute, none},
+       RetryRefusal::kMayHaveRun},
+      {"may have run, idempotent",
+       {Execution::kMayHaveRun, true, 1, minute, none},
+       RetryRefusal::kNone},
+      {"last attempt",
+       {Execution::kNotRun, true, 4, minute, none},
+       RetryRefusal::kAttemptsSpent},
+      {"no time for the backoff",
+       {Execution::kNotRun, true, 1, Milliseconds(5), none},
+       RetryRefusal::kDeadline},
+      {"no time for the server's wish",
+       {Execution::kNotRun, true, 1, Milliseconds(900), Milliseconds(900)},
+       RetryRefusal::kDeadline},
+  };
+  for (const Case& item : cases) {
+    RetryPolicy policy{RetryOptions()};
+    const double before = policy.Tokens();
+    const RetryDecision decision = policy.Decide(item.failed, random);
+    CHECK_TRUE_TEXT(decision.refusal == item.refusal, item.what);
+    const double spent = before - policy.Tokens();
+    DOUBLES_EQUAL_TEXT(decision.Retry() ? 1 : 0, spent, 1e-9, item.what);
+  }
+}
+
+TEST(RetryPolicy, BudgetBoundsTheRetriesInAnOutage) {
+  RetryPolicy policy{RetryOptions()};
+  const FailedAttempt failed{AttemptExecution::kNotRun, true, 1,
+                             Milliseconds(60000), Milliseconds(0)};
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    policy.OnFirstAttempt();
+    retries += policy.Decide(failed, random).Retry() ? 1 : 0;
+  }
+  // The burst of 10, and one in ten.
+  CHECK_TRUE(retries >= 108 && retries <= 110);
+  CHECK_TRUE(policy.Decide(failed, random).refusal ==
+             RetryRefusal::kBudgetSpent);
+}
+
+TEST(RetryPolicy, BackoffDoublesWithJitterToItsMaximum) {
+  const RetryOptions options{.max_attempts = 99};
+  for (std::uint32_t attempts = 1; attempts < 40; ++attempts) {
+    RetryPolicy policy{options};
+    const RetryDecision decision =
+        policy.Decide({AttemptExecution::kNotRun, true, attempts,
+                       Milliseconds(60000), Milliseconds(0)},
+                      random);
+    const std::int64_t full =
+        attempts > 7 ? 2000 : std::min(2000, 20 << (attempts - 1));
+    CHECK_TRUE(decision.wait.count() >= full / 2);
+    CHECK_TRUE(decision.wait.count() <= full);
+  }
+}
+
+TEST_GROUP(CrashQuarantine) {
+  CrashQuarantine quarantine{CrashQuarantineOptions()};
+
+  std::string Crash(const char* instance, std::vector<std::string> digests,
+                    bool complete = true) {
+    return this->quarantine.OnCrash({instance, std::move(digests), complete})
+        .value_or("");
+  }
+  DigestStanding Of(const char* digest) {
+    return this->quarantine.StandingOf(digest);
+  }
+};
+
+TEST(CrashQuarantine, TwoDistinctServersDecide) {
+  CHECK_TRUE(Of("x") == DigestStanding::kClear);
+  STRCMP_EQUAL("", Crash("s1", {"x", "a"}).c_str());
+  CHECK_TRUE(Of("x") == DigestStanding::kAlone);
+  STRCMP_EQUAL("", Crash("s1", {"x"}).c_str());
+  CHECK_TRUE(Of("x") == DigestStanding::kAlone);
+  STRCMP_EQUAL("x", Crash("s2", {"x"}).c_str());
+  CHECK_TRUE(Of("x") == DigestStanding::kQuarantined);
+  CHECK_TRUE(Of("a") == DigestStanding::kAlone);
+  quarantine.OnFinished("a");
+  CHECK_TRUE(Of("a") == DigestStanding::kClear);
+  quarantine.OnFinished("x");
+  CHECK_TRUE(Of("x") == DigestStanding::kQuarantined);
+}
+
+TEST(CrashQuarantine, NeighboursOnBothServersAreNotCondemnedWithTheCause) {
+  Crash("s1", {"x", "a"});
+  STRCMP_EQUAL("", Crash("s2", {"x", "a"}).c_str());
+  CHECK_TRUE(Of("x") == DigestStanding::kAlone);
+  CHECK_TRUE(Of("a") == DigestStanding::kAlone);
+  STRCMP_EQUAL("x", Crash("s3", {"x"}).c_str());
+  // The report of another crash by the known cause accuses nobody else.
+  STRCMP_EQUAL("", Crash("s4", {"x", "a"}).c_str());
+  CHECK_TRUE(Of("a") == DigestStanding::kAlone);
+  LONGS_EQUAL(1, quarantine.Quarantined().size());
+}
+
+TEST(CrashQuarantine, PartialReportsNeverDecide) {
+  Crash("s1", {"x"}, false);
+  STRCMP_EQUAL("", Crash("s2", {"x"}, false).c_str());
+  CHECK_TRUE(Of("x") == DigestStanding::kAlone);
+  // The complete report of the same crash, later.
+  STRCMP_EQUAL("x", Crash("s2", {"x", "a"}).c_str());
+}
+
+TEST(CrashQuarantine, OthersQuarantineHoldsHereToo) {
+  quarantine.OnQuarantined("x");
+  quarantine.OnQuarantined("x");
+  CHECK_TRUE(Of("x") == DigestStanding::kQuarantined);
+}
+
+TEST(CrashQuarantine, SuspectsAreBounded) {
+  CrashQuarantine small{{.servers_to_quarantine = 2, .max_suspects = 2}};
+  small.OnQuarantined("x");
+  small.OnCrash({"s1", {"a", "b", "c"}, true});
+  CHECK_TRUE(small.StandingOf("a") == DigestStanding::kClear);
+  CHECK_TRUE(small.StandingOf("c") == DigestStanding::kAlone);
+  CHECK_TRUE(small.StandingOf("x") == DigestStanding::kQuarantined);
+}
+
+}  // namespace carobbank
