LibContract: Read documents and settings, fold the configuration

Services need checked settings and documents, and one rule for what is in force. Each struct has one table of fields, from which reading, checks, canonical text and the operators' table rows come. Findings are gathered all at once with file, line, column, key and remedy.

--- /dev/null
+++ b/Libraries/LibContract/entry_settings.cc
@@ -0,0 +1,156 @@
+// Field tables and rules of the entry's settings.
+
+#include <array>
+#include <set>
+
+#include "LibContract/settings_fields.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr Presence kRequired = Presence::kRequired;
+constexpr Presence kOptional = Presence::kOptional;
+
+constexpr std::array kRoutingStrategies = {
+    ChoiceName<RoutingStrategy>{RoutingStrategy::kLeastLoadedOfTwo,
+                                "least_loaded_of_two"},
+    ChoiceName<RoutingStrategy>{RoutingStrategy::kPrefixAffinity,
+                                "prefix_affinity"},
+    ChoiceName<RoutingStrategy>{RoutingStrategy::kLeastConnections,
+                                "least_connections"},
+    ChoiceName<RoutingStrategy>{RoutingStrategy::kRoundRobin, "round_robin"},
+    ChoiceName<RoutingStrategy>{RoutingStrategy::kRandom, "random"},
+};
+
+}  // namespace
+
+template <>
+const std::vector<Field<DataCenterSettings>>& FieldsOf() {
+  using S = DataCenterSettings;
+  static const std::vector<Field<S>> fields = {
+      {"name", kRequired, "", "a data center with backend servers or entries",
+       Text(&S::name, kNameRule)},
+      {"region", kRequired, "", "its region", Text(&S::region, kNameRule)},
+      {"latency_ms", kOptional, "ms", "time from here to there, one way",
+       Real(&S::latency_ms, 0, 1'000)},
+  };
+  return fields;
+}
+
+template <>
+const std::vector<Field<RoutingSettings>>& FieldsOf() {
+  using S = RoutingSettings;
+  static const std::vector<Field<S>> fields = {
+      {"strategy", kOptional, "", "how a backend server is chosen",
+       Choice(&S::strategy, kRoutingStrategies)},
+      {"watched_servers", kOptional, "servers",
+       "backend servers of each pool that this entry watches",
+       Integer(&S::watched_servers, 1, 10'000)},
+  };
+  return fields;
+}
+
+template <>
+const std::vector<Field<TlsSettings>>& FieldsOf() {
+  using S = TlsSettings;
+  static const std::vector<Field<S>> fields = {
+      {"certificate_file", kOptional, "",
+       "PEM certificate chain; TLS for callers when set",
+       Text(&S::certificate_file, kFileRule)},
+      {"private_key_file", kOptional, "", "PEM private key of the certificate",
+       Text(&S::private_key_file, kFileRule)},
+  };
+  return fields;
+}
+
+template <>
+const std::vector<Field<EntrySettings>>& FieldsOf() {
+  using S = EntrySettings;
+  static const std::vector<Field<S>> fields = {
+      {"place", kRequired, "", "where the process stands and listens",
+       Map(&S::place)},
+      {"platform", kRequired, "", "the platform's services", Map(&S::platform)},
+      {"peer", kRequired, "", "secrets between carobbank's own processes",
+       Map(&S::peer)},
+      {"log", kOptional, "", "log lines and time line", Map(&S::log)},
+      {"limits", kOptional, "", "bounds of what callers may send",
+       Map(&S::limits)},
+      {"data_centers", kOptional, "",
+       "data centers and how far they are; unlisted ones count as far",
+       List(&S::data_centers, 0, 100)},
+      {"routing", kOptional, "", "choice of backend servers", Map(&S::routing)},
+      {"tls", kOptional, "", "encryption towards callers", Map(&S::tls)},
+      {"operator_token_sha256", kOptional, "",
+       "SHA-256 of the operators' bearer token for /status and /timeline; "
+       "open without one",
+       Text(&S::operator_token_sha256, kOptionalSha256Rule)},
+      {"log_append_share_per_s", kOptional, "appends/s",
+       "this entry's part of the log's append budget",
+       Integer(&S::log_append_share_per_s, 1, 10'000)},
+      {"drain_deadline_s", kOptional, "s",
+       "how long requests in progress may go on after SIGTERM",
+       Integer(&S::drain_deadline_s, 1, 3'600)},
+      {"seed", kOptional, "",
+       "seed of random choices; 0 takes one from the system",
+       Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
+  };
+  return fields;
+}
+
+namespace {
+
+void CheckTls(const TlsSettings& tls,
+              const YAML::Node& node,
+              YamlContext& context) {
+  if (tls.certificate_file.empty() == tls.private_key_file.empty()) {
+    return;
+  }
+  context.Report(node["tls"].Mark(), "tls",
+                 "only one of certificate_file and private_key_file is set",
+                 "set both or none");
+}
+
+void CheckDataCenters(const EntrySettings& settings,
+                      const YAML::Node& node,
+                      YamlContext& context) {
+  std::set<std::string> names;
+  for (std::size_t at = 0; at < settings.data_centers.size(); ++at) {
+    if (!names.insert(settings.data_centers[at].name).second) {
+      context.Report(node["data_centers"][at].Mark(),
+                     "data_centers[" + std::to_string(at) + "].name",
+                     "given twice", "list each data center once");
+    }
+  }
+}
+
+}  // namespace
+
+std::string_view RoutingStrategyName(RoutingStrategy strategy) {
+  return kRoutingStrategies[static_cast<std::size_t>(strategy)].name;
+}
+
+Checked<EntrySettings> ReadEntrySettings(std::string_view file,
+                                         std::string_view text) {
+  Checked<EntrySettings> checked;
+  YamlContext context(file, checked.report);
+  const auto node = ParseYamlMap(text, context);
+  if (!node) {
+    return checked;
+  }
+  ReadFields(*node, "", context, checked.value);
+  if (checked.Ok()) {
+    CheckPeerSecrets(checked.value.peer, *node, context);
+    CheckTls(checked.value.tls, *node, context);
+    CheckDataCenters(checked.value, *node, context);
+  }
+  return checked;
+}
+
+std::vector<FieldDescription> DescribeEntrySettings() {
+  std::vector<FieldDescription> rows;
+  DescribeFields<EntrySettings>("", rows);
+  return rows;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibContract/field_description.cc
@@ -0,0 +1,12 @@
+// The Markdown form of a field's row.
+
+#include "LibContract/field_description.h"
+
+namespace carobbank {
+
+std::string FieldDescription::TableRow() const {
+  return "| `" + this->key + "` | " + this->unit + " | " + this->range + " | " +
+         this->default_text + " | " + this->meaning + " |";
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibContract/settings.h
@@ -0,0 +1,168 @@
+// The settings of the two programs: where a process stands, what is around it,
+// and its limits.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibContract/validation.h"
+
+namespace carobbank {
+
+enum class LogFormat { kText, kJson };
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+enum class RoutingStrategy {
+  kLeastLoadedOfTwo,
+  kPrefixAffinity,
+  kLeastConnections,
+  kRoundRobin,
+  kRandom,
+};
+std::string_view RoutingStrategyName(RoutingStrategy strategy);
+
+enum class SchedulingStrategy { kFairShare, kFifo };
+std::string_view SchedulingStrategyName(SchedulingStrategy strategy);
+
+enum class BackendKind { kEngine, kPlain };
+
+// Where the process stands and listens.
+struct PlaceSettings {
+  std::string instance;
+  std::string data_center;
+  std::string region;
+  std::string address = "127.0.0.1";
+  // 0 takes a free port.
+  std::int64_t port = 0;
+};
+
+// The platform's services; an empty URL means that there is none.
+struct PlatformSettings {
+  std::string log_url;
+  std::string instance_list_url;
+  std::string weight_store_url;
+  // How long the log keeps a record.
+  std::int64_t log_retention_s = 86'400;
+};
+
+// Secrets that processes prove to each other. A `_file` member names a file
+// whose first line is the secret; settings_file.h resolves it.
+struct PeerSettings {
+  std::string secret;
+  std::string secret_file;
+  // Still accepted from peers while a secret is being replaced.
+  std::string previous_secret;
+  std::string previous_secret_file;
+};
+
+struct LogSettings {
+  LogFormat format = LogFormat::kText;
+  LogLevel level = LogLevel::kInfo;
+  // Time line events kept in memory.
+  std::int64_t timeline_events = 16'384;
+};
+
+struct TrafficLimits {
+  std::int64_t connections = 10'000;
+  std::int64_t body_bytes = 8'388'608;
+  std::int64_t header_bytes = 32'768;
+  std::int64_t streams_per_caller = 1'000;
+  std::int64_t read_timeout_ms = 10'000;
+  std::int64_t write_timeout_ms = 60'000;
+  // A connection with unacknowledged data for longer is given up.
+  std::int64_t silent_timeout_ms = 10'000;
+};
+
+struct DataCenterSettings {
+  std::string name;
+  std::string region;
+  // One way, from here.
+  double latency_ms = 1;
+};
+
+struct RoutingSettings {
+  RoutingStrategy strategy = RoutingStrategy::kPrefixAffinity;
+  // Backend servers of each pool that one entry watches.
+  std::int64_t watched_servers = 64;
+};
+
+struct TlsSettings {
+  // PEM files; both or none.
+  std::string certificate_file;
+  std::string private_key_file;
+};
+
+struct EntrySettings {
+  PlaceSettings place;
+  PlatformSettings platform;
+  PeerSettings peer;
+  LogSettings log;
+  TrafficLimits limits;
+  std::vector<DataCenterSettings> data_centers;
+  RoutingSettings routing;
+  TlsSettings tls;
+  // Bearer token of operators for GET /status and GET /timeline; empty: open.
+  std::string operator_token_sha256;
+  // This entry's part of the log's append budget.
+  std::int64_t log_append_share_per_s = 50;
+  std::int64_t drain_deadline_s = 120;
+  // 0: from the operating system.
+  std::int64_t seed = 0;
+};
+
+struct BackendSettings {
+  std::string url;
+  BackendKind kind = BackendKind::kEngine;
+  // The model that the engine serves.
+  std::string model;
+  // Whether the engine refuses orders with an old fencing number.
+  bool checks_fencing = false;
+};
+
+struct SchedulingSettings {
+  SchedulingStrategy strategy = SchedulingStrategy::kFairShare;
+  // Attempts at the backend server at once; 0: as many as the engine reports
+  // for its batch.
+  std::int64_t running = 0;
+  // Attempts waiting in all queues together.
+  std::int64_t queue_length = 10'000;
+  // Places at the backend server that training never takes.
+  std::int64_t live_headroom = 1;
+};
+
+// The right to issue orders to the engine.
+struct LeaseSettings {
+  std::int64_t duration_ms = 10'000;
+  std::int64_t renew_ms = 3'000;
+  // Orders stop this long before the lease ends, for pauses of the process.
+  std::int64_t margin_ms = 2'000;
+};
+
+struct SidecarSettings {
+  PlaceSettings place;
+  std::string pool;
+  BackendSettings backend;
+  PlatformSettings platform;
+  PeerSettings peer;
+  LogSettings log;
+  TrafficLimits limits;
+  SchedulingSettings scheduling;
+  LeaseSettings lease;
+  // Bearer token of operators for GET /status and GET /timeline; empty: open.
+  std::string operator_token_sha256;
+  std::int64_t drain_deadline_s = 120;
+  // 0: from the operating system.
+  std::int64_t seed = 0;
+};
+
+// Read and check the text of a settings file; `file` only names it in the
+// findings. Secrets in files are not resolved: see settings_file.h.
+Checked<EntrySettings> ReadEntrySettings(std::string_view file,
+                                         std::string_view text);
+Checked<SidecarSettings> ReadSidecarSettings(std::string_view file,
+                                             std::string_view text);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibContract/settings_file.cc
@@ -0,0 +1,122 @@
+// Files to checked settings and documents.
+
+#include "LibContract/settings_file.h"
+
+#include <fstream>
+#include <iterator>
+
+#include "LibContract/text_rules.h"
+#include "LibContract/yaml_text.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::size_t kMaxSecretFileBytes = 4'096;
+
+// One finding without a place inside the file.
+ValidationIssue FileIssue(std::string_view path,
+                          std::string_view key,
+                          const Error& error) {
+  ValidationIssue issue;
+  issue.file = path;
+  issue.key = key;
+  issue.problem = error.message;
+  issue.remedy = error.remedy;
+  return issue;
+}
+
+// Replaces `secret` by the first line of `file`, if there is one.
+void ResolveSecret(std::string_view path,
+                   std::string_view key,
+                   const std::string& file,
+                   std::string& secret,
+                   ValidationReport& report) {
+  if (file.empty()) {
+    return;
+  }
+  const auto text =
+      Capture([&] { return ReadTextFile(file, kMaxSecretFileBytes); });
+  if (!text.Ok()) {
+    report.Add(FileIssue(path, key, text.GetError()));
+    return;
+  }
+  std::string line = text.Value().substr(0, text.Value().find('\n'));
+  if (!kSecretRule.accepts(line)) {
+    report.Add(FileIssue(path, key,
+                         {ErrorKind::kInvalidArgument,
+                          "the first line of " + file + " is no secret",
+                          "use " + std::string(kSecretRule.range)}));
+    return;
+  }
+  secret = std::move(line);
+}
+
+void ResolveSecrets(std::string_view path,
+                    PeerSettings& peer,
+                    ValidationReport& report) {
+  ResolveSecret(path, "peer.secret_file", peer.secret_file, peer.secret,
+                report);
+  ResolveSecret(path, "peer.previous_secret_file", peer.previous_secret_file,
+                peer.previous_secret, report);
+}
+
+template <typename T>
+Checked<T> Load(std::string_view path,
+                Checked<T> (*read)(std::string_view, std::string_view)) {
+  const auto text = Capture([&] { return ReadTextFile(path, kMaxYamlBytes); });
+  if (text.Ok()) {
+    return read(path, text.Value());
+  }
+  Checked<T> checked;
+  checked.report.Add(FileIssue(path, "", text.GetError()));
+  return checked;
+}
+
+template <typename T>
+Checked<T> LoadSettings(std::string_view path,
+                        Checked<T> (*read)(std::string_view,
+                                           std::string_view)) {
+  Checked<T> checked = Load(path, read);
+  if (checked.Ok()) {
+    ResolveSecrets(path, checked.value.peer, checked.report);
+  }
+  return checked;
+}
+
+}  // namespace
+
+Result<std::string> ReadTextFile(std::string_view path, std::size_t max_bytes) {
+  std::ifstream file{std::string(path), std::ios::binary};
+  if (!file) {
+    return Fail(ErrorKind::kNotFound, "can't open " + std::string(path),
+                "check the path and its permissions");
+  }
+  std::string text(max_bytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad()) {
+    return Fail(ErrorKind::kNotFound, "can't read " + std::string(path),
+                "name a regular file");
+  }
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > max_bytes) {
+    return Fail(ErrorKind::kInvalidArgument,
+                std::string(path) + " is too large",
+                "keep it within " + std::to_string(max_bytes) + " bytes");
+  }
+  return text;
+}
+
+Checked<EntrySettings> LoadEntrySettings(std::string_view path) {
+  return LoadSettings(path, &ReadEntrySettings);
+}
+
+Checked<SidecarSettings> LoadSidecarSettings(std::string_view path) {
+  return LoadSettings(path, &ReadSidecarSettings);
+}
+
+Checked<ServiceDocument> LoadServiceDocument(std::string_view path) {
+  return Load(path, &ReadServiceDocument);
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibContract/text_rules.h
@@ -0,0 +1,60 @@
+// What texts in documents and settings may look like. Private to LibContract.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace carobbank {
+
+struct TextRule {
+  bool (*accepts)(std::string_view text);
+  // Completes "use ...".
+  std::string_view range;
+};
+
+bool IsName(std::string_view text);
+bool IsOptionalName(std::string_view text);
+bool IsInstance(std::string_view text);
+bool IsAddress(std::string_view text);
+bool IsUrl(std::string_view text);
+bool IsFile(std::string_view text);
+bool IsSecret(std::string_view text);
+bool IsSha256(std::string_view text);
+bool IsOptionalSha256(std::string_view text);
+bool IsMethod(std::string_view text);
+bool IsPathPrefix(std::string_view text);
+bool IsHeaderName(std::string_view text);
+
+// Names of services, teams, pools: they travel in headers, labels, stream
+// names and file names. The platform chooses the ids of instances.
+inline constexpr TextRule kNameRule = {
+    &IsName, "1 to 64 of a-z 0-9 - _ . that start with a letter or digit"};
+inline constexpr TextRule kOptionalNameRule = {
+    &IsOptionalName,
+    "up to 64 of a-z 0-9 - _ . that start with a letter or digit"};
+inline constexpr TextRule kInstanceRule = {
+    &IsInstance, "1 to 128 of letters, digits, - _ . and :"};
+inline constexpr TextRule kAddressRule = {&IsAddress,
+                                          "an IPv4 or IPv6 address"};
+inline constexpr TextRule kUrlRule = {
+    &IsUrl, "an http or https URL without a slash at its end"};
+inline constexpr TextRule kFileRule = {&IsFile,
+                                       "a path of up to 1024 characters"};
+inline constexpr TextRule kSecretRule = {&IsSecret,
+                                         "16 to 256 visible ASCII characters"};
+inline constexpr TextRule kSha256Rule = {&IsSha256,
+                                         "64 lower-case hexadecimal digits"};
+inline constexpr TextRule kOptionalSha256Rule = {
+    &IsOptionalSha256, "64 lower-case hexadecimal digits, or nothing"};
+inline constexpr TextRule kMethodRule = {&IsMethod,
+                                         "an upper-case HTTP method"};
+inline constexpr TextRule kPathPrefixRule = {
+    &IsPathPrefix, "a path that starts with / and has no query"};
+inline constexpr TextRule kHeaderNameRule = {
+    &IsHeaderName, "1 to 64 of letters, digits, - and _"};
+
+// The shortest text that reads back as the same number.
+std::string RealText(double number);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibContract/yaml_text.cc
@@ -0,0 +1,133 @@
+// yaml-cpp behind size limits, one error channel and strict scalars.
+
+#include "LibContract/yaml_text.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace carobbank {
+
+namespace {
+
+// yaml-cpp tags quoted scalars "!" and plain ones "?".
+constexpr std::string_view kPlainTag = "?";
+
+std::string_view NodeName(const YAML::Node& node) {
+  switch (node.Type()) {
+    case YAML::NodeType::Null:
+      return "nothing";
+    case YAML::NodeType::Scalar:
+      return "a scalar";
+    case YAML::NodeType::Sequence:
+      return "a list";
+    case YAML::NodeType::Map:
+      return "a map";
+    case YAML::NodeType::Undefined:
+      return "nothing";
+  }
+  return "nothing";
+}
+
+bool IsPlainScalar(const YAML::Node& node) {
+  return node.IsScalar() && node.Tag() == kPlainTag;
+}
+
+template <typename Number>
+std::optional<Number> WholeNumber(const std::string& text) {
+  Number number{};
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+void YamlContext::Report(const YAML::Mark& mark,
+                         std::string_view key,
+                         std::string problem,
+                         std::string remedy) {
+  ValidationIssue issue;
+  issue.file = this->file;
+  if (!mark.is_null()) {
+    issue.line = mark.line + 1;
+    issue.column = mark.column + 1;
+  }
+  issue.key = key;
+  issue.problem = std::move(problem);
+  issue.remedy = std::move(remedy);
+  this->report.Add(std::move(issue));
+}
+
+void YamlContext::ReportType(const YAML::Node& node,
+                             std::string_view key,
+                             std::string_view expected,
+                             std::string remedy) {
+  std::string found(NodeName(node));
+  if (node.IsScalar()) {
+    found = "'" + node.Scalar().substr(0, 64) + "'";
+  }
+  this->Report(node.Mark(), key,
+               "expected " + std::string(expected) + ", found " + found,
+               std::move(remedy));
+}
+
+std::optional<YAML::Node> ParseYamlMap(std::string_view text,
+                                       YamlContext& context) {
+  if (text.size() > kMaxYamlBytes) {
+    context.Report(
+        YAML::Mark(), "",
+        "the text is " + std::to_string(text.size()) + " bytes long",
+        "keep it within " + std::to_string(kMaxYamlBytes) + " bytes");
+    return std::nullopt;
+  }
+  std::vector<YAML::Node> documents;
+  try {
+    documents = YAML::LoadAll(std::string(text));
+  } catch (const YAML::Exception& exception) {
+    context.Report(exception.mark, "", "not valid YAML: " + exception.msg,
+                   "mend the syntax at this place");
+    return std::nullopt;
+  }
+  if (documents.size() != 1 || !documents.front().IsMap()) {
+    context.Report(YAML::Mark(), "", "the text is not one map of keys",
+                   "write one YAML document of the form `key: value`");
+    return std::nullopt;
+  }
+  return documents.front();
+}
+
+std::optional<std::int64_t> YamlInteger(const YAML::Node& node) {
+  if (!IsPlainScalar(node)) {
+    return std::nullopt;
+  }
+  return WholeNumber<std::int64_t>(node.Scalar());
+}
+
+std::optional<double> YamlReal(const YAML::Node& node) {
+  if (!IsPlainScalar(node)) {
+    return std::nullopt;
+  }
+  const auto number = WholeNumber<double>(node.Scalar());
+  if (!number || !std::isfinite(*number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<bool> YamlBoolean(const YAML::Node& node) {
+  if (!IsPlainScalar(node)) {
+    return std::nullopt;
+  }
+  if (node.Scalar() == "true") {
+    return true;
+  }
+  if (node.Scalar() == "false") {
+    return false;
+  }
+  return std::nullopt;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/LibContract/configuration_fold_test.cc
@@ -0,0 +1,306 @@
+// Tests of the fold of the configuration stream: examples for each verdict, and
+// the properties that make every reader decide alike.
+
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include "LibContract/contract.h"
+#include "LibContract/document_texts.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr WallMilliseconds kStartMs = 1'800'000'000'000;
+constexpr Milliseconds kRetention = std::chrono::hours(1);
+
+struct LoggedRecord {
+  WallMilliseconds time_ms = 0;
+  std::string payload;
+};
+
+// A log that keeps everything; readers start where a test says.
+using Log = std::vector<LoggedRecord>;
+
+std::string Payload(const ConfigurationEntry& entry) {
+  return WriteConfigurationRecord({&entry, 1});
+}
+
+PublishEntry Publish(std::string_view service,
+                     std::int64_t base,
+                     std::string_view id,
+                     int share = 100,
+                     std::string_view team = "t") {
+  return {std::string(service), base, DocumentText(service, team, share), "ana",
+          std::string(id)};
+}
+
+void ReadLog(ConfigurationFold& fold,
+             const Log& log,
+             std::size_t from,
+             std::size_t to) {
+  for (std::size_t offset = from; offset < to; ++offset) {
+    fold.Apply(static_cast<std::int64_t>(offset), log[offset].time_ms,
+               log[offset].payload);
+  }
+}
+
+bool SameState(const ConfigurationFold& left, const ConfigurationFold& right) {
+  return left.State()->offset == right.State()->offset &&
+         left.State()->digest == right.State()->digest &&
+         ToServiceRecords(left.State()->services) ==
+             ToServiceRecords(right.State()->services);
+}
+
+// Publishers race over few services and guess base revisions; some repeat an
+// append, some write nonsense, and some entries append a snapshot.
+Log RandomLog() {
+  Log log;
+  ConfigurationFold writer;
+  const auto length = *rc::gen::inRange<std::size_t>(1, 40);
+  while (log.size() < length) {
+    const auto offset = static_cast<std::int64_t>(log.size());
+    const int choice = *rc::gen::inRange(0, 10);
+    std::string payload;
+    if (choice == 0) {
+      payload = *rc::gen::element<std::string>(
+          "", "{}", R"({"entries": [{"kind": "document"}]})",
+          R"({"entries": [{"kind": "later"}]})",
+          R"({"entries": [{"kind": "snapshot", "through": 999, "digest": "",
+              "services": []}]})");
+    } else if (choice == 1 && !log.empty()) {
+      payload = (*rc::gen::elementOf(log)).payload;
+    } else if (choice == 2) {
+      payload = Payload(writer.MakeSnapshot());
+    } else {
+      const auto service = *rc::gen::element<std::string>("a", "b", "c");
+      const ServiceInForce* present = writer.State()->Find(service);
+      const std::int64_t seen =
+          present == nullptr ? kNoRevision : present->revision;
+      const std::int64_t base = *rc::gen::weightedOneOf<std::int64_t>(
+          {{3, rc::gen::just(seen)},
+           {1, rc::gen::inRange<std::int64_t>(-1, offset + 1)}});
+      const auto team = *rc::gen::element<std::string>("t", "t", "t", "u");
+      const int share = *rc::gen::inRange(0, 4);
+      payload =
+          Payload(Publish(service, base, std::to_string(offset), share, team));
+    }
+    log.push_back({kStartMs + offset, payload});
+    ReadLog(writer, log, log.size() - 1, log.size());
+  }
+  return log;
+}
+
+}  // namespace
+
+TEST_GROUP(ConfigurationFold){};
+
+TEST(ConfigurationFold, VerdictsOfRacingPublishers) {
+  ConfigurationFold fold;
+  struct Row {
+    PublishEntry entry;
+    PublishVerdict verdict;
+    std::int64_t in_force;
+  };
+  PublishEntry invalid = Publish("s", 1, "invalid");
+  invalid.document += "extra: 1\n";
+  PublishEntry misnamed = Publish("s", 1, "misnamed");
+  misnamed.service = "other";
+  const std::vector<Row> rows = {
+      {Publish("s", kNoRevision, "first"), PublishVerdict::kInForce, 0},
+      {Publish("s", 0, "second", 200), PublishVerdict::kInForce, 1},
+      {Publish("s", 0, "raced", 300), PublishVerdict::kStaleBase, 1},
+      {Publish("s", kNoRevision, "anew"), PublishVerdict::kStaleBase, 1},
+      {Publish("s", 1, "foreign", 5, "u"), PublishVerdict::kForeignTeam, 1},
+      {invalid, PublishVerdict::kInvalid, 1},
+      {misnamed, PublishVerdict::kInvalid, 1},
+      {Publish("s", 1, "third", 400), PublishVerdict::kInForce, 7},
+      // The append of "third" was repeated because its answer was lost.
+      {Publish("s", 1, "third", 400), PublishVerdict::kInForce, 7},
+  };
+  for (std::size_t offset = 0; offset < rows.size(); ++offset) {
+    const Row& row = rows[offset];
+    fold.Apply(static_cast<std::int64_t>(offset), 0, Payload(row.entry));
+    const auto outcome = fold.OutcomeOf(row.entry.publish_id);
+    CHECK_TRUE(outcome.has_value());
+    CHECK_TRUE(outcome->verdict == row.verdict);
+    LONGS_EQUAL(row.in_force, fold.State()->Find("s")->revision);
+    CHECK_EQUAL(row.verdict == PublishVerdict::kInForce,
+                outcome->detail.empty());
+  }
+  LONGS_EQUAL(8, fold.State()->offset);
+  CHECK_FALSE(fold.OutcomeOf("unknown").has_value());
+}
+
+TEST(ConfigurationFold, OneRecordMayCarryManyEntries) {
+  const std::vector<ConfigurationEntry> entries = {
+      Publish("a", kNoRevision, "1"), Publish("b", kNoRevision, "2"),
+      Publish("a", kNoRevision, "3")};
+  ConfigurationFold fold;
+  fold.Apply(0, 0, WriteConfigurationRecord(entries));
+  LONGS_EQUAL(2, fold.State()->services.size());
+  CHECK_TRUE(fold.OutcomeOf("3")->verdict == PublishVerdict::kStaleBase);
+}
+
+TEST(ConfigurationFold, AnOldRecordNeverReverts) {
+  ConfigurationFold fold;
+  fold.Apply(0, 0, Payload(Publish("s", kNoRevision, "1")));
+  fold.Apply(1, 0, Payload(Publish("s", 0, "2", 7)));
+  const auto before = fold.State();
+  CHECK_TRUE(fold.Apply(0, 0, Payload(Publish("s", kNoRevision, "3"))) ==
+             ApplyResult::kOld);
+  CHECK_TRUE(fold.State() == before);
+  ConfigurationFold behind;
+  behind.Apply(0, 0, Payload(Publish("s", kNoRevision, "1")));
+  CHECK_FALSE(fold.Import(behind.Export()).value());
+  CHECK_TRUE(fold.State() == before);
+}
+
+TEST(ConfigurationFold, AGapIsHeldUntilAPeerFillsIt) {
+  ConfigurationFold whole;
+  whole.Apply(0, 0, Payload(Publish("s", kNoRevision, "1")));
+  whole.Apply(1, 0, Payload(Publish("s", 0, "2", 7)));
+  ConfigurationFold late;
+  CHECK_TRUE(late.Apply(2, 0, Payload(Publish("s", 1, "3", 9))) ==
+             ApplyResult::kHeld);
+  CHECK_FALSE(late.Complete());
+  LONGS_EQUAL(3, late.NextOffset());
+  CHECK_TRUE(late.Import(whole.Export()).value());
+  CHECK_TRUE(late.Complete());
+  LONGS_EQUAL(2, late.State()->offset);
+  LONGS_EQUAL(2, late.State()->Find("s")->revision);
+}
+
+TEST(ConfigurationFold, DamagedExportsAreRefused) {
+  ConfigurationFold whole;
+  whole.Apply(0, 0, Payload(Publish("s", kNoRevision, "1")));
+  ConfigurationExport good = whole.Export();
+  std::vector<ConfigurationExport> damaged(4, good);
+  damaged[0].digest[0] ^= 1;
+  damaged[1].documents[0].document += "extra: 1\n";
+  damaged[2].documents[0].revision = 4;
+  damaged[3].documents.push_back(damaged[3].documents[0]);
+  for (const ConfigurationExport& exported : damaged) {
+    ConfigurationFold fold;
+    CHECK_FALSE(Capture([&] { return fold.Import(exported); }).Ok());
+    LONGS_EQUAL(kNoRevision, fold.State()->offset);
+  }
+  const Json::Value json = ConfigurationExportToJson(good);
+  ConfigurationFold fold;
+  CHECK_TRUE(fold.Import(ConfigurationExportFromJson(json).value()).value());
+  CHECK_TRUE(SameState(fold, whole));
+}
+
+TEST(ConfigurationFold, SnapshotsAreDueAtHalfOfTheRetention) {
+  const WallMilliseconds half_ms = kRetention.count() / 2;
+  ConfigurationFold fold;
+  CHECK_FALSE(fold.SnapshotDue(kStartMs + 9 * half_ms, kRetention));
+  fold.Apply(0, kStartMs, Payload(Publish("s", kNoRevision, "1")));
+  CHECK_FALSE(fold.SnapshotDue(kStartMs + half_ms, kRetention));
+  CHECK_TRUE(fold.SnapshotDue(kStartMs + half_ms + 1, kRetention));
+  const SnapshotEntry snapshot = fold.MakeSnapshot();
+  // A record that comes between the snapshot's state and its append.
+  fold.Apply(1, kStartMs + half_ms, Payload(Publish("s", 0, "2", 7)));
+  fold.Apply(2, kStartMs + half_ms + 5, Payload(snapshot));
+  CHECK_FALSE(fold.SnapshotDue(kStartMs + 2 * half_ms, kRetention));
+  CHECK_TRUE(fold.SnapshotDue(kStartMs + 2 * half_ms + 1, kRetention));
+  ConfigurationFold peer;
+  peer.Import(fold.Export()).value();
+  CHECK_FALSE(peer.SnapshotDue(kStartMs + 2 * half_ms, kRetention));
+  CHECK_TRUE(peer.SnapshotDue(kStartMs + 2 * half_ms + 1, kRetention));
+}
+
+TEST(ConfigurationFold, AWrongSnapshotIsCountedAndKeepsOldRecordsNeeded) {
+  ConfigurationFold fold;
+  fold.Apply(0, kStartMs, Payload(Publish("s", kNoRevision, "1")));
+  SnapshotEntry snapshot = fold.MakeSnapshot();
+  snapshot.digest[3] ^= 1;
+  fold.Apply(1, kStartMs + kRetention.count(), Payload(snapshot));
+  LONGS_EQUAL(1, fold.SnapshotMismatches());
+  CHECK_TRUE(fold.SnapshotDue(kStartMs + kRetention.count(), kRetention));
+  ConfigurationFold late;
+  CHECK_TRUE(late.Apply(1, 0, Payload(snapshot)) == ApplyResult::kHeld);
+}
+
+TEST(ConfigurationFold, PropertySplitsRestartsAndImportsGiveTheSameState) {
+  CHECK_TRUE(rc::check("split, restart and import", [] {
+    const Log log = RandomLog();
+    ConfigurationFold whole;
+    ReadLog(whole, log, 0, log.size());
+
+    auto fold = std::make_unique<ConfigurationFold>();
+    std::int64_t highest = kNoRevision;
+    while (fold->State()->offset + 1 < static_cast<std::int64_t>(log.size())) {
+      const auto next = static_cast<std::size_t>(fold->NextOffset());
+      const auto to = *rc::gen::inRange<std::size_t>(next + 1, log.size() + 1);
+      ReadLog(*fold, log, next, to);
+      if (*rc::gen::arbitrary<bool>()) {
+        // A restart that takes over the state of a peer, here its own.
+        auto restarted = std::make_unique<ConfigurationFold>();
+        RC_ASSERT(restarted->Import(fold->Export()).value() ||
+                  fold->State()->offset == kNoRevision);
+        fold = std::move(restarted);
+      }
+      if (*rc::gen::arbitrary<bool>()) {
+        ConfigurationFold peer;
+        ReadLog(peer, log, 0, *rc::gen::inRange<std::size_t>(0, log.size()));
+        fold->Import(peer.Export()).value();
+      }
+      // Records come again, for instance after a read was repeated.
+      ReadLog(*fold, log, 0, *rc::gen::inRange<std::size_t>(0, to + 1));
+      RC_ASSERT(fold->State()->offset >= highest);
+      highest = fold->State()->offset;
+    }
+    RC_ASSERT(SameState(whole, *fold));
+  }));
+}
+
+TEST(ConfigurationFold, PropertyAReaderAfterRetentionAgreesThroughASnapshot) {
+  CHECK_TRUE(rc::check("start at any retained offset", [] {
+    const Log log = RandomLog();
+    ConfigurationFold whole;
+    ReadLog(whole, log, 0, log.size());
+    const auto first = *rc::gen::inRange<std::size_t>(0, log.size());
+    ConfigurationFold late;
+    ReadLog(late, log, first, log.size());
+    if (late.Complete()) {
+      RC_ASSERT(SameState(whole, late));
+    } else {
+      RC_ASSERT(late.State()->services.empty());
+      RC_ASSERT(late.Import(whole.Export()).value());
+      RC_ASSERT(SameState(whole, late));
+    }
+  }));
+}
+
+TEST(ConfigurationFold, PropertyOneOfTwoPublishesOnTheSameBaseIsInForce) {
+  CHECK_TRUE(rc::check("exactly one", [] {
+    Log log = RandomLog();
+    ConfigurationFold fold;
+    ReadLog(fold, log, 0, log.size());
+    const ServiceInForce* present = fold.State()->Find("a");
+    const std::int64_t base =
+        present == nullptr ? kNoRevision : present->revision;
+    const std::string team = present == nullptr ? "t" : present->document.team;
+    std::vector<PublishEntry> racing = {Publish("a", base, "one", 11, team),
+                                        Publish("a", base, "two", 22, team)};
+    // Any order, and each append any number of times.
+    const auto order =
+        *rc::gen::container<std::vector<int>>(4, rc::gen::element(0, 1));
+    RC_PRE(std::count(order.begin(), order.end(), 0) % 4 != 0);
+    for (const int which : order) {
+      const auto offset = static_cast<std::int64_t>(log.size());
+      log.push_back({kStartMs + offset, Payload(racing[which])});
+      ReadLog(fold, log, log.size() - 1, log.size());
+    }
+    const bool one = fold.OutcomeOf("one")->verdict == PublishVerdict::kInForce;
+    const bool two = fold.OutcomeOf("two")->verdict == PublishVerdict::kInForce;
+    RC_ASSERT(one != two);
+    RC_ASSERT(fold.State()->Find("a")->publish_id == (one ? "one" : "two"));
+  }));
+}
+
+}  // namespace carobbank
