StandIns: Add stand-ins for log, list, store, engine and plain service

Tests and the demo need the platform's place filled by something whose truth a checker can read. One unshipped program runs one role, or many roles from a YAML file on a few threads. Every role takes settings and faults as one table of member pointers through POST /control, and tells what truly happened through GET /record.

--- /dev/null
+++ b/StandIns/stand_in_set.cc
@@ -0,0 +1,132 @@
+// Reading the description of a set of stand-ins, and running it.
+
+#include "StandIns/stand_in_set.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <utility>
+
+#include "StandIns/stand_in_factory.h"
+
+namespace carobbank {
+
+namespace {
+
+Json::Value ScalarToJson(const YAML::Node& node) {
+  // A quoted scalar has the tag "!" and stays a string.
+  if (node.Tag() != "!") {
+    bool boolean = false;
+    if (YAML::convert<bool>::decode(node, boolean)) {
+      return boolean;
+    }
+    std::int64_t integer = 0;
+    if (YAML::convert<std::int64_t>::decode(node, integer)) {
+      return Json::Int64{integer};
+    }
+    double number = 0;
+    if (YAML::convert<double>::decode(node, number)) {
+      return number;
+    }
+  }
+  return node.Scalar();
+}
+
+Json::Value YamlToJson(const YAML::Node& node) {
+  if (node.IsScalar()) {
+    return ScalarToJson(node);
+  }
+  if (node.IsSequence()) {
+    Json::Value list(Json::arrayValue);
+    for (const YAML::Node& item : node) {
+      list.append(YamlToJson(item));
+    }
+    return list;
+  }
+  Json::Value object(Json::objectValue);
+  for (const auto& member : node) {
+    object[member.first.as<std::string>()] = YamlToJson(member.second);
+  }
+  return object;
+}
+
+Result<Json::Value> LoadYaml(const std::string& file) {
+  try {
+    return YamlToJson(YAML::LoadFile(file));
+  } catch (const YAML::Exception& exception) {
+    return Fail(ErrorKind::kInvalidArgument, file + ": " + exception.what(),
+                "see StandIns/stand_in_set.h for the form");
+  }
+}
+
+}  // namespace
+
+Result<StandInSetDescription> StandInSetDescription::Load(
+    const std::string& file) {
+  BOOST_LEAF_AUTO(document, LoadYaml(file));
+  if (!document.isObject() || !document["stand_ins"].isArray()) {
+    return Fail(ErrorKind::kInvalidArgument, file + ": no list stand_ins",
+                "see StandIns/stand_in_set.h for the form");
+  }
+  StandInSetDescription result;
+  result.threads =
+      static_cast<std::size_t>(JsonInteger(document, "threads", 1));
+  auto seed = static_cast<std::uint64_t>(JsonInteger(document, "seed", 1));
+  for (const Json::Value& entry : document["stand_ins"]) {
+    const std::int64_t count = JsonInteger(entry, "count", 1);
+    for (std::int64_t index = 0; index < count; ++index) {
+      StandInDescription description;
+      description.role = JsonString(entry, "role");
+      description.options.address =
+          JsonString(document, "address", description.options.address);
+      description.options.port =
+          static_cast<std::uint16_t>(JsonInteger(entry, "port") + index);
+      description.options.seed = seed++;
+      if (entry["options"].isObject()) {
+        description.control = entry["options"];
+      }
+      result.stand_ins.push_back(std::move(description));
+    }
+  }
+  return result;
+}
+
+Result<std::unique_ptr<StandInSet>> StandInSet::Create(
+    const StandInSetDescription& description) {
+  std::unique_ptr<StandInSet> set(new StandInSet());
+  const std::size_t threads = std::max<std::size_t>(description.threads, 1);
+  for (std::size_t index = 0; index < threads; ++index) {
+    set->loops.push_back(std::make_unique<EventLoop>());
+  }
+  for (const StandInDescription& stand_in : description.stand_ins) {
+    BOOST_LEAF_CHECK(set->Add(stand_in));
+  }
+  return set;
+}
+
+StandInSet::~StandInSet() = default;
+
+Result<void> StandInSet::Add(const StandInDescription& description) {
+  EventLoop& loop = *this->loops[this->stand_ins.size() % this->loops.size()];
+  BOOST_LEAF_AUTO(stand_in,
+                  CreateStandIn(description.role, loop, description.options));
+  BOOST_LEAF_CHECK(stand_in->Control(description.control));
+  BOOST_LEAF_CHECK(stand_in->Listen());
+  this->listening.push_back(description.role + " " +
+                            description.options.address + ":" +
+                            std::to_string(stand_in->Port()));
+  this->stand_ins.push_back(std::move(stand_in));
+  return {};
+}
+
+void StandInSet::Run() {
+  std::vector<std::jthread> threads;
+  for (std::size_t index = 1; index < this->loops.size(); ++index) {
+    threads.emplace_back([this, index] { this->loops[index]->Run(); });
+  }
+  this->loops.front()->Run();
+  for (std::size_t index = 1; index < this->loops.size(); ++index) {
+    this->loops[index]->Stop();
+  }
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/StandIns/stand_ins.h
@@ -0,0 +1,9 @@
+// Public header of the stand-ins, for tests and benchmarks that run them in
+// their own process.
+
+#pragma once
+
+#include "StandIns/stand_in.h"
+#include "StandIns/stand_in_factory.h"
+#include "StandIns/stand_in_set.h"
+#include "StandIns/token_model.h"
--- a/Tests/Support/fake_engine_control.h
+++ b/Tests/Support/fake_engine_control.h
@@ -121,6 +121,7 @@
       return Error{ErrorKind::kFenced, "an order with a higher number came",
                    "stop giving orders to this engine"};
     }
+    this->state.fencing = std::max(this->state.fencing, order.fencing);
     if (this->IsRepeated(order)) {
       return true;
     }
@@ -145,7 +146,6 @@
   }
 
   void Begin(const LoadVersionOrder& order) {
-    this->state.fencing = std::max(this->state.fencing, order.fencing);
     this->state.loading = true;
     this->running_order = order;
     this->taken_orders.push_back(order);
