StandIns: Refuse single appends on demand and simplify timers

A budget of appends per second can't be tested without depending on time, so refuse_appends answers 429 for the next N appends. A fired timer is freed at once, which LibHTTP's loop allows.

--- a/StandIns/log_stand_in.cc
+++ b/StandIns/log_stand_in.cc
@@ -21,6 +21,7 @@
     {"outage", &LogSettings::outage},
     {"append_outage", &LogSettings::append_outage},
     {"read_outage", &LogSettings::read_outage},
+    {"refuse_appends", &LogSettings::refuse_appends},
     {"lose_answers", &LogSettings::lose_answers},
     {"lose_requests", &LogSettings::lose_requests},
     {"late_answers", &LogSettings::late_answers},
@@ -112,8 +113,9 @@
     SendCode(*responder, 400, "no_payload");
     return;
   }
-  if (!this->append_budget.Take(this->settings.appends_per_second,
-                                this->clock.Now())) {
+  const bool within_budget = this->append_budget.Take(
+      this->settings.appends_per_second, this->clock.Now());
+  if (!within_budget || TakeOne(this->settings.refuse_appends)) {
     SendCode(*responder, 429, "append_budget");
     return;
   }
--- a/StandIns/log_stand_in.h
+++ b/StandIns/log_stand_in.h
@@ -22,6 +22,8 @@
   bool outage = false;
   bool append_outage = false;
   bool read_outage = false;
+  // The next appends are refused with 429, as over the budget.
+  std::int64_t refuse_appends = 0;
   // The next appends take effect and their connection is cut.
   std::int64_t lose_answers = 0;
   // The next appends are cut before they take effect.
--- a/StandIns/stand_in.cc
+++ b/StandIns/stand_in.cc
@@ -204,12 +204,10 @@
 }
 
 void StandIn::After(Milliseconds delay, std::function<void()> task) {
-  this->fired_timers.clear();
   const std::uint64_t id = this->next_timer++;
   this->timers[id] =
       this->loop.CallAfter(delay, [this, id, task = std::move(task)] {
-        auto timer = this->timers.extract(id);
-        this->fired_timers.push_back(std::move(timer.mapped()));
+        this->timers.erase(id);
         task();
       });
 }
--- a/StandIns/stand_in.h
+++ b/StandIns/stand_in.h
@@ -103,8 +103,6 @@
   // Connections that stay silent for good.
   std::set<std::string> silenced_peers;
   std::map<std::uint64_t, std::unique_ptr<Timer>> timers;
-  // Timers that have fired; freed outside their own callback.
-  std::vector<std::unique_ptr<Timer>> fired_timers;
   std::uint64_t next_timer = 0;
 };
 
