Tests/Contracts: Run one table against fake and adapter with stand-in

Fakes are worth only as much as their likeness to what the adapters meet. Each platform interface gets one table of cases, faults included, that runs on the hand-written fake and on the HTTP adapter with the stand-in. The lost-answer cases use a connection that has served before, so that a client which silently repeats a request on a fresh connection is found out.

--- /dev/null
+++ b/Tests/Contracts/engine_contract_test.cc
@@ -0,0 +1,312 @@
+// Contract of EngineControl, run against the fake and against the HTTP adapter
+// with the engine's stand-in.
+
+#include <optional>
+#include <string>
+
+#include "Contracts/contract_case.h"
+#include "LibPlatform/platform.h"
+#include "Support/fake_engine_control.h"
+#include "Support/stand_in_host.h"
+
+#include "Support/check_error.h"
+
+namespace carobbank {
+
+namespace {
+
+enum class EngineFault {
+  kDown,
+  // The next order is carried out and its answer is lost.
+  kLostAnswer,
+  kIgnoresFencing,
+  // The next order fails at its end.
+  kFailingOrder,
+};
+
+class EngineSubject {
+ public:
+  virtual ~EngineSubject() = default;
+  virtual Outcome<EngineState> State() = 0;
+  virtual Outcome<EngineLoad> Load() = 0;
+  virtual Outcome<CacheEvents> ReadCacheEvents() = 0;
+  virtual Outcome<bool> Order(const LoadVersionOrder& order) = 0;
+  virtual void Switch(EngineFault fault) = 0;
+  // Orders taken from now on stay in progress.
+  virtual void HoldOrders() = 0;
+  // Waits until the order in progress has ended.
+  virtual void FinishOrder() = 0;
+  // Cuts everything and comes back on `version`.
+  virtual void Restart(std::uint64_t version) = 0;
+};
+
+class FakeEngineSubject final : public EngineSubject {
+ public:
+  FakeEngineSubject() {
+    this->engine.state.model = "model";
+    this->engine.state.version = 1;
+    this->engine.state.incarnation = 1;
+    this->engine.load.max_batch = 16;
+  }
+
+  Outcome<EngineState> State() override {
+    std::optional<Outcome<EngineState>> answer;
+    this->engine.State([&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+
+  Outcome<EngineLoad> Load() override {
+    std::optional<Outcome<EngineLoad>> answer;
+    this->engine.Load([&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+
+  Outcome<CacheEvents> ReadCacheEvents() override {
+    std::optional<Outcome<CacheEvents>> answer;
+    this->engine.ReadCacheEvents(
+        0, [&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+
+  Outcome<bool> Order(const LoadVersionOrder& order) override {
+    std::optional<Outcome<bool>> answer;
+    this->engine.LoadVersion(
+        order, [&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+
+  void Switch(EngineFault fault) override {
+    switch (fault) {
+      case EngineFault::kDown:
+        this->engine.outage = true;
+        break;
+      case EngineFault::kLostAnswer:
+        this->engine.lost_answers = 1;
+        break;
+      case EngineFault::kIgnoresFencing:
+        this->engine.checks_fencing = false;
+        break;
+      case EngineFault::kFailingOrder:
+        this->next_order_fails = true;
+        break;
+    }
+  }
+
+  void HoldOrders() override {}
+  void FinishOrder() override {
+    this->engine.FinishOrder(!this->next_order_fails);
+  }
+  void Restart(std::uint64_t version) override {
+    this->engine.Restart(version);
+  }
+
+ private:
+  FakeEngineControl engine;
+  bool next_order_fails = false;
+};
+
+class HttpEngineSubject final : public EngineSubject {
+ public:
+  HttpEngineSubject()
+      : engine(CreateHttpEngineControl(this->host.Client(), this->host.Url())) {
+  }
+
+  Outcome<EngineState> State() override {
+    return this->host.Thread().Await<Outcome<EngineState>>(
+        [&](auto done) { this->engine->State(done); });
+  }
+
+  Outcome<EngineLoad> Load() override {
+    return this->host.Thread().Await<Outcome<EngineLoad>>(
+        [&](auto done) { this->engine->Load(done); });
+  }
+
+  Outcome<CacheEvents> ReadCacheEvents() override {
+    return this->host.Thread().Await<Outcome<CacheEvents>>(
+        [&](auto done) { this->engine->ReadCacheEvents(0, done); });
+  }
+
+  Outcome<bool> Order(const LoadVersionOrder& order) override {
+    return this->host.Thread().Await<Outcome<bool>>(
+        [&](auto done) { this->engine->LoadVersion(order, done); });
+  }
+
+  void Switch(EngineFault fault) override {
+    switch (fault) {
+      case EngineFault::kDown:
+        this->host.ControlDirectly(
+            R"({"crash_down_ms": 3600000, "crash": true})");
+        while (this->State().Ok()) {
+        }
+        break;
+      case EngineFault::kLostAnswer:
+        this->host.ControlDirectly(R"({"lose_order_answers": 1})");
+        break;
+      case EngineFault::kIgnoresFencing:
+        this->host.ControlDirectly(R"({"checks_fencing": false})");
+        break;
+      case EngineFault::kFailingOrder:
+        this->host.ControlDirectly(R"({"fail_orders": 1})");
+        break;
+    }
+  }
+
+  void HoldOrders() override {
+    this->host.ControlDirectly(R"({"load_ms": 3600000})");
+  }
+
+  void FinishOrder() override {
+    while (this->State().Value().loading) {
+    }
+  }
+
+  void Restart(std::uint64_t version) override {
+    const std::uint64_t before = this->State().Value().incarnation;
+    this->host.ControlDirectly(
+        R"({"crash_down_ms": 1, "restart": {"version": )" +
+        std::to_string(version) + "}}");
+    auto state = this->State();
+    while (!state.Ok() || state.Value().incarnation == before) {
+      state = this->State();
+    }
+  }
+
+ private:
+  StandInHost host{"engine", R"({"load_ms": 1})"};
+  std::unique_ptr<EngineControl> engine;
+};
+
+LoadVersionOrder OrderFor(std::string id,
+                          std::uint64_t fencing,
+                          std::uint64_t version) {
+  LoadVersionOrder order;
+  order.order_id = std::move(id);
+  order.fencing = fencing;
+  order.model = "model";
+  order.version = version;
+  return order;
+}
+
+// Cases.
+
+void ReportsAreReadable(EngineSubject& subject) {
+  const EngineState state = subject.State().Value();
+  STRCMP_EQUAL("model", state.model.c_str());
+  CHECK_EQUAL(1U, state.version);
+  CHECK_EQUAL(1U, state.incarnation);
+  CHECK_FALSE(state.loading);
+  CHECK_EQUAL(16U, subject.Load().Value().max_batch);
+  CHECK_EQUAL(0U, subject.ReadCacheEvents().Value().events.size());
+}
+
+void OrderChangesTheVersion(EngineSubject& subject) {
+  CHECK_TRUE(subject.Order(OrderFor("a", 5, 2)).Ok());
+  subject.FinishOrder();
+  const EngineState state = subject.State().Value();
+  CHECK_EQUAL(2U, state.version);
+  STRCMP_EQUAL("a", state.last_order_id.c_str());
+  CHECK_FALSE(state.last_order_failed);
+  CHECK_EQUAL(5U, state.fencing);
+}
+
+void FailedOrderKeepsTheVersion(EngineSubject& subject) {
+  subject.Switch(EngineFault::kFailingOrder);
+  CHECK_TRUE(subject.Order(OrderFor("a", 1, 2)).Ok());
+  subject.FinishOrder();
+  const EngineState state = subject.State().Value();
+  CHECK_EQUAL(1U, state.version);
+  CHECK_TRUE(state.last_order_failed);
+}
+
+void StaleOrderIsFenced(EngineSubject& subject) {
+  subject.Order(OrderFor("new", 9, 2));
+  subject.FinishOrder();
+  CheckError(ErrorKind::kFenced, subject.Order(OrderFor("old", 8, 1)));
+  CHECK_EQUAL(2U, subject.State().Value().version);
+}
+
+void EngineThatIgnoresFencingTakesStaleOrders(EngineSubject& subject) {
+  subject.Switch(EngineFault::kIgnoresFencing);
+  subject.Order(OrderFor("new", 9, 2));
+  subject.FinishOrder();
+  CHECK_TRUE(subject.Order(OrderFor("old", 8, 1)).Ok());
+  subject.FinishOrder();
+  CHECK_EQUAL(1U, subject.State().Value().version);
+}
+
+void SecondOrderConflicts(EngineSubject& subject) {
+  subject.HoldOrders();
+  CHECK_TRUE(subject.Order(OrderFor("a", 1, 2)).Ok());
+  CHECK_TRUE(subject.State().Value().loading);
+  CheckError(ErrorKind::kConflict, subject.Order(OrderFor("b", 1, 3)));
+}
+
+void RefusedOrderStillRaisesTheFencingNumber(EngineSubject& subject) {
+  subject.HoldOrders();
+  subject.Order(OrderFor("a", 1, 2));
+  CheckError(ErrorKind::kConflict, subject.Order(OrderFor("b", 7, 3)));
+  CheckError(ErrorKind::kFenced, subject.Order(OrderFor("c", 6, 3)));
+}
+
+void RepeatedOrderIsTakenOnce(EngineSubject& subject) {
+  subject.HoldOrders();
+  CHECK_TRUE(subject.Order(OrderFor("a", 1, 2)).Ok());
+  CHECK_TRUE(subject.Order(OrderFor("a", 1, 2)).Ok());
+}
+
+void LostAnswerIsUnknownAndTheOrderTaken(EngineSubject& subject) {
+  subject.Switch(EngineFault::kLostAnswer);
+  CheckError(ErrorKind::kOutcomeUnknown, subject.Order(OrderFor("a", 1, 2)));
+  subject.FinishOrder();
+  STRCMP_EQUAL("a", subject.State().Value().last_order_id.c_str());
+  CHECK_EQUAL(2U, subject.State().Value().version);
+}
+
+void EngineThatIsDownIsUnavailable(EngineSubject& subject) {
+  subject.Switch(EngineFault::kDown);
+  CheckError(ErrorKind::kUnavailable, subject.State());
+  CheckError(ErrorKind::kUnavailable, subject.Load());
+  CheckError(ErrorKind::kUnavailable, subject.Order(OrderFor("a", 1, 2)));
+}
+
+void RestartIsANewIncarnationThatForgets(EngineSubject& subject) {
+  subject.Order(OrderFor("a", 5, 2));
+  subject.FinishOrder();
+  subject.Restart(4);
+  const EngineState state = subject.State().Value();
+  CHECK_EQUAL(2U, state.incarnation);
+  CHECK_EQUAL(4U, state.version);
+  CHECK_EQUAL(0U, state.fencing);
+  STRCMP_EQUAL("", state.last_order_id.c_str());
+}
+
+constexpr ContractCase<EngineSubject> kEngineCases[] = {
+    {"reports are readable", ReportsAreReadable},
+    {"an order changes the version", OrderChangesTheVersion},
+    {"a failed order keeps the version", FailedOrderKeepsTheVersion},
+    {"a stale order is fenced", StaleOrderIsFenced},
+    {"fencing may be ignored", EngineThatIgnoresFencingTakesStaleOrders},
+    {"a second order conflicts", SecondOrderConflicts},
+    {"a refused order raises the number",
+     RefusedOrderStillRaisesTheFencingNumber},
+    {"a repeated order is taken once", RepeatedOrderIsTakenOnce},
+    {"a lost answer is unknown", LostAnswerIsUnknownAndTheOrderTaken},
+    {"an engine that is down is unavailable", EngineThatIsDownIsUnavailable},
+    {"a restart forgets", RestartIsANewIncarnationThatForgets},
+};
+
+}  // namespace
+
+TEST_GROUP(EngineContract){};
+
+TEST(EngineContract, Fake) {
+  RunContract<EngineSubject>(
+      kEngineCases, [] { return std::make_unique<FakeEngineSubject>(); });
+}
+
+TEST(EngineContract, HttpAdapterWithStandIn) {
+  RunContract<EngineSubject>(
+      kEngineCases, [] { return std::make_unique<HttpEngineSubject>(); });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/Contracts/log_contract_test.cc
@@ -0,0 +1,333 @@
+// Contract of LogClient, run against the fake and against the HTTP adapter with
+// the log's stand-in.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Contracts/contract_case.h"
+#include "LibPlatform/platform.h"
+#include "Support/fake_log.h"
+#include "Support/manual_clock.h"
+#include "Support/stand_in_host.h"
+
+#include "Support/check_error.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kNoWait{0};
+constexpr Milliseconds kShortWait{5};
+constexpr Milliseconds kLongWait{30'000};
+
+enum class LogFault {
+  kAppendOutage,
+  kReadOutage,
+  // The next append takes effect and its answer is lost.
+  kLostAnswer,
+  // The next append is lost before it takes effect.
+  kLostRequest,
+  // The next append is over the budget.
+  kOverBudget,
+  // Only the newest record can still be read.
+  kShortRetention,
+};
+
+class LogSubject {
+ public:
+  virtual ~LogSubject() = default;
+  virtual Outcome<std::uint64_t> Append(std::string_view stream,
+                                        std::string payload) = 0;
+  virtual Outcome<LogPage> Read(std::string_view stream,
+                                std::uint64_t from,
+                                std::size_t max_records,
+                                Milliseconds wait) = 0;
+  // Begins a long poll, appends `payload`, and gives the poll's answer.
+  virtual Outcome<LogPage> ReadDuringAppend(std::string_view stream,
+                                            std::uint64_t from,
+                                            std::string payload) = 0;
+  virtual void Switch(LogFault fault) = 0;
+  // Payloads of everything that was ever appended.
+  virtual std::vector<std::string> Truth(std::string_view stream) = 0;
+};
+
+class FakeLogSubject final : public LogSubject {
+ public:
+  Outcome<std::uint64_t> Append(std::string_view stream,
+                                std::string payload) override {
+    std::optional<Outcome<std::uint64_t>> answer;
+    this->log.Append(stream, std::move(payload),
+                     [&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+
+  Outcome<LogPage> Read(std::string_view stream,
+                        std::uint64_t from,
+                        std::size_t max_records,
+                        Milliseconds wait) override {
+    std::optional<Outcome<LogPage>> answer;
+    this->log.Read(stream, from, max_records, wait,
+                   [&](auto outcome) { answer = std::move(outcome); });
+    this->log.EndWaits();
+    return *answer;
+  }
+
+  Outcome<LogPage> ReadDuringAppend(std::string_view stream,
+                                    std::uint64_t from,
+                                    std::string payload) override {
+    std::optional<Outcome<LogPage>> answer;
+    this->log.Read(stream, from, 10, kLongWait,
+                   [&](auto outcome) { answer = std::move(outcome); });
+    CHECK_FALSE(answer.has_value());
+    this->Append(stream, std::move(payload));
+    return *answer;
+  }
+
+  void Switch(LogFault fault) override {
+    FakeLogFaults& faults = this->log.faults;
+    switch (fault) {
+      case LogFault::kAppendOutage:
+        faults.append_outage = true;
+        break;
+      case LogFault::kReadOutage:
+        faults.read_outage = true;
+        break;
+      case LogFault::kLostAnswer:
+        faults.lost_answers = 1;
+        break;
+      case LogFault::kLostRequest:
+        faults.lost_requests = 1;
+        break;
+      case LogFault::kOverBudget:
+        faults.append_budget = 0;
+        break;
+      case LogFault::kShortRetention:
+        this->log.retained_records = 1;
+        break;
+    }
+  }
+
+  std::vector<std::string> Truth(std::string_view stream) override {
+    std::vector<std::string> payloads;
+    for (const LogRecord& record : this->log.TrueRecords(stream)) {
+      payloads.push_back(record.payload);
+    }
+    return payloads;
+  }
+
+ private:
+  ManualClock clock;
+  FakeLog log{this->clock};
+};
+
+class HttpLogSubject final : public LogSubject {
+ public:
+  HttpLogSubject()
+      : log(CreateHttpLogClient(this->host.Client(), this->host.Url())) {}
+
+  Outcome<std::uint64_t> Append(std::string_view stream,
+                                std::string payload) override {
+    return this->host.Thread().Await<Outcome<std::uint64_t>>(
+        [&](auto done) { this->log->Append(stream, payload, done); });
+  }
+
+  Outcome<LogPage> Read(std::string_view stream,
+                        std::uint64_t from,
+                        std::size_t max_records,
+                        Milliseconds wait) override {
+    return this->host.Thread().Await<Outcome<LogPage>>([&](auto done) {
+      this->log->Read(stream, from, max_records, wait, done);
+    });
+  }
+
+  Outcome<LogPage> ReadDuringAppend(std::string_view stream,
+                                    std::uint64_t from,
+                                    std::string payload) override {
+    return this->host.Thread().Await<Outcome<LogPage>>([&](auto done) {
+      this->log->Read(stream, from, 10, kLongWait, done);
+      this->log->Append(stream, payload, [](const auto&) {});
+    });
+  }
+
+  void Switch(LogFault fault) override {
+    this->host.ControlDirectly(ControlFor(fault));
+  }
+
+  std::vector<std::string> Truth(std::string_view stream) override {
+    const Json::Value record = this->host.Record();
+    std::vector<std::string> payloads;
+    for (const Json::Value& entry : record["streams"][std::string(stream)]) {
+      payloads.push_back(entry["payload"].asString());
+    }
+    return payloads;
+  }
+
+ private:
+  static std::string_view ControlFor(LogFault fault) {
+    switch (fault) {
+      case LogFault::kAppendOutage:
+        return R"({"append_outage": true})";
+      case LogFault::kReadOutage:
+        return R"({"read_outage": true})";
+      case LogFault::kLostAnswer:
+        return R"({"lose_answers": 1})";
+      case LogFault::kLostRequest:
+        return R"({"lose_requests": 1})";
+      case LogFault::kOverBudget:
+        return R"({"refuse_appends": 1})";
+      case LogFault::kShortRetention:
+        return R"({"retention_records": 1})";
+    }
+    return "{}";
+  }
+
+  StandInHost host{"log"};
+  std::unique_ptr<LogClient> log;
+};
+
+void CheckPayloads(const std::vector<std::string>& expected,
+                   const std::vector<std::string>& actual) {
+  CHECK_EQUAL(expected.size(), actual.size());
+  CHECK_TRUE(expected == actual);
+}
+
+// Cases.
+
+void AppendsGetConsecutiveOffsets(LogSubject& subject) {
+  for (std::uint64_t offset = 0; offset < 3; ++offset) {
+    CHECK_EQUAL(offset, subject.Append("s", std::to_string(offset)).Value());
+  }
+  CHECK_EQUAL(0U, subject.Append("other", "a").Value());
+}
+
+void ReadGivesRecordsInOrder(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Append("s", "quote \" and \n line");
+  subject.Append("s", "c");
+  const LogPage page = subject.Read("s", 1, 10, kNoWait).Value();
+  CHECK_EQUAL(0U, page.first_retained);
+  CHECK_EQUAL(3U, page.end);
+  CHECK_EQUAL(2U, page.records.size());
+  CHECK_EQUAL(1U, page.records[0].offset);
+  STRCMP_EQUAL("quote \" and \n line", page.records[0].payload.c_str());
+  STRCMP_EQUAL("c", page.records[1].payload.c_str());
+}
+
+void ReadStopsAtItsMaximum(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Append("s", "b");
+  const LogPage page = subject.Read("s", 0, 1, kNoWait).Value();
+  CHECK_EQUAL(1U, page.records.size());
+  CHECK_EQUAL(2U, page.end);
+}
+
+void UnknownStreamIsEmpty(LogSubject& subject) {
+  const LogPage page = subject.Read("unknown", 0, 10, kNoWait).Value();
+  CHECK_EQUAL(0U, page.end);
+  CHECK_EQUAL(0U, page.records.size());
+}
+
+void LongPollAnswersOnAppend(LogSubject& subject) {
+  const auto page = subject.ReadDuringAppend("s", 0, "late");
+  CHECK_TRUE(page.Ok());
+  CHECK_EQUAL(1U, page.Value().records.size());
+  STRCMP_EQUAL("late", page.Value().records[0].payload.c_str());
+}
+
+void LongPollEndsEmpty(LogSubject& subject) {
+  subject.Append("s", "a");
+  const LogPage page = subject.Read("s", 1, 10, kShortWait).Value();
+  CHECK_EQUAL(0U, page.records.size());
+  CHECK_EQUAL(1U, page.end);
+}
+
+void OutageOfAppendsAppendsNothing(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Switch(LogFault::kAppendOutage);
+  CheckError(ErrorKind::kUnavailable, subject.Append("s", "b"));
+  CHECK_EQUAL(1U, subject.Read("s", 0, 10, kNoWait).Value().records.size());
+  CheckPayloads({"a"}, subject.Truth("s"));
+}
+
+void OutageOfReadsIsUnavailable(LogSubject& subject) {
+  subject.Switch(LogFault::kReadOutage);
+  CheckError(ErrorKind::kUnavailable, subject.Read("s", 0, 10, kNoWait));
+  CHECK_TRUE(subject.Append("s", "a").Ok());
+}
+
+void OverBudgetAppendsNothing(LogSubject& subject) {
+  subject.Switch(LogFault::kOverBudget);
+  CheckError(ErrorKind::kOverloaded, subject.Append("s", "a"));
+  CheckPayloads({}, subject.Truth("s"));
+}
+
+// The connection has been used before, so that a client that silently repeats
+// a request on a fresh connection is found out.
+void LostAnswerIsUnknownAndAppendedOnce(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Switch(LogFault::kLostAnswer);
+  CheckError(ErrorKind::kOutcomeUnknown, subject.Append("s", "b"));
+  CheckPayloads({"a", "b"}, subject.Truth("s"));
+}
+
+void LostRequestIsUnknownAndNotAppended(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Switch(LogFault::kLostRequest);
+  CheckError(ErrorKind::kOutcomeUnknown, subject.Append("s", "b"));
+  CheckPayloads({"a"}, subject.Truth("s"));
+}
+
+void ReadBelowRetentionIsExpired(LogSubject& subject) {
+  for (const char* payload : {"a", "b", "c"}) {
+    subject.Append("s", payload);
+  }
+  subject.Switch(LogFault::kShortRetention);
+  CheckError(ErrorKind::kExpired, subject.Read("s", 1, 10, kNoWait));
+  const LogPage page = subject.Read("s", 2, 10, kNoWait).Value();
+  CHECK_EQUAL(2U, page.first_retained);
+  CHECK_EQUAL(1U, page.records.size());
+}
+
+void OldestRetainedFollowsRetention(LogSubject& subject) {
+  for (const char* payload : {"a", "b", "c"}) {
+    subject.Append("s", payload);
+  }
+  subject.Switch(LogFault::kShortRetention);
+  const LogPage page = subject.Read("s", kOldestRetained, 10, kNoWait).Value();
+  CHECK_EQUAL(1U, page.records.size());
+  CHECK_EQUAL(2U, page.records[0].offset);
+  STRCMP_EQUAL("c", page.records[0].payload.c_str());
+}
+
+constexpr ContractCase<LogSubject> kLogCases[] = {
+    {"appends get consecutive offsets", AppendsGetConsecutiveOffsets},
+    {"a read gives records in order", ReadGivesRecordsInOrder},
+    {"a read stops at its maximum", ReadStopsAtItsMaximum},
+    {"an unknown stream is empty", UnknownStreamIsEmpty},
+    {"a long poll answers on append", LongPollAnswersOnAppend},
+    {"a long poll ends empty", LongPollEndsEmpty},
+    {"an outage appends nothing", OutageOfAppendsAppendsNothing},
+    {"an outage of reads is unavailable", OutageOfReadsIsUnavailable},
+    {"over budget appends nothing", OverBudgetAppendsNothing},
+    {"a lost answer is unknown", LostAnswerIsUnknownAndAppendedOnce},
+    {"a lost request is unknown", LostRequestIsUnknownAndNotAppended},
+    {"below retention is expired", ReadBelowRetentionIsExpired},
+    {"oldest retained follows retention", OldestRetainedFollowsRetention},
+};
+
+}  // namespace
+
+TEST_GROUP(LogContract){};
+
+TEST(LogContract, Fake) {
+  RunContract<LogSubject>(kLogCases,
+                          [] { return std::make_unique<FakeLogSubject>(); });
+}
+
+TEST(LogContract, HttpAdapterWithStandIn) {
+  RunContract<LogSubject>(kLogCases,
+                          [] { return std::make_unique<HttpLogSubject>(); });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Tests/Contracts/weight_store_contract_test.cc
@@ -0,0 +1,135 @@
+// Contract of WeightStoreClient, run against the fake and against the HTTP
+// adapter with the store's stand-in.
+
+#include <optional>
+
+#include "Contracts/contract_case.h"
+#include "LibPlatform/platform.h"
+#include "Support/fake_weight_store.h"
+#include "Support/stand_in_host.h"
+
+#include "Support/check_error.h"
+
+namespace carobbank {
+
+namespace {
+
+class WeightStoreSubject {
+ public:
+  virtual ~WeightStoreSubject() = default;
+  virtual Outcome<ModelVersions> Versions(std::string_view model) = 0;
+  virtual void Store(std::string model, std::uint64_t version) = 0;
+  virtual void BeginOutage() = 0;
+  // Goes over the store's rate limit.
+  virtual void Overload() = 0;
+};
+
+class FakeWeightStoreSubject final : public WeightStoreSubject {
+ public:
+  Outcome<ModelVersions> Versions(std::string_view model) override {
+    std::optional<Outcome<ModelVersions>> answer;
+    this->store.Versions(model,
+                         [&](auto outcome) { answer = std::move(outcome); });
+    return *answer;
+  }
+  void Store(std::string model, std::uint64_t version) override {
+    this->store.Store(model, version);
+  }
+  void BeginOutage() override { this->store.outage = true; }
+  void Overload() override { this->store.overloaded = true; }
+
+ private:
+  FakeWeightStore store;
+};
+
+class HttpWeightStoreSubject final : public WeightStoreSubject {
+ public:
+  HttpWeightStoreSubject()
+      : store(CreateHttpWeightStoreClient(this->host.Client(),
+                                          this->host.Url())) {}
+
+  Outcome<ModelVersions> Versions(std::string_view model) override {
+    return this->host.Thread().Await<Outcome<ModelVersions>>(
+        [&](auto done) { this->store->Versions(model, done); });
+  }
+  void Store(std::string model, std::uint64_t version) override {
+    Json::Value control;
+    control["put"]["model"] = std::move(model);
+    control["put"]["version"] = Json::UInt64{version};
+    this->host.ControlDirectly(WriteJson(control));
+  }
+  void BeginOutage() override {
+    this->host.ControlDirectly(R"({"outage": true})");
+  }
+  void Overload() override {
+    this->host.ControlDirectly(R"({"bytes_per_second": 1})");
+    this->Store("overload", 1);
+    // The transfer takes days; what counts is that it was taken before the
+    // next call, which one loop and two connections don't promise.
+    this->host.Thread().Run([this] {
+      HttpClientRequest request;
+      request.url = this->host.Url() + "/models/overload/versions/1";
+      this->host.Client().Fetch(std::move(request), [](const auto&) {});
+    });
+    while (this->host.Record()["transfers"].asUInt64() == 0) {
+    }
+  }
+
+ private:
+  StandInHost host{"weights"};
+  std::unique_ptr<WeightStoreClient> store;
+};
+
+// Cases.
+
+void VersionsAreAscending(WeightStoreSubject& subject) {
+  subject.Store("team/policy lm", 10);
+  subject.Store("team/policy lm", 9);
+  subject.Store("other", 1);
+  const ModelVersions versions = subject.Versions("team/policy lm").Value();
+  STRCMP_EQUAL("team/policy lm", versions.model.c_str());
+  CHECK_EQUAL(2U, versions.versions.size());
+  CHECK_EQUAL(9U, versions.versions[0]);
+  CHECK_EQUAL(10U, versions.versions[1]);
+}
+
+void UnknownModelIsNotFound(WeightStoreSubject& subject) {
+  CheckError(ErrorKind::kNotFound, subject.Versions("unknown"));
+}
+
+void OutageIsUnavailable(WeightStoreSubject& subject) {
+  subject.Store("model", 1);
+  subject.BeginOutage();
+  CheckError(ErrorKind::kUnavailable, subject.Versions("model"));
+}
+
+void RateLimitIsOverloaded(WeightStoreSubject& subject) {
+  subject.Store("model", 1);
+  subject.Overload();
+  CheckError(ErrorKind::kOverloaded, subject.Versions("model"));
+}
+
+constexpr ContractCase<WeightStoreSubject> kWeightStoreCases[] = {
+    {"versions are ascending", VersionsAreAscending},
+    {"an unknown model is not found", UnknownModelIsNotFound},
+    {"an outage is unavailable", OutageIsUnavailable},
+    {"the rate limit is overloaded", RateLimitIsOverloaded},
+};
+
+}  // namespace
+
+TEST_GROUP(WeightStoreContract){};
+
+TEST(WeightStoreContract, Fake) {
+  RunContract<WeightStoreSubject>(kWeightStoreCases, [] {
+    return std::make_unique<FakeWeightStoreSubject>();
+  });
+}
+
+TEST(WeightStoreContract, HttpAdapterWithStandIn) {
+  RunContract<WeightStoreSubject>(kWeightStoreCases, [] {
+    return std::make_unique<HttpWeightStoreSubject>();
+  });
+}
+
+}  // namespace carobbank
