--- a/StandIns/prefix_cache.cc
+++ b/StandIns/prefix_cache.cc
@@ -3,7 +3,6 @@
 #include "StandIns/prefix_cache.h"
 
 #include <algorithm>
-#include <ranges>
 
 #include "LibCore/core.h"
 #include "StandIns/token_model.h"
@@ -28,9 +27,8 @@
     result.cached_tokens += block.tokens;
   }
   // Deepest first, so that a chain loses its tail before its beginning.
-  for (const Block& block : wanted | std::views::reverse) {
-    this->Touch(block, result);
-  }
+  std::for_each(wanted.rbegin(), wanted.rend(),
+                [&](const Block& block) { this->Touch(block, result); });
   this->EvictTo(capacity_tokens, result);
   return result;
 }
--- a/StandIns/stand_in_set.cc
+++ b/StandIns/stand_in_set.cc
@@ -4,6 +4,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "StandIns/stand_in_factory.h"
