LibRouting: Name the strategy objects RouteStrategy

Cause: LibContract's setting and LibRouting's base class were both called RoutingStrategy, so no program could include both headers. Change: the class is RouteStrategy, its factory CreateRouteStrategy.

--- a/Libraries/LibRouting/router.cc
+++ b/Libraries/LibRouting/router.cc
@@ -19,11 +19,11 @@
                 "a routing cost is negative or no prefix may be remembered",
                 "give costs of at least 0 and max_prefixes of at least 1");
   }
-  std::unique_ptr<RoutingStrategy> strategy =
-      CreateRoutingStrategy(options.strategy);
+  std::unique_ptr<RouteStrategy> strategy =
+      CreateRouteStrategy(options.strategy);
   if (strategy == nullptr) {
     std::string names;
-    for (std::string_view name : RoutingStrategyNames()) {
+    for (std::string_view name : RouteStrategyNames()) {
       names += names.empty() ? "" : ", ";
       names += name;
     }
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -82,7 +82,7 @@
   double cost = 0;
 };
 
-class RoutingStrategy;
+class RouteStrategy;
 
 class Router {
  public:
@@ -132,10 +132,10 @@
   PrefixIndex prefixes;
   std::unordered_set<std::string> quarantined;
   std::map<std::string, ServiceHints, std::less<>> hints;
-  std::unique_ptr<RoutingStrategy> strategy;
+  std::unique_ptr<RouteStrategy> strategy;
 };
 
 // The names that RouterOptions::strategy accepts.
-std::span<const std::string_view> RoutingStrategyNames();
+std::span<const std::string_view> RouteStrategyNames();
 
 }  // namespace carobbank
--- a/Libraries/LibRouting/routing_strategy.h
+++ b/Libraries/LibRouting/routing_strategy.h
@@ -45,14 +45,14 @@
 };
 
 // Picks fast; `kNoServer` makes the router look through all servers.
-class RoutingStrategy {
+class RouteStrategy {
  public:
-  virtual ~RoutingStrategy() = default;
+  virtual ~RouteStrategy() = default;
   virtual ServerIndex Pick(const RouteContext& context) = 0;
 };
 
 // Nothing for an unknown name.
-std::unique_ptr<RoutingStrategy> CreateRoutingStrategy(std::string_view name);
+std::unique_ptr<RouteStrategy> CreateRouteStrategy(std::string_view name);
 
 // The best of two random servers of each usable version in the nearest data
 // center, and of one other data center when those are loaded.
--- a/Libraries/LibRouting/strategies.cc
+++ b/Libraries/LibRouting/strategies.cc
@@ -69,7 +69,7 @@
   }
 }
 
-class RandomStrategy final : public RoutingStrategy {
+class RandomStrategy final : public RouteStrategy {
  public:
   ServerIndex Pick(const RouteContext& context) override {
     for (int draw = 0; draw < kMaxDraws; ++draw) {
@@ -82,7 +82,7 @@
   }
 };
 
-class RoundRobinStrategy final : public RoutingStrategy {
+class RoundRobinStrategy final : public RouteStrategy {
  public:
   ServerIndex Pick(const RouteContext& context) override {
     const std::size_t count = context.CountInRange();
@@ -100,7 +100,7 @@
 };
 
 // Fewest requests of this entry's own, whatever other entries send.
-class LeastConnectionsStrategy final : public RoutingStrategy {
+class LeastConnectionsStrategy final : public RouteStrategy {
  public:
   ServerIndex Pick(const RouteContext& context) override {
     for (const auto& [in_flight, level] : context.servers.InFlightLevels()) {
@@ -118,7 +118,7 @@
   }
 };
 
-class TwoChoicesStrategy final : public RoutingStrategy {
+class TwoChoicesStrategy final : public RouteStrategy {
  public:
   ServerIndex Pick(const RouteContext& context) override {
     return PickTwoChoices(context);
@@ -127,7 +127,7 @@
 
 // A cached prefix is worth some load, but never more than the bound
 // (consistent hashing with bounded loads, Mirrokni et al. 2018).
-class PrefixAffinityStrategy final : public RoutingStrategy {
+class PrefixAffinityStrategy final : public RouteStrategy {
  public:
   ServerIndex Pick(const RouteContext& context) override {
     const ServerIndex sampled = PickTwoChoices(context);
@@ -163,11 +163,11 @@
 
 struct NamedStrategy {
   std::string_view name;
-  std::unique_ptr<RoutingStrategy> (*create)();
+  std::unique_ptr<RouteStrategy> (*create)();
 };
 
 template <typename Strategy>
-std::unique_ptr<RoutingStrategy> Make() {
+std::unique_ptr<RouteStrategy> Make() {
   return std::make_unique<Strategy>();
 }
 
@@ -207,7 +207,7 @@
   return cheapest.Server();
 }
 
-std::unique_ptr<RoutingStrategy> CreateRoutingStrategy(std::string_view name) {
+std::unique_ptr<RouteStrategy> CreateRouteStrategy(std::string_view name) {
   for (const NamedStrategy& strategy : kStrategies) {
     if (strategy.name == name) {
       return strategy.create();
@@ -216,7 +216,7 @@
   return nullptr;
 }
 
-std::span<const std::string_view> RoutingStrategyNames() {
+std::span<const std::string_view> RouteStrategyNames() {
   return kStrategyNames;
 }
 
--- a/Tests/LibRouting/router_test.cc
+++ b/Tests/LibRouting/router_test.cc
@@ -69,7 +69,7 @@
 }
 
 TEST(Router, EveryStrategyKeepsTheRules) {
-  for (std::string_view name : RoutingStrategyNames()) {
+  for (std::string_view name : RouteStrategyNames()) {
     const SimpleString text(std::string(name).c_str());
     const auto router = MakeRouter(name);
     RouteRequest request;
@@ -124,7 +124,7 @@
 }
 
 TEST(Router, IdleOnlyFindsTheOneIdleServer) {
-  for (std::string_view name : RoutingStrategyNames()) {
+  for (std::string_view name : RouteStrategyNames()) {
     const auto router = MakeRouter(name);
     AddServers(*router, 40);
     RouteRequest request;
