Entry: Follow the control streams and route attempts to sidecars

Cause: callers need a process that knows what is in force and which backend servers live.

Conclusion: the traffic thread's handlers can be built on it.

--- /dev/null
+++ b/Services/Entry/attempt.h
@@ -0,0 +1,101 @@
+// One attempt: one request to one sidecar, signed, streamed back, and judged.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibHTTP/http.h"
+#include "LibRouting/routing.h"
+#include "LibTimeline/timeline.h"
+
+namespace carobbank {
+
+// "<oldest>-<newest>"; an open side is empty.
+std::string VersionRangeText(const VersionRange& range);
+
+// What the sidecar must know about a piece of work beside the request itself.
+struct WorkLabels {
+  std::string service;
+  std::string request_id;
+  std::string attempt_id;
+  std::string sample_id;
+  std::string digest;
+  VersionRange versions;
+  std::uint64_t expected_tokens = 0;
+  Milliseconds slack{0};
+  // Runs with nothing else at risk: the digest has crashed a server before.
+  bool alone = false;
+  // Starts only on an idle server: a second copy of a straggler.
+  bool duplicate = false;
+  WallMilliseconds deadline_ms = 0;
+  std::uint64_t configuration_offset = 0;
+};
+
+struct AttemptTarget {
+  std::string instance;
+  // Of the sidecar, "127.0.0.1:9001".
+  std::string address;
+};
+
+// Why an attempt ended without a whole answer.
+struct AttemptFailure {
+  Problem problem;
+  // The sidecar itself could not be reached or went silent.
+  bool link_failed = false;
+  // The backend server died while it ran this work.
+  bool backend_crashed = false;
+};
+
+// What the sidecar said of its load in an answer's headers.
+struct LoadHint {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t max_batch = 0;
+};
+
+struct AttemptHandlers {
+  std::function<void(int status, const HttpHeaders& headers)> on_headers;
+  std::function<void(std::string_view bytes)> on_body;
+  std::function<void()> on_done;
+  std::function<void(const AttemptFailure& failure)> on_failure;
+  std::function<void(const LoadHint& load)> on_load;
+};
+
+// Signs and sends requests to sidecars.
+class AttemptSender {
+ public:
+  AttemptSender(HttpClient& client,
+                const Clock& clock,
+                const PeerProofSigner& signer,
+                EventTimeline& timeline)
+      : client(client), clock(clock), signer(signer), timeline(timeline) {}
+
+  // Destroying the exchange cancels the attempt; the sidecar then cancels it
+  // at its backend server. A non-idempotent request never shares a connection
+  // that may have gone stale, because the transport could send it twice.
+  [[nodiscard]] std::unique_ptr<HttpExchange> Start(const AttemptTarget& target,
+                                                    const WorkLabels& labels,
+                                                    const HttpRequest& request,
+                                                    bool idempotent,
+                                                    AttemptHandlers handlers);
+
+ private:
+  void ObserveTime(const HttpHeaders& headers);
+
+  HttpClient& client;
+  const Clock& clock;
+  const PeerProofSigner& signer;
+  EventTimeline& timeline;
+};
+
+// The refusal that a sidecar itself gave, told from a backend server's own
+// answer by the header X-Carobbank-Refusal.
+bool IsSidecarRefusal(const HttpHeaders& headers);
+
+// The refusal for an exchange that broke: `not_run` only if nothing was sent.
+Problem ProblemOfFailure(const HttpClientFailure& failure);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/control_snapshot.h
@@ -0,0 +1,46 @@
+// What the control thread tells the traffic thread: an immutable value.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibContract/contract.h"
+#include "routed_pools.h"
+
+namespace carobbank {
+
+struct KnownEntry {
+  std::string instance;
+  std::string address;
+  bool leaving = false;
+};
+
+struct ModelVersion {
+  std::string model;
+  std::uint64_t newest = 0;
+};
+
+struct ControlSnapshot {
+  // Never null.
+  std::shared_ptr<const ConfigurationState> configuration =
+      std::make_shared<const ConfigurationState>();
+  // The configuration as peers and sidecars receive it.
+  Json::Value configuration_export;
+  std::vector<KnownServer> servers;
+  std::vector<KnownEntry> entries;
+  std::vector<ModelVersion> versions;
+  std::vector<std::string> quarantined;
+  bool log_reachable = false;
+  bool list_reachable = false;
+
+  // 0 when none was announced.
+  std::uint64_t NewestVersion(std::string_view model) const;
+  // Nothing when the list does not name it.
+  const KnownEntry* FindEntry(std::string_view instance) const;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/control_state.cc
@@ -0,0 +1,366 @@
+// Following the control streams and the instance list.
+
+#include "control_state.h"
+
+#include <algorithm>
+#include <span>
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kListInterval{1'000};
+constexpr Milliseconds kPeerCatchUpInterval{2'000};
+constexpr Milliseconds kPeerTimeout{1'500};
+constexpr Milliseconds kSnapshotCheck{60'000};
+constexpr Milliseconds kPublishDelay{20};
+// Heartbeats' loads reach the traffic thread at least this often.
+constexpr Milliseconds kRefresh{500};
+constexpr Milliseconds kMillisecondsPerSecond{1'000};
+
+Instance ToInstance(const ListedInstance& listed) {
+  Instance instance;
+  instance.id = listed.id;
+  instance.role = listed.role == InstanceRole::kEntry
+                      ? MemberRole::kEntry
+                      : MemberRole::kBackendServer;
+  instance.state = listed.state == InstanceState::kLeaving
+                       ? ListedState::kLeaving
+                       : ListedState::kLive;
+  instance.data_center = listed.data_center;
+  instance.pool = listed.pool;
+  instance.address = listed.address;
+  instance.incarnation = listed.incarnation;
+  return instance;
+}
+
+GroupCommitterOptions ControlCommitter() {
+  GroupCommitterOptions options;
+  options.max_buffered_entries = 1'024;
+  options.minimum_interval = Milliseconds(100);
+  return options;
+}
+
+DataCenterMap DataCentersOf(const EntrySettings& settings) {
+  DataCenterMap map;
+  const std::string& here = settings.place.data_center;
+  map.Add({here, settings.place.region});
+  for (const DataCenterSettings& data_center : settings.data_centers) {
+    map.Add({data_center.name, data_center.region});
+    const std::chrono::duration<double, std::milli> latency(
+        data_center.latency_ms);
+    map.SetLatency(
+        here, data_center.name,
+        std::chrono::duration_cast<std::chrono::microseconds>(latency));
+  }
+  return map;
+}
+
+}  // namespace
+
+ControlState::ControlState(EventLoop& loop,
+                           const Clock& clock,
+                           const EntrySettings& settings,
+                           const PeerProofSigner& signer,
+                           EventTimeline& timeline,
+                           MetricRegistry& metrics,
+                           Listener listener)
+    : loop(loop),
+      clock(clock),
+      settings(settings),
+      timeline(timeline),
+      metrics(metrics),
+      listener(std::move(listener)),
+      random(settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
+                                : SeedFromSystem()),
+      client(HttpClient::Create(loop)),
+      log(CreateHttpLogClient(*this->client, settings.platform.log_url)),
+      instance_list(
+          CreateHttpInstanceListClient(*this->client,
+                                       settings.platform.instance_list_url)),
+      peers(*this->client, clock, signer),
+      configuration_tail(loop,
+                         *this->log,
+                         std::string(kConfigurationStream),
+                         {[this](const LogRecord& record) {
+                            this->OnConfigurationRecord(record);
+                          },
+                          [](std::uint64_t, std::uint64_t) {},
+                          [this] {
+                            this->NoteReachability(
+                                "log", this->log_reachable,
+                                this->configuration_tail.Reachable());
+                          }}),
+      server_tail(
+          loop,
+          *this->log,
+          std::string(kServerStream),
+          {[this](const LogRecord& record) { this->OnServerRecord(record); },
+           [](std::uint64_t, std::uint64_t) {}, nullptr}),
+      version_tail(
+          loop,
+          *this->log,
+          std::string(kVersionStream),
+          {[this](const LogRecord& record) { this->OnVersionRecord(record); },
+           [](std::uint64_t, std::uint64_t) {}, nullptr}),
+      configuration_writer({loop, clock, this->random, *this->log, metrics},
+                           std::string(kConfigurationStream),
+                           ControlCommitter()),
+      server_writer({loop, clock, this->random, *this->log, metrics},
+                    std::string(kServerStream),
+                    ControlCommitter()),
+      watch(loop, clock, this->peers, this->view, [this] { this->Changed(); }),
+      data_centers(DataCentersOf(settings)) {}
+
+ControlState::~ControlState() = default;
+
+void ControlState::Start() {
+  this->configuration_tail.Start(0);
+  this->server_tail.Start(0);
+  this->version_tail.Start(0);
+  this->PollInstanceList();
+  this->CatchUpFromPeers();
+  this->WriteSnapshotWhenDue();
+  this->Publish();
+}
+
+void ControlState::OnConfigurationRecord(const LogRecord& record) {
+  this->configuration.Apply(static_cast<std::int64_t>(record.offset),
+                            record.time_ms, record.payload);
+  this->Changed();
+}
+
+void ControlState::OnServerRecord(const LogRecord& record) {
+  for (const auto& positioned :
+       DecodeServerRecord({record.offset, record.time_ms, record.payload})
+           .entries) {
+    if (const auto* crash = std::get_if<CrashEntry>(&positioned.entry)) {
+      this->quarantine.OnCrash(
+          {crash->instance, crash->digests, crash->complete});
+      this->Changed();
+    } else if (const auto* barred =
+                   std::get_if<QuarantineEntry>(&positioned.entry)) {
+      this->quarantine.OnQuarantined(barred->digest);
+      this->Changed();
+    }
+  }
+}
+
+void ControlState::OnVersionRecord(const LogRecord& record) {
+  for (const auto& positioned :
+       DecodeVersionRecord({record.offset, record.time_ms, record.payload})
+           .entries) {
+    std::uint64_t& newest = this->versions[positioned.entry.model];
+    newest = std::max(newest, positioned.entry.version);
+    this->Changed();
+  }
+}
+
+void ControlState::ReportCrash(const ServerCrash& crash) {
+  const auto barred =
+      this->quarantine.OnCrash({crash.instance, {crash.digest}, crash.alone});
+  const auto write = [this](const ServerEntry& entry) {
+    // Lost when the buffer is full; other entries learn by their own crashes.
+    static_cast<void>(Capture([&]() -> Result<EntryTicket> {
+      return this->server_writer.Append(EncodeServerEntry(entry),
+                                        [](LogPosition) {});
+    }));
+  };
+  CrashEntry entry;
+  entry.instance = crash.instance;
+  entry.incarnation = crash.incarnation;
+  entry.digests = {crash.digest};
+  entry.complete = crash.alone;
+  write(entry);
+  if (barred) {
+    write(QuarantineEntry{*barred});
+  }
+  this->view.OnCrash(crash.instance, crash.incarnation);
+  this->Changed();
+}
+
+void ControlState::CatchUpFromPeers() {
+  this->peer_timer = this->loop.CallAfter(kPeerCatchUpInterval,
+                                          [this] { this->CatchUpFromPeers(); });
+  if (this->configuration_tail.CaughtUp() &&
+      this->configuration_tail.Reachable() && this->configuration.Complete()) {
+    return;
+  }
+  for (const KnownEntry& entry : this->entries) {
+    if (entry.instance == this->settings.place.instance) {
+      continue;
+    }
+    Json::Value parameters;
+    parameters["after_offset"] = Json::Int64(-1);
+    parameters["wait_ms"] = 0;
+    this->peers.Call(entry.address, "configuration", std::move(parameters),
+                     kPeerTimeout, [this](const Outcome<Json::Value>& answer) {
+                       if (answer.Ok()) {
+                         this->ImportFrom(answer.Value());
+                       }
+                     });
+  }
+}
+
+void ControlState::ImportFrom(const Json::Value& exported) {
+  const auto imported = Capture([&]() -> Result<bool> {
+    BOOST_LEAF_AUTO(peer_state, ConfigurationExportFromJson(exported));
+    return this->configuration.Import(peer_state);
+  });
+  if (imported.Ok() && imported.Value()) {
+    this->Changed();
+  }
+  const Json::Value& barred = exported["quarantine"];
+  if (!barred.isArray()) {
+    return;
+  }
+  for (const Json::Value& digest : barred) {
+    if (digest.isString()) {
+      this->quarantine.OnQuarantined(digest.asString());
+    }
+  }
+}
+
+void ControlState::WriteSnapshotWhenDue() {
+  this->snapshot_timer = this->loop.CallAfter(
+      kSnapshotCheck, [this] { this->WriteSnapshotWhenDue(); });
+  const Milliseconds retention =
+      this->settings.platform.log_retention_s * kMillisecondsPerSecond;
+  if (!this->configuration.SnapshotDue(this->clock.WallNow(), retention)) {
+    return;
+  }
+  const ConfigurationEntry snapshot = this->configuration.MakeSnapshot();
+  this->log->Append(kConfigurationStream,
+                    WriteConfigurationRecord(std::span(&snapshot, 1)),
+                    [](const Outcome<std::uint64_t>&) {});
+}
+
+void ControlState::PollInstanceList() {
+  this->instance_list->Fetch([this](const Outcome<InstanceListing>& listing) {
+    this->OnListing(listing);
+    this->list_timer = this->loop.CallAfter(
+        kListInterval, [this] { this->PollInstanceList(); });
+  });
+}
+
+void ControlState::OnListing(const Outcome<InstanceListing>& listing) {
+  this->NoteReachability("instance list", this->list_reachable, listing.Ok());
+  if (!listing.Ok()) {
+    return;
+  }
+  std::vector<Instance> servers;
+  this->entries.clear();
+  for (const ListedInstance& listed : listing.Value().instances) {
+    if (listed.role == InstanceRole::kEntry) {
+      this->entries.push_back(
+          {listed.id, listed.address, listed.state == InstanceState::kLeaving});
+    } else {
+      servers.push_back(ToInstance(listed));
+    }
+  }
+  this->view.ApplyListing(listing.Value().version, servers);
+
+  std::vector<Placed> placed_entries;
+  for (const KnownEntry& entry : this->entries) {
+    placed_entries.push_back({entry.instance, ""});
+  }
+  std::vector<Placed> placed_servers;
+  for (const Instance& server : servers) {
+    placed_servers.push_back({server.id, server.data_center});
+  }
+  WatchedSubsetOptions options;
+  options.target_size =
+      static_cast<std::size_t>(this->settings.routing.watched_servers);
+  std::vector<Instance> watched;
+  for (const std::size_t index :
+       ChooseWatched(options, this->settings.place.instance, placed_entries,
+                     placed_servers)) {
+    watched.push_back(servers[index]);
+  }
+  this->watch.Watch(watched);
+  this->Changed();
+}
+
+void ControlState::NoteReachability(std::string_view service,
+                                    bool& known,
+                                    bool reachable) {
+  if (known == reachable) {
+    return;
+  }
+  known = reachable;
+  Event event;
+  event.kind = EventKind::kPlatform;
+  event.detail =
+      std::string(service) + (reachable ? " reachable" : " unreachable");
+  this->timeline.Record(std::move(event));
+  this->Changed();
+}
+
+void ControlState::Changed() {
+  if (!std::exchange(this->publish_pending, true)) {
+    this->PublishAfter(kPublishDelay);
+  }
+}
+
+void ControlState::PublishAfter(Milliseconds delay) {
+  this->publish_timer =
+      this->loop.CallAfter(delay, [this] { this->Publish(); });
+}
+
+std::vector<KnownServer> ControlState::KnownServers() const {
+  std::vector<KnownServer> servers;
+  for (const Member* member : this->view.All()) {
+    KnownServer server;
+    server.instance = member->instance;
+    server.takes_new_work = member->TakesNewWork();
+    const auto latency = this->data_centers.Latency(
+        this->settings.place.data_center, member->instance.data_center);
+    server.latency_ms =
+        std::chrono::duration<double, std::milli>(latency).count();
+    if (const WatchedServer* watched = this->watch.Find(member->instance.id);
+        watched) {
+      server.version = watched->version;
+      server.load = watched->load;
+      server.load_time = watched->load_time;
+    }
+    servers.push_back(std::move(server));
+  }
+  return servers;
+}
+
+void ControlState::Publish() {
+  auto snapshot = std::make_shared<ControlSnapshot>();
+  snapshot->configuration = this->configuration.State();
+  snapshot->configuration_export =
+      ConfigurationExportToJson(this->configuration.Export());
+  snapshot->servers = this->KnownServers();
+  snapshot->entries = this->entries;
+  for (const auto& [model, newest] : this->versions) {
+    snapshot->versions.push_back({model, newest});
+  }
+  snapshot->quarantined = this->quarantine.Quarantined();
+  snapshot->log_reachable = this->log_reachable;
+  snapshot->list_reachable = this->list_reachable;
+  const std::int64_t offset = snapshot->configuration->offset;
+  this->metrics.GetGauge(metrics::kConfigurationOffset)
+      .Set(static_cast<double>(offset));
+  this->metrics.GetGauge(metrics::kLogUnreachable)
+      .Set(this->log_reachable ? 0 : 1);
+  this->metrics.GetGauge(metrics::kQuarantined)
+      .Set(static_cast<double>(snapshot->quarantined.size()));
+  if (offset != this->published_offset) {
+    this->published_offset = offset;
+    Event event;
+    event.kind = EventKind::kConfiguration;
+    event.number = offset;
+    event.detail = snapshot->configuration->digest;
+    this->timeline.Record(std::move(event));
+  }
+  this->listener(std::move(snapshot));
+  // The next refresh carries the loads that heartbeats bring meanwhile.
+  this->publish_pending = false;
+  this->PublishAfter(kRefresh);
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/control_state.h
@@ -0,0 +1,98 @@
+// The entry's control thread: configuration, membership, announced versions
+// and quarantine. Publishes snapshots; touches no request.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibContract/contract.h"
+#include "LibLedger/ledger.h"
+#include "LibMembership/membership.h"
+#include "LibPlatform/platform.h"
+#include "LibTimeline/timeline.h"
+#include "control_snapshot.h"
+#include "log_stream_tail.h"
+#include "log_writer.h"
+#include "peer_caller.h"
+#include "server_watch.h"
+
+namespace carobbank {
+
+class ControlState {
+ public:
+  using Listener = std::function<void(std::shared_ptr<const ControlSnapshot>)>;
+
+  // `listener` is called on the control loop for every new snapshot.
+  ControlState(EventLoop& loop,
+               const Clock& clock,
+               const EntrySettings& settings,
+               const PeerProofSigner& signer,
+               EventTimeline& timeline,
+               MetricRegistry& metrics,
+               Listener listener);
+  ~ControlState();
+
+  void Start();
+
+  // On the control loop, by way of Post.
+  void ReportCrash(const ServerCrash& crash);
+
+ private:
+  void OnConfigurationRecord(const LogRecord& record);
+  void OnServerRecord(const LogRecord& record);
+  void OnVersionRecord(const LogRecord& record);
+  void CatchUpFromPeers();
+  void ImportFrom(const Json::Value& exported);
+  void WriteSnapshotWhenDue();
+  void PollInstanceList();
+  void OnListing(const Outcome<InstanceListing>& listing);
+  // Publishes soon; changes that come together make one snapshot.
+  void Changed();
+  void PublishAfter(Milliseconds delay);
+  void Publish();
+  void NoteReachability(std::string_view service, bool& known, bool reachable);
+  std::vector<KnownServer> KnownServers() const;
+
+  EventLoop& loop;
+  const Clock& clock;
+  const EntrySettings& settings;
+  EventTimeline& timeline;
+  MetricRegistry& metrics;
+  Listener listener;
+  Random random;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<LogClient> log;
+  std::unique_ptr<InstanceListClient> instance_list;
+  PeerCaller peers;
+
+  ConfigurationFold configuration;
+  LogStreamTail configuration_tail;
+  LogStreamTail server_tail;
+  LogStreamTail version_tail;
+  LogWriter configuration_writer;
+  LogWriter server_writer;
+
+  ServerView view;
+  ServerWatch watch;
+  std::vector<KnownEntry> entries;
+  std::map<std::string, std::uint64_t, std::less<>> versions;
+  CrashQuarantine quarantine{CrashQuarantineOptions{}};
+  DataCenterMap data_centers;
+
+  bool log_reachable = false;
+  bool list_reachable = false;
+  std::int64_t published_offset = kNoRevision;
+  std::unique_ptr<Timer> list_timer;
+  std::unique_ptr<Timer> peer_timer;
+  std::unique_ptr<Timer> snapshot_timer;
+  // A change waits for the publication that `publish_timer` will make.
+  bool publish_pending = false;
+  std::unique_ptr<Timer> publish_timer;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/log_stream_tail.cc
@@ -0,0 +1,178 @@
+// Long polls of one stream, with a pause between them while the log is down.
+
+#include "log_stream_tail.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kLongPoll{2'000};
+constexpr Milliseconds kPauseAfterFailure{200};
+constexpr std::size_t kRecordsPerRead = 500;
+// Past every real offset, so that the page holds no records but tells what is
+// kept.
+constexpr std::uint64_t kBeyondEnd = INT64_MAX;
+
+}  // namespace
+
+LogStreamTail::LogStreamTail(EventLoop& loop,
+                             LogClient& log,
+                             std::string stream,
+                             Handlers handlers)
+    : loop(loop),
+      log(log),
+      stream(std::move(stream)),
+      handlers(std::move(handlers)) {}
+
+LogStreamTail::~LogStreamTail() = default;
+
+void LogStreamTail::Start(std::uint64_t from) {
+  this->next = from;
+  this->Read();
+}
+
+void LogStreamTail::Read() {
+  ++this->reads_started;
+  // The first read, and one that somebody waits for, must not linger at the
+  // stream's end.
+  const bool hurry = !this->caught_up || !this->waiters.empty();
+  const Milliseconds wait = hurry ? Milliseconds(0) : kLongPoll;
+  this->log.Read(
+      this->stream, this->next, kRecordsPerRead, wait,
+      [this, token = std::weak_ptr<bool>(this->alive)](Outcome<LogPage> page) {
+        if (!token.expired()) {
+          this->OnPage(page);
+        }
+      });
+}
+
+void LogStreamTail::OnPage(const Outcome<LogPage>& page) {
+  if (!page.Ok()) {
+    this->reachable = page.GetError().kind == ErrorKind::kExpired;
+    if (this->reachable) {
+      this->FindFirstRetained();
+    } else {
+      this->ScheduleRead(kPauseAfterFailure);
+    }
+    return;
+  }
+  this->reachable = true;
+  const std::uint64_t read = this->reads_started;
+  this->HandOn(page.Value());
+  this->caught_up = this->next >= page.Value().end;
+  if (this->caught_up) {
+    this->current_read = read;
+  }
+  const std::weak_ptr<bool> token = this->alive;
+  if (this->handlers.on_page) {
+    this->handlers.on_page();
+  }
+  this->NotifyWaiters();
+  // A waiter may have destroyed this object.
+  if (!token.expired()) {
+    this->Read();
+  }
+}
+
+void LogStreamTail::FindFirstRetained() {
+  this->log.Read(
+      this->stream, kBeyondEnd, 1, Milliseconds(0),
+      [this, token = std::weak_ptr<bool>(this->alive)](Outcome<LogPage> page) {
+        if (token.expired()) {
+          return;
+        }
+        if (page.Ok()) {
+          this->SkipTo(page.Value().first_retained);
+        }
+        this->ScheduleRead(kPauseAfterFailure);
+      });
+}
+
+void LogStreamTail::SkipTo(std::uint64_t first_retained) {
+  if (first_retained <= this->next) {
+    return;
+  }
+  this->handlers.on_gap(this->next, first_retained);
+  this->next = first_retained;
+}
+
+void LogStreamTail::HandOn(const LogPage& page) {
+  this->SkipTo(page.first_retained);
+  for (const LogRecord& record : page.records) {
+    if (record.offset < this->next) {
+      continue;
+    }
+    this->next = record.offset + 1;
+    this->handlers.on_record(record);
+  }
+}
+
+void LogStreamTail::ScheduleRead(Milliseconds delay) {
+  this->read_timer = this->loop.CallAfter(delay, [this] { this->Read(); });
+}
+
+void LogStreamTail::WhenReached(std::uint64_t offset,
+                                Milliseconds timeout,
+                                std::function<void(bool)> done) {
+  Waiter waiter;
+  waiter.offset = offset;
+  waiter.done = std::move(done);
+  this->AddWaiter(std::move(waiter), timeout);
+}
+
+void LogStreamTail::WhenCurrent(Milliseconds timeout,
+                                std::function<void(bool)> done) {
+  Waiter waiter;
+  waiter.by_read = true;
+  waiter.read = this->reads_started + 1;
+  waiter.done = std::move(done);
+  this->AddWaiter(std::move(waiter), timeout);
+}
+
+void LogStreamTail::AddWaiter(Waiter waiter, Milliseconds timeout) {
+  if (this->Satisfied(waiter)) {
+    waiter.done(true);
+    return;
+  }
+  auto shared = std::make_shared<Waiter>(std::move(waiter));
+  shared->timer = this->loop.CallAfter(
+      timeout, [this, done = &shared->done] { this->ExpireWaiter(done); });
+  this->waiters.push_back(std::move(shared));
+}
+
+bool LogStreamTail::Satisfied(const Waiter& waiter) const {
+  if (waiter.by_read) {
+    return this->current_read >= waiter.read;
+  }
+  return this->next > waiter.offset;
+}
+
+void LogStreamTail::NotifyWaiters() {
+  std::vector<std::shared_ptr<Waiter>> ready;
+  std::erase_if(this->waiters, [&](const std::shared_ptr<Waiter>& waiter) {
+    if (!this->Satisfied(*waiter)) {
+      return false;
+    }
+    ready.push_back(waiter);
+    return true;
+  });
+  for (const std::shared_ptr<Waiter>& waiter : ready) {
+    waiter->timer->Cancel();
+    waiter->done(true);
+  }
+}
+
+void LogStreamTail::ExpireWaiter(const std::function<void(bool)>* done) {
+  const auto found = std::ranges::find_if(
+      this->waiters, [&](const auto& waiter) { return &waiter->done == done; });
+  if (found == this->waiters.end()) {
+    return;
+  }
+  const std::shared_ptr<Waiter> expired = *found;
+  this->waiters.erase(found);
+  expired->done(false);
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/problems.h
@@ -0,0 +1,29 @@
+// The refusals that an entry gives by itself; docs/CALLERS.md lists them.
+
+#pragma once
+
+#include <string>
+
+#include "LibHTTP/http.h"
+
+namespace carobbank {
+
+Problem BadRequest(std::string detail, std::string remedy);
+Problem Unauthenticated();
+Problem UnknownService(std::string_view service);
+Problem UnknownPath(std::string_view path);
+Problem BodyTooLarge(std::uint64_t limit_bytes);
+Problem RequestIdReused();
+// `execution`: kMayHaveRun once an entry was handed to the log's writer.
+Problem LogUnavailable(Execution execution);
+Problem OverloadedProblem(const Error& error);
+Problem RateLimited(Milliseconds retry_after);
+Problem DrainingProblem();
+Problem CursorProblem(const Error& error);
+Problem InternalProblem(std::string detail);
+Problem ConflictProblem(std::string code,
+                        std::string detail,
+                        std::string remedy,
+                        Execution execution);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/routed_pools.cc
@@ -0,0 +1,284 @@
+// Keeping routers in step with the control thread's view and with evidence from
+// the requests themselves.
+
+#include "routed_pools.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+constexpr int kUnprocessable = 422;
+// A server that failed is left alone until heartbeats have had time to judge.
+constexpr Milliseconds kShunAfterLinkFailure{500};
+constexpr Milliseconds kShunAfterCrash{1'000};
+constexpr Milliseconds kRetryAfterNoServer{200};
+constexpr Milliseconds kRetryAfterNoVersion{100};
+constexpr std::uint32_t kUnknownBatch = 8;
+
+}  // namespace
+
+Result<Router*> RoutedPools::RouterOf(const std::string& pool) {
+  Pool& known = this->pools[pool];
+  if (!known.router) {
+    BOOST_LEAF_ASSIGN(known.router, Router::Create(this->options));
+  }
+  return known.router.get();
+}
+
+Result<void> RoutedPools::ApplyServers(std::span<const KnownServer> servers) {
+  std::map<std::string, std::set<std::string>, std::less<>> present;
+  const MonotonicTime now = this->clock.Now();
+  for (const KnownServer& server : servers) {
+    const Instance& instance = server.instance;
+    Server& known = this->servers[instance.id];
+    if (known.incarnation != instance.incarnation) {
+      known = Server();
+      known.incarnation = instance.incarnation;
+    }
+    known.pool = instance.pool;
+    known.address = instance.address;
+    const bool usable =
+        server.takes_new_work && !known.draining && now >= known.shunned_until;
+    if (!usable) {
+      continue;
+    }
+    BOOST_LEAF_AUTO(router, this->RouterOf(instance.pool));
+    ServerTable& table = router->Servers();
+    const ServerIndex index =
+        table.Upsert(instance.id, instance.data_center, server.latency_ms);
+    if (server.version > table.At(index).version) {
+      table.SetVersion(index, server.version);
+    }
+    if (server.load_time != MonotonicTime()) {
+      table.SetLoad(index, {server.load_time, server.load.running,
+                            server.load.waiting, 0, server.load.max_batch});
+    }
+    present[instance.pool].insert(instance.id);
+  }
+  for (auto& [name, pool] : this->pools) {
+    std::set<std::string>& now_present = present[name];
+    for (const std::string& id : pool.present) {
+      if (!now_present.contains(id)) {
+        pool.router->RemoveServer(id);
+      }
+    }
+    pool.present = std::move(now_present);
+  }
+  return {};
+}
+
+void RoutedPools::ApplyQuarantine(std::span<const std::string> digests) {
+  for (const std::string& digest : digests) {
+    this->quarantine.OnQuarantined(digest);
+  }
+}
+
+std::variant<AttemptTarget, Problem> RoutedPools::Choose(
+    const SelectionRequest& request) {
+  const auto pool = this->pools.find(request.pool);
+  if (pool == this->pools.end()) {
+    return this->ProblemOf(RouteFailure::kNoServer);
+  }
+  RouteRequest route;
+  route.traffic_class = request.service_class;
+  route.versions = request.versions;
+  if (!request.prompt.empty()) {
+    route.prefix = FastHash(request.prompt.substr(
+        0, std::min(request.prompt.size(), kCachePrefixCharacters)));
+  }
+  route.digest = request.digest;
+  route.tried = request.avoid;
+  route.idle_only = request.idle_only || request.alone;
+  Router& router = *pool->second.router;
+  RouteChoice choice = router.Choose(route, this->random);
+  if (choice.failure == RouteFailure::kAllTried) {
+    route.tried = {};
+    choice = router.Choose(route, this->random);
+  }
+  if (!choice.Found()) {
+    return this->ProblemOf(choice.failure);
+  }
+  router.OnSent(choice.server, route, this->clock.Now());
+  const std::string& id = router.Servers().At(choice.server).id;
+  return AttemptTarget{id, this->servers.find(id)->second.address};
+}
+
+void RoutedPools::OnStarted(std::string_view, std::string_view) {}
+
+void RoutedPools::OnEnded(std::string_view instance,
+                          std::string_view,
+                          AttemptEnd end) {
+  ServerIndex index = kNoServer;
+  if (ServerTable* table = this->TableOf(instance, index); table) {
+    table->OnFinished(index, this->clock.Now());
+  }
+  switch (end) {
+    case AttemptEnd::kLinkFailed:
+      this->Shun(instance, kShunAfterLinkFailure);
+      break;
+    case AttemptEnd::kBackendCrashed:
+      this->Shun(instance, kShunAfterCrash);
+      break;
+    case AttemptEnd::kDraining:
+      if (const auto known = this->servers.find(instance);
+          known != this->servers.end()) {
+        known->second.draining = true;
+      }
+      this->Shun(instance, kShunAfterLinkFailure);
+      break;
+    case AttemptEnd::kWhole:
+    case AttemptEnd::kRefused:
+    case AttemptEnd::kCancelled:
+      break;
+  }
+}
+
+void RoutedPools::Shun(std::string_view instance, Milliseconds duration) {
+  const auto known = this->servers.find(instance);
+  if (known == this->servers.end()) {
+    return;
+  }
+  known->second.shunned_until = this->clock.Now() + duration;
+  const auto pool = this->pools.find(known->second.pool);
+  if (pool != this->pools.end()) {
+    pool->second.router->RemoveServer(instance);
+    pool->second.present.erase(std::string(instance));
+  }
+}
+
+ServerTable* RoutedPools::TableOf(std::string_view instance,
+                                  ServerIndex& index) {
+  const auto known = this->servers.find(instance);
+  if (known == this->servers.end()) {
+    return nullptr;
+  }
+  const auto pool = this->pools.find(known->second.pool);
+  if (pool == this->pools.end()) {
+    return nullptr;
+  }
+  ServerTable& table = pool->second.router->Servers();
+  index = table.Find(instance);
+  return index == kNoServer ? nullptr : &table;
+}
+
+void RoutedPools::OnLoad(std::string_view instance, const LoadHint& load) {
+  ServerIndex index = kNoServer;
+  if (ServerTable* table = this->TableOf(instance, index); table) {
+    table->SetLoad(index, {this->clock.Now(), load.running, load.waiting, 0,
+                           load.max_batch});
+  }
+}
+
+void RoutedPools::OnVersion(std::string_view instance, std::uint64_t version) {
+  ServerIndex index = kNoServer;
+  if (ServerTable* table = this->TableOf(instance, index);
+      table && table->At(index).version != version) {
+    table->SetVersion(index, version);
+  }
+}
+
+void RoutedPools::OnCrash(std::string_view instance,
+                          std::string_view digest,
+                          bool alone) {
+  ServerCrash crash;
+  crash.instance = std::string(instance);
+  crash.digest = std::string(digest);
+  crash.alone = alone;
+  if (const auto known = this->servers.find(instance);
+      known != this->servers.end()) {
+    crash.incarnation = known->second.incarnation;
+  }
+  const auto barred =
+      this->quarantine.OnCrash({crash.instance, {crash.digest}, alone});
+  if (barred) {
+    Event event;
+    event.kind = EventKind::kQuarantine;
+    event.server = crash.instance;
+    event.detail = *barred;
+    this->timeline.Record(std::move(event));
+  }
+  if (this->crash_listener) {
+    this->crash_listener(crash);
+  }
+}
+
+std::size_t RoutedPools::Crashes(std::string_view digest) const {
+  switch (this->quarantine.StandingOf(digest)) {
+    case DigestStanding::kClear:
+      return 0;
+    case DigestStanding::kAlone:
+      return 1;
+    case DigestStanding::kQuarantined:
+      return 2;
+  }
+  return 0;
+}
+
+std::uint64_t RoutedPools::Capacity(std::string_view pool) const {
+  const auto known = this->pools.find(pool);
+  if (known == this->pools.end() || !known->second.router) {
+    return 0;
+  }
+  const ServerTable& table = known->second.router->Servers();
+  std::uint64_t capacity = 0;
+  for (const std::string& id : known->second.present) {
+    const ServerIndex index = table.Find(id);
+    const std::uint32_t batch =
+        index == kNoServer ? 0 : table.At(index).load.max_batch;
+    capacity += batch == 0 ? kUnknownBatch : batch;
+  }
+  return capacity;
+}
+
+std::uint64_t RoutedPools::NewestVersion(std::string_view pool) const {
+  const auto known = this->pools.find(pool);
+  if (known == this->pools.end() || !known->second.router) {
+    return 0;
+  }
+  std::uint64_t newest = 0;
+  for (const DataCenterServers& data_center :
+       known->second.router->Servers().DataCenters()) {
+    for (const ServerGroup& group : data_center.groups) {
+      newest = std::max(newest, group.version);
+    }
+  }
+  return newest;
+}
+
+Problem RoutedPools::ProblemOf(RouteFailure failure) const {
+  Problem problem;
+  problem.status = kServiceUnavailable;
+  problem.remedy = "send the request again after the time in Retry-After";
+  problem.retry_after = kRetryAfterNoServer;
+  switch (failure) {
+    case RouteFailure::kNoVersion:
+      problem.code = "no_version";
+      problem.detail = "no server has an allowed weight version yet";
+      problem.retry_after = kRetryAfterNoVersion;
+      return problem;
+    case RouteFailure::kNoneIdle:
+      problem.code = "no_server";
+      problem.detail = "no idle server is known now";
+      return problem;
+    case RouteFailure::kQuarantined:
+      problem.status = kUnprocessable;
+      problem.code = "quarantined";
+      problem.detail = "this request crashed two backend servers";
+      problem.remedy = "do not send it again; report it to the operators";
+      problem.retry_after.reset();
+      return problem;
+    case RouteFailure::kNone:
+    case RouteFailure::kNoServer:
+    case RouteFailure::kAllTried:
+      break;
+  }
+  problem.code = "no_server";
+  problem.detail = "no server that takes new work is known now";
+  return problem;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/server_watch.cc
@@ -0,0 +1,124 @@
+// One status call per watched server and interval; failures are evidence.
+
+#include "server_watch.h"
+
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kHeartbeatInterval{1'000};
+constexpr Milliseconds kHeartbeatTimeout{1'500};
+// A failed heartbeat is repeated at once on a fresh connection; only when that
+// fails too is the server held unreachable.
+constexpr std::uint32_t kFailuresToUnreachable = 2;
+constexpr Milliseconds kRepeatAfterFailure{100};
+// A server that starts or recovers should not wait for the next full interval.
+constexpr Milliseconds kRepeatUntilServing{200};
+
+}  // namespace
+
+ServerWatch::ServerWatch(EventLoop& loop,
+                         const Clock& clock,
+                         PeerCaller& peers,
+                         ServerView& view,
+                         std::function<void()> changed)
+    : loop(loop),
+      clock(clock),
+      peers(peers),
+      view(view),
+      changed(std::move(changed)) {}
+
+void ServerWatch::Watch(std::span<const Instance> servers) {
+  std::map<std::string, Watched, std::less<>> next;
+  for (const Instance& instance : servers) {
+    const auto known = this->servers.find(instance.id);
+    const bool same =
+        known != this->servers.end() &&
+        known->second.instance.incarnation == instance.incarnation &&
+        known->second.instance.address == instance.address;
+    Watched& watched = next[instance.id];
+    if (same) {
+      watched = std::move(known->second);
+    }
+    watched.instance = instance;
+  }
+  this->servers = std::move(next);
+  for (auto& [id, watched] : this->servers) {
+    if (!watched.timer) {
+      this->Schedule(watched, Milliseconds(0));
+    }
+  }
+}
+
+const WatchedServer* ServerWatch::Find(std::string_view instance) const {
+  const auto found = this->servers.find(instance);
+  return found == this->servers.end() ? nullptr : &found->second.report;
+}
+
+void ServerWatch::Schedule(Watched& watched, Milliseconds delay) {
+  watched.timer = this->loop.CallAfter(
+      delay, [this, id = watched.instance.id] { this->Heartbeat(id); });
+}
+
+void ServerWatch::Heartbeat(const std::string& id) {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end()) {
+    return;
+  }
+  const std::uint64_t incarnation = found->second.instance.incarnation;
+  this->peers.Call(found->second.instance.address, "status", Json::objectValue,
+                   kHeartbeatTimeout,
+                   [this, id, incarnation](const Outcome<Json::Value>& answer) {
+                     const auto watched = this->servers.find(id);
+                     const bool current =
+                         watched != this->servers.end() &&
+                         watched->second.instance.incarnation == incarnation;
+                     if (current) {
+                       this->OnAnswer(id, answer);
+                     }
+                   });
+}
+
+void ServerWatch::OnAnswer(const std::string& id,
+                           const Outcome<Json::Value>& answer) {
+  Watched& watched = this->servers.find(id)->second;
+  const std::uint64_t generation = this->view.Generation();
+  if (!answer.Ok()) {
+    ++watched.failures;
+    if (watched.failures >= kFailuresToUnreachable) {
+      this->view.OnUnreachable(id);
+    }
+    this->Schedule(watched, watched.failures < kFailuresToUnreachable
+                                ? kRepeatAfterFailure
+                                : kHeartbeatInterval);
+  } else {
+    const Json::Value& status = answer.Value();
+    watched.failures = 0;
+    HeartbeatReport report;
+    report.incarnation = watched.instance.incarnation;
+    report.draining = JsonBoolean(status, "draining", false);
+    report.serving = JsonBoolean(status, "serving", true);
+    this->view.OnReachable(id);
+    this->view.OnHeartbeat(id, report);
+    watched.report.version =
+        static_cast<std::uint64_t>(JsonInteger(status, "version"));
+    watched.report.load.running =
+        static_cast<std::uint32_t>(JsonInteger(status, "running"));
+    watched.report.load.waiting =
+        static_cast<std::uint32_t>(JsonInteger(status, "waiting"));
+    watched.report.load.max_batch =
+        static_cast<std::uint32_t>(JsonInteger(status, "max_batch"));
+    watched.report.load_time = this->clock.Now();
+    this->Schedule(watched, report.serving || report.draining
+                                ? kHeartbeatInterval
+                                : kRepeatUntilServing);
+  }
+  // Load alone travels with the next snapshot; liveness makes one now.
+  if (this->view.Generation() != generation) {
+    this->changed();
+  }
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/server_watch.h
@@ -0,0 +1,57 @@
+// Heartbeats with the backend servers that this entry watches.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibMembership/membership.h"
+#include "peer_caller.h"
+#include "routed_pools.h"
+
+namespace carobbank {
+
+// What a heartbeat's answer said, beside liveness.
+struct WatchedServer {
+  std::uint64_t version = 0;
+  LoadHint load;
+  MonotonicTime load_time{};
+};
+
+class ServerWatch {
+ public:
+  ServerWatch(EventLoop& loop,
+              const Clock& clock,
+              PeerCaller& peers,
+              ServerView& view,
+              std::function<void()> changed);
+
+  // Watches these servers and forgets all others.
+  void Watch(std::span<const Instance> servers);
+  // Nothing when the server was not heard of yet.
+  const WatchedServer* Find(std::string_view instance) const;
+  std::size_t Size() const { return this->servers.size(); }
+
+ private:
+  struct Watched {
+    Instance instance;
+    WatchedServer report;
+    std::uint32_t failures = 0;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Heartbeat(const std::string& id);
+  void OnAnswer(const std::string& id, const Outcome<Json::Value>& answer);
+  void Schedule(Watched& watched, Milliseconds delay);
+
+  EventLoop& loop;
+  const Clock& clock;
+  PeerCaller& peers;
+  ServerView& view;
+  std::function<void()> changed;
+  std::map<std::string, Watched, std::less<>> servers;
+};
+
+}  // namespace carobbank
