--- /dev/null
+++ b/Services/Entry/call_environment.cc
@@ -0,0 +1,106 @@
+// Authentication and limits that all kinds of calls share.
+
+#include "call_environment.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "problems.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kLongestRequestId = 128;
+
+std::string TokenDigest(const HttpHeaders& headers) {
+  const auto header = FindHeader(headers, "Authorization");
+  if (!header || !header->starts_with(kBearer)) {
+    return "";
+  }
+  return Sha256Hex(header->substr(kBearer.size()));
+}
+
+bool IsPlainIdentifier(std::string_view text) {
+  return !text.empty() && text.size() <= kLongestRequestId &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < 127; });
+}
+
+}  // namespace
+
+std::variant<AuthenticatedCall, Problem> AuthenticateCall(
+    const ControlSnapshot& control,
+    std::string_view service,
+    const HttpHeaders& headers) {
+  const auto found = control.configuration->services.find(service);
+  const bool known = found != control.configuration->services.end() &&
+                     !found->second->document.retired;
+  if (!known) {
+    return UnknownService(service);
+  }
+  const std::string digest = TokenDigest(headers);
+  AuthenticatedCall call;
+  call.service = found->second;
+  bool matched = false;
+  // Every caller is compared, so that time tells nothing about the match.
+  for (const CallerRule& rule : found->second->document.callers) {
+    if (ConstantTimeEqual(rule.token_sha256, digest)) {
+      matched = true;
+      call.caller = rule.name;
+    }
+  }
+  if (!matched) {
+    return Unauthenticated();
+  }
+  return call;
+}
+
+VersionRange VersionsOf(const ServiceDocument& document) {
+  VersionRange range;
+  if (document.versions.pinned > 0) {
+    range.oldest = static_cast<std::uint64_t>(document.versions.pinned);
+    range.newest = range.oldest;
+  } else if (document.versions.minimum > 0) {
+    range.oldest = static_cast<std::uint64_t>(document.versions.minimum);
+  }
+  return range;
+}
+
+RouteClass RouteClassOf(ServiceClass service_class) {
+  switch (service_class) {
+    case ServiceClass::kLive:
+      return RouteClass::kLive;
+    case ServiceClass::kTraining:
+      return RouteClass::kTraining;
+    case ServiceClass::kBackground:
+      return RouteClass::kBackground;
+  }
+  return RouteClass::kBackground;
+}
+
+std::string RequestIdOf(const HttpRequest& request, Random& random) {
+  const auto given = FindHeader(request.headers, "X-Request-Id");
+  if (given && IsPlainIdentifier(*given)) {
+    return std::string(*given);
+  }
+  return random.Identifier();
+}
+
+WallMilliseconds DeadlineOf(const HttpRequest& request,
+                            const ServiceDocument& document,
+                            WallMilliseconds now_ms) {
+  std::int64_t allowed = document.limits.deadline_ms;
+  const auto given = FindHeader(request.headers, "X-Deadline-Ms");
+  if (given) {
+    std::int64_t wished = 0;
+    const char* const end = given->data() + given->size();
+    const auto parsed = std::from_chars(given->data(), end, wished);
+    if (parsed.ec == std::errc() && parsed.ptr == end && wished > 0) {
+      allowed = std::min(allowed, wished);
+    }
+  }
+  return now_ms + allowed;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/call_environment.h
@@ -0,0 +1,68 @@
+// What the handlers of callers' requests share; traffic thread only.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibContract/contract.h"
+#include "LibTimeline/timeline.h"
+#include "control_snapshot.h"
+#include "generation.h"
+#include "key_service.h"
+#include "routed_pools.h"
+#include "service_meter.h"
+#include "step_service.h"
+
+namespace carobbank {
+
+struct CallEnvironment {
+  EventLoop& loop;
+  const Clock& clock;
+  Random& random;
+  const EntrySettings& settings;
+  EventTimeline& timeline;
+  MetricRegistry& metrics;
+  AttemptSender& sender;
+  RoutedPools& pools;
+  GenerationEnvironment& generation;
+  ServiceMeters& meters;
+  KeyService& keys;
+  LogWriter& versions;
+  // Follows the service's stream from its first use on.
+  std::function<StepService&(std::string_view service)> steps;
+  // Replaced as a whole by each snapshot of the control thread; never null.
+  std::shared_ptr<const ControlSnapshot>& control;
+};
+
+// The service and its caller, or why the request is refused.
+struct AuthenticatedCall {
+  std::shared_ptr<const ServiceInForce> service;
+  // The matching row of the document's callers.
+  std::string caller;
+};
+
+// Checks the bearer token against the service's document, in constant time.
+std::variant<AuthenticatedCall, Problem> AuthenticateCall(
+    const ControlSnapshot& control,
+    std::string_view service,
+    const HttpHeaders& headers);
+
+// The versions that a live or background call may be answered from.
+VersionRange VersionsOf(const ServiceDocument& document);
+
+RouteClass RouteClassOf(ServiceClass service_class);
+
+// The caller's `X-Request-Id`, or a new id.
+std::string RequestIdOf(const HttpRequest& request, Random& random);
+
+// When the request must be over: the caller's `X-Deadline-Ms` from now, at most
+// the document's limit.
+WallMilliseconds DeadlineOf(const HttpRequest& request,
+                            const ServiceDocument& document,
+                            WallMilliseconds now_ms);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/completion_call.cc
@@ -0,0 +1,295 @@
+// A completion, streamed with back-pressure or sent whole.
+
+#include "completion_call.h"
+
+#include <utility>
+
+#include "problems.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::uint64_t kDefaultMaxTokens = 256;
+
+std::variant<GenerationRequest, Problem> ReadRequest(
+    const Json::Value& body,
+    const ServiceDocument& document) {
+  GenerationRequest request;
+  request.prompt = JsonString(body, "prompt");
+  if (request.prompt.empty()) {
+    return BadRequest("'prompt' is missing or not text",
+                      "send a prompt of at least one character");
+  }
+  const auto limit = static_cast<std::uint64_t>(document.limits.max_tokens);
+  const std::int64_t wished = JsonInteger(
+      body, "max_tokens",
+      static_cast<std::int64_t>(std::min(kDefaultMaxTokens, limit)));
+  if (wished < 1 || static_cast<std::uint64_t>(wished) > limit) {
+    return BadRequest("'max_tokens' is " + std::to_string(wished),
+                      "send a whole number from 1 to " + std::to_string(limit));
+  }
+  request.max_tokens = static_cast<std::uint64_t>(wished);
+  request.seed = static_cast<std::uint64_t>(JsonInteger(body, "seed"));
+  request.service = document.name;
+  request.pool = document.pool;
+  request.model = document.model;
+  request.service_class = RouteClassOf(document.service_class);
+  request.versions = VersionsOf(document);
+  return request;
+}
+
+Json::Value SpansJson(const std::vector<TokenSpan>& spans) {
+  Json::Value rows(Json::arrayValue);
+  for (const TokenSpan& span : spans) {
+    Json::Value row;
+    row["from"] = Json::UInt64(span.from);
+    row["to"] = Json::UInt64(span.to);
+    row["version"] = Json::UInt64(span.version);
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+}  // namespace
+
+CompletionCall::CompletionCall(CallEnvironment& environment,
+                               AuthenticatedCall call,
+                               std::shared_ptr<HttpResponder> responder)
+    : environment(environment),
+      call(std::move(call)),
+      responder(std::move(responder)) {}
+
+void CompletionCall::Begin(CallEnvironment& environment,
+                           const HttpRequest& request,
+                           std::shared_ptr<HttpResponder> responder) {
+  const auto body = Capture([&] { return ParseJson(request.body); });
+  if (!body.Ok() || !body.Value().isObject()) {
+    const std::string detail =
+        body.Ok() ? "the body is no JSON object" : body.GetError().message;
+    responder->Send(BadRequest(detail, "send one JSON object").ToResponse());
+    return;
+  }
+  std::string service = JsonString(body.Value(), "service");
+  if (service.empty()) {
+    service = JsonString(body.Value(), "model");
+  }
+  auto authenticated =
+      AuthenticateCall(*environment.control, service, request.headers);
+  if (const auto* problem = std::get_if<Problem>(&authenticated)) {
+    responder->Send(problem->ToResponse());
+    return;
+  }
+  auto& call = std::get<AuthenticatedCall>(authenticated);
+  const ServiceDocument& document = call.service->document;
+  ServiceMeter& meter = environment.meters.Of(document);
+  const auto refuse = [&](const Problem& problem) {
+    meter.CountRefusal(problem);
+    responder->Send(problem.ToResponse());
+  };
+  if (document.kind != ServiceKind::kModel) {
+    refuse(BadRequest("'" + document.name + "' is a plain service",
+                      "call it below /plain/" + document.name));
+    return;
+  }
+  const auto body_limit =
+      static_cast<std::uint64_t>(document.limits.body_bytes);
+  if (request.body.size() > body_limit) {
+    refuse(BodyTooLarge(body_limit));
+    return;
+  }
+  auto read = ReadRequest(body.Value(), document);
+  if (const auto* problem = std::get_if<Problem>(&read)) {
+    refuse(*problem);
+    return;
+  }
+  if (const auto wait = meter.Begin(call.caller); wait) {
+    refuse(RateLimited(*wait));
+    return;
+  }
+  auto& generation_request = std::get<GenerationRequest>(read);
+  generation_request.request_id = RequestIdOf(request, environment.random);
+  generation_request.deadline_ms =
+      DeadlineOf(request, document, environment.clock.WallNow());
+  generation_request.configuration_offset = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, environment.control->configuration->offset));
+  auto self = std::make_shared<CompletionCall>(environment, std::move(call),
+                                               std::move(responder));
+  self->Start(std::move(generation_request),
+              JsonBoolean(body.Value(), "stream", false));
+}
+
+void CompletionCall::Start(GenerationRequest request, bool stream) {
+  this->stream = stream;
+  this->request_id = request.request_id;
+  this->model = request.model;
+  this->began = this->environment.clock.Now();
+  this->Record(EventKind::kAdmit, "", "", this->call.caller, 0);
+  const auto self = this->shared_from_this();
+  GenerationHandlers handlers;
+  handlers.on_chunk = [self](const GenerationChunk& chunk) {
+    self->OnChunk(chunk);
+  };
+  handlers.on_done = [self](const PartialAnswer& answer) {
+    self->OnDone(answer);
+  };
+  handlers.on_failure = [self](const Problem& problem) {
+    self->OnFailure(problem);
+  };
+  handlers.on_attempt = [self](const WorkLabels& labels,
+                               const AttemptTarget& target) {
+    self->Record(EventKind::kSend, labels.attempt_id, target.instance, "", 0);
+  };
+  handlers.on_retry = [self](const AttemptTarget& target,
+                             const Problem& problem) {
+    self->Record(EventKind::kRetry, "", target.instance, problem.code, 0);
+  };
+  this->generation = std::make_unique<Generation>(
+      this->environment.generation, std::move(request), std::move(handlers));
+  this->responder->OnClosed([weak = this->weak_from_this()] {
+    if (const auto call = weak.lock(); call) {
+      call->End(EventKind::kCancel, "the caller went away", 0);
+    }
+  });
+  this->generation->Start();
+}
+
+void CompletionCall::OnChunk(const GenerationChunk& chunk) {
+  if (chunk.token_from == 0 && chunk.token_to > 0) {
+    this->Record(EventKind::kFirstToken, chunk.attempt_id, "", "", 0);
+    this->environment.metrics
+        .GetTiming(metrics::kFirstTokenTime,
+                   {{"service", this->call.service->document.name}})
+        .Record(this->environment.clock.Now() - this->began);
+  }
+  if (!this->stream || this->ended) {
+    return;
+  }
+  this->WriteEvent(WriteGenerationChunk(chunk, this->request_id, this->model));
+}
+
+void CompletionCall::WriteEvent(const ServerSentEvent& event) {
+  if (!std::exchange(this->started, true)) {
+    this->responder->Start(200, {{"Content-Type", "text/event-stream"},
+                                 {"Cache-Control", "no-store"},
+                                 {"X-Request-Id", this->request_id}});
+  }
+  if (this->unwritten++ == 0 && this->generation) {
+    this->generation->Pause();
+  }
+  this->responder->Write(WriteServerSentEvent(event),
+                         [weak = this->weak_from_this()](bool ok) {
+                           if (const auto call = weak.lock(); call) {
+                             call->OnWritten(ok);
+                           }
+                         });
+}
+
+void CompletionCall::OnWritten(bool ok) {
+  if (!ok) {
+    this->End(EventKind::kCancel, "the caller went away", 0);
+    return;
+  }
+  if (--this->unwritten == 0 && this->generation && !this->ended) {
+    this->generation->Resume();
+  }
+}
+
+void CompletionCall::OnDone(const PartialAnswer& answer) {
+  if (this->ended) {
+    return;
+  }
+  if (this->stream) {
+    this->WriteEvent({"", "[DONE]"});
+    this->responder->Finish();
+  } else {
+    this->SendWhole(answer);
+  }
+  constexpr int kOk = 200;
+  if (ServiceMeter* meter =
+          this->environment.meters.Find(this->call.service->document.name)) {
+    meter->CountAnswer(kOk);
+  }
+  this->End(EventKind::kFinish, "", static_cast<std::int64_t>(answer.tokens));
+}
+
+void CompletionCall::SendWhole(const PartialAnswer& answer) {
+  Json::Value choice;
+  choice["index"] = 0;
+  choice["text"] = answer.text;
+  choice["finish_reason"] = answer.finish_reason;
+  Json::Value body;
+  body["id"] = this->request_id;
+  body["object"] = "text_completion";
+  body["model"] = this->model;
+  body["choices"].append(std::move(choice));
+  body["spans"] = SpansJson(answer.spans);
+  body["usage"]["prompt_tokens"] = Json::UInt64(answer.usage.prompt_tokens);
+  body["usage"]["completion_tokens"] = Json::UInt64(answer.tokens);
+  body["usage"]["total_tokens"] =
+      Json::UInt64(answer.usage.prompt_tokens + answer.tokens);
+  HttpResponse response = JsonResponse(200, body);
+  SetHeader(response.headers, "X-Request-Id", this->request_id);
+  this->responder->Send(std::move(response));
+}
+
+void CompletionCall::OnFailure(const Problem& problem) {
+  if (this->ended) {
+    return;
+  }
+  ServiceMeter* meter =
+      this->environment.meters.Find(this->call.service->document.name);
+  if (meter) {
+    meter->CountRefusal(problem);
+  }
+  if (this->started) {
+    this->environment.metrics
+        .GetCounter(metrics::kCutAnswers,
+                    {{"service", this->call.service->document.name}})
+        .Add();
+    this->WriteEvent({"error", WriteJson(problem.ToJson())});
+    this->responder->Finish();
+  } else {
+    this->responder->Send(problem.ToResponse());
+  }
+  this->End(EventKind::kRefusal, problem.code, 0);
+}
+
+void CompletionCall::End(EventKind kind,
+                         std::string detail,
+                         std::int64_t number) {
+  if (std::exchange(this->ended, true)) {
+    return;
+  }
+  this->Record(kind, "", "", std::move(detail), number);
+  if (ServiceMeter* meter =
+          this->environment.meters.Find(this->call.service->document.name)) {
+    meter->End(this->call.caller, this->began);
+  }
+  // The generation's own callback may be on the stack; it also holds the
+  // references that keep this call alive.
+  std::shared_ptr<Generation> retired(std::move(this->generation));
+  this->environment.loop.Post([retired] {});
+}
+
+void CompletionCall::Record(EventKind kind,
+                            std::string attempt,
+                            std::string server,
+                            std::string detail,
+                            std::int64_t number) {
+  const ServiceDocument& document = this->call.service->document;
+  if (document.quiet) {
+    return;
+  }
+  Event event;
+  event.kind = kind;
+  event.service = document.name;
+  event.request = this->request_id;
+  event.attempt = std::move(attempt);
+  event.server = std::move(server);
+  event.detail = std::move(detail);
+  event.number = number;
+  this->environment.timeline.Record(std::move(event));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/entry.h
@@ -0,0 +1,108 @@
+// The entry process: wires the control thread, the traffic thread and the
+// handlers of callers' and peers' requests.
+
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "LibContract/contract.h"
+#include "LibHTTP/http.h"
+#include "LibTimeline/timeline.h"
+#include "call_environment.h"
+#include "control_state.h"
+#include "logger.h"
+#include "peer_methods.h"
+
+namespace carobbank {
+
+class Entry {
+ public:
+  // Binds the port. Fails with kUnavailable when it is taken.
+  static Result<std::unique_ptr<Entry>> Create(EntrySettings settings);
+  ~Entry();
+
+  // Serves until SIGTERM or SIGINT and the drain after it.
+  void Run();
+
+ private:
+  Entry(EntrySettings settings, PeerProofVerifier verifier);
+  Result<void> Listen();
+  void OnSnapshot(std::shared_ptr<const ControlSnapshot> snapshot);
+  StepService& StepsOf(std::string_view service);
+  std::optional<StepPolicy> PolicyOf(std::string_view service) const;
+  void AskOwner(std::string_view owner,
+                std::string_view service,
+                std::string_view request_id,
+                const std::function<void(OwnerEvidence)>& done);
+  GroupCommitterOptions CommitterOptions() const;
+  RetentionOptions Retention() const;
+
+  // One row of the table of endpoints.
+  struct Route {
+    std::string_view method;
+    std::string_view path;
+    void (Entry::*handle)(HttpRequest request,
+                          std::shared_ptr<HttpResponder> responder);
+  };
+  static const Route kRoutes[];
+  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void HandleCompletions(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleSubmit(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandlePoll(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleAnnounce(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandlePlain(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleRpc(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleHealth(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleReady(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleMetrics(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleStatus(HttpRequest, std::shared_ptr<HttpResponder>);
+  void HandleTimeline(HttpRequest, std::shared_ptr<HttpResponder>);
+  // Sends a refusal when the operator token is set and missing.
+  bool IsOperator(const HttpRequest& request, HttpResponder& responder) const;
+  Json::Value StatusJson() const;
+
+  void BeginDrain();
+  void ContinueDrain();
+  bool Idle() const;
+
+  // Construction order is dependency order.
+  EntrySettings settings;
+  SystemClock clock;
+  Random random;
+  EventTimeline timeline;
+  MetricRegistry metrics;
+  PeerProofSigner signer;
+  PeerProofVerifier verifier;
+  EventLoop control_loop;
+  EventLoop traffic_loop;
+
+  // Traffic thread.
+  std::shared_ptr<const ControlSnapshot> control;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<LogClient> log;
+  AttemptSender sender;
+  PeerCaller peers;
+  RoutedPools pools;
+  ServiceMeters meters;
+  GenerationEnvironment generation;
+  RolloutEnvironment rollouts;
+  KeyService keys;
+  LogWriter versions;
+  std::map<std::string, std::unique_ptr<StepService>, std::less<>> steps;
+  CallEnvironment calls;
+  PeerMethods peer_methods;
+  std::unique_ptr<HttpServer> server;
+  bool draining = false;
+  MonotonicTime drain_deadline{};
+  std::unique_ptr<Timer> drain_timer;
+
+  // Control thread; created and destroyed by the owner while it stands still.
+  std::unique_ptr<ControlState> control_state;
+  std::thread control_thread;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/generation.cc
@@ -0,0 +1,390 @@
+// The attempts of one answer: choice, judgement of chunks, resumption.
+
+#include "generation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr int kUnprocessable = 422;
+// A digest that crashed this many distinct servers is not run again.
+constexpr std::size_t kCrashesBeforeQuarantine = 2;
+// Servers that refused are tried again after this many others were.
+constexpr std::size_t kAvoidAtMost = 8;
+
+Problem BrokenStream(std::string code, std::string detail) {
+  Problem problem;
+  problem.status = kBadGateway;
+  problem.code = std::move(code);
+  problem.detail = std::move(detail);
+  problem.remedy = "send the request again";
+  problem.execution = Execution::kMayHaveRun;
+  return problem;
+}
+
+Problem QuarantinedProblem() {
+  Problem problem;
+  problem.status = kUnprocessable;
+  problem.code = "quarantined";
+  problem.detail = "this request crashed two backend servers";
+  problem.remedy = "do not send it again; report its prompt to the operators";
+  return problem;
+}
+
+Problem DeadlineProblem(const Problem& cause) {
+  Problem problem;
+  problem.status = kGatewayTimeout;
+  problem.code = "deadline_exceeded";
+  problem.detail = "last failure: " + cause.code + ": " + cause.detail;
+  problem.remedy = "allow more time or send the request later";
+  problem.execution = cause.execution;
+  return problem;
+}
+
+AttemptEnd EndOf(const AttemptFailure& failure) {
+  if (failure.backend_crashed) {
+    return AttemptEnd::kBackendCrashed;
+  }
+  if (failure.link_failed) {
+    return AttemptEnd::kLinkFailed;
+  }
+  if (failure.problem.code == "draining") {
+    return AttemptEnd::kDraining;
+  }
+  return AttemptEnd::kRefused;
+}
+
+}  // namespace
+
+std::string DigestOfPrompt(std::string_view model, std::string_view prompt) {
+  std::string text(model);
+  text += '\n';
+  text += prompt;
+  return Sha256Hex(text);
+}
+
+void PartialAnswer::Append(const GenerationChunk& chunk) {
+  this->text += chunk.text;
+  this->tokens = chunk.token_to;
+  if (!chunk.finish_reason.empty()) {
+    this->finish_reason = chunk.finish_reason;
+  }
+  if (chunk.usage) {
+    this->usage = *chunk.usage;
+  }
+  if (chunk.token_from == chunk.token_to) {
+    return;
+  }
+  const std::uint64_t version = *chunk.weight_version;
+  if (!this->spans.empty() && this->spans.back().version == version) {
+    this->spans.back().to = chunk.token_to;
+    return;
+  }
+  this->spans.push_back({chunk.token_from, chunk.token_to, version});
+}
+
+Generation::Generation(GenerationEnvironment& environment,
+                       GenerationRequest request,
+                       GenerationHandlers handlers)
+    : environment(environment),
+      request(std::move(request)),
+      handlers(std::move(handlers)),
+      digest(DigestOfPrompt(this->request.model, this->request.prompt)) {}
+
+Generation::~Generation() {
+  this->EndAttempt(AttemptEnd::kCancelled);
+}
+
+void Generation::Start(PartialAnswer partial) {
+  this->answer = std::move(partial);
+  this->environment.retries.OnFirstAttempt(this->request.service);
+  this->BeginAttempt();
+}
+
+void Generation::Pause() {
+  this->paused = true;
+  if (this->exchange) {
+    this->exchange->Pause();
+  }
+}
+
+void Generation::Resume() {
+  this->paused = false;
+  if (this->exchange) {
+    this->exchange->Resume();
+  }
+}
+
+void Generation::BeginAttempt() {
+  const std::size_t crashes = this->environment.selector.Crashes(this->digest);
+  this->alone = crashes > 0;
+  if (crashes >= kCrashesBeforeQuarantine) {
+    this->Fail(QuarantinedProblem());
+    return;
+  }
+  SelectionRequest selection;
+  selection.service = this->request.service;
+  selection.pool = this->request.pool;
+  selection.service_class = this->request.service_class;
+  selection.prompt = this->request.prompt;
+  selection.digest = this->digest;
+  selection.versions = this->request.versions;
+  selection.avoid = this->avoid;
+  selection.idle_only = this->request.duplicate;
+  selection.alone = this->alone;
+  auto choice = this->environment.selector.Choose(selection);
+  if (const Problem* problem = std::get_if<Problem>(&choice)) {
+    this->avoid.clear();
+    this->RetryOrFail(*problem);
+    return;
+  }
+  this->target = std::get<AttemptTarget>(std::move(choice));
+  const bool named = this->attempts == 0 && !this->request.attempt_id.empty();
+  this->attempt_id =
+      named ? this->request.attempt_id : this->environment.random.Identifier();
+  this->reader = ServerSentEventReader();
+  this->whole = false;
+  this->status = 0;
+  this->refusal_body.clear();
+  this->attempt_open = true;
+  ++this->attempts;
+  this->environment.selector.OnStarted(this->target.instance,
+                                       this->request.service);
+
+  const WorkLabels labels = this->MakeLabels();
+  if (this->handlers.on_attempt) {
+    this->handlers.on_attempt(labels, this->target);
+  }
+  AttemptHandlers attempt_handlers;
+  attempt_handlers.on_headers = [this](int status, const HttpHeaders&) {
+    this->status = status;
+  };
+  attempt_handlers.on_load = [this](const LoadHint& load) {
+    this->environment.selector.OnLoad(this->target.instance, load);
+  };
+  attempt_handlers.on_body = [this](std::string_view bytes) {
+    this->OnBody(bytes);
+  };
+  attempt_handlers.on_done = [this] { this->OnWhole(); };
+  attempt_handlers.on_failure = [this](const AttemptFailure& failure) {
+    this->FailAttempt(failure);
+  };
+  constexpr bool kIdempotent = true;
+  this->exchange =
+      this->environment.sender.Start(this->target, labels, this->MakeRequest(),
+                                     kIdempotent, std::move(attempt_handlers));
+  if (this->paused) {
+    this->exchange->Pause();
+  }
+}
+
+WorkLabels Generation::MakeLabels() const {
+  WorkLabels labels;
+  labels.service = this->request.service;
+  labels.request_id = this->request.request_id;
+  labels.attempt_id = this->attempt_id;
+  labels.sample_id = this->request.sample_id;
+  labels.digest = this->digest;
+  labels.versions = this->request.versions;
+  labels.expected_tokens = this->request.expected_tokens;
+  labels.slack = this->request.slack;
+  labels.alone = this->alone;
+  labels.duplicate = this->request.duplicate;
+  labels.deadline_ms = this->request.deadline_ms;
+  labels.configuration_offset = this->request.configuration_offset;
+  return labels;
+}
+
+HttpRequest Generation::MakeRequest() const {
+  Json::Value body;
+  body["model"] = this->request.model;
+  body["prompt"] = this->request.prompt;
+  body["max_tokens"] = Json::UInt64(this->request.max_tokens);
+  body["seed"] = Json::UInt64(this->request.seed);
+  body["stream"] = true;
+  body["attempt_id"] = this->attempt_id;
+  if (this->answer.tokens > 0) {
+    body["resume"]["text"] = this->answer.text;
+    body["resume"]["tokens"] = Json::UInt64(this->answer.tokens);
+  }
+  HttpRequest sent;
+  sent.method = "POST";
+  sent.target = "/v1/completions";
+  sent.body = WriteJson(body);
+  SetHeader(sent.headers, "Content-Type", "application/json");
+  return sent;
+}
+
+void Generation::OnBody(std::string_view bytes) {
+  if (this->status != kStatusOk) {
+    this->refusal_body += bytes;
+    return;
+  }
+  const auto events = Capture([&] { return this->reader.Feed(bytes); });
+  if (!events.Ok()) {
+    this->FailAttempt(
+        {BrokenStream("backend_failed", events.GetError().Text())});
+    return;
+  }
+  for (const ServerSentEvent& event : events.Value()) {
+    const std::string current_attempt = this->attempt_id;
+    const auto parsed = Capture([&] { return ParseGenerationEvent(event); });
+    if (!parsed.Ok()) {
+      this->FailAttempt(
+          {BrokenStream("backend_failed", parsed.GetError().Text())});
+      return;
+    }
+    const std::weak_ptr<bool> token = this->alive;
+    this->OnEvent(parsed.Value());
+    // A handler may have destroyed this object, or ended the attempt.
+    if (token.expired() || !this->attempt_open ||
+        this->attempt_id != current_attempt) {
+      return;
+    }
+  }
+}
+
+void Generation::OnEvent(const GenerationEvent& event) {
+  if (const auto* chunk = std::get_if<GenerationChunk>(&event)) {
+    this->OnChunk(*chunk);
+    return;
+  }
+  if (const auto* problem = std::get_if<Problem>(&event)) {
+    AttemptFailure failure;
+    failure.problem = *problem;
+    failure.backend_crashed = problem->code == "backend_crashed";
+    this->FailAttempt(failure);
+    return;
+  }
+  this->whole = true;
+}
+
+std::optional<Problem> Generation::CheckChunk(
+    const GenerationChunk& chunk) const {
+  if (chunk.attempt_id != this->attempt_id) {
+    return BrokenStream("crossed_answer",
+                        "the answer belongs to attempt " + chunk.attempt_id);
+  }
+  if (chunk.token_from != this->answer.tokens) {
+    return BrokenStream("backend_failed",
+                        "expected token " +
+                            std::to_string(this->answer.tokens) + ", got " +
+                            std::to_string(chunk.token_from));
+  }
+  if (chunk.token_from == chunk.token_to) {
+    return std::nullopt;
+  }
+  if (!chunk.weight_version) {
+    return BrokenStream("version_unknown",
+                        "the engine named no weight version");
+  }
+  if (!this->request.versions.Contains(*chunk.weight_version)) {
+    return BrokenStream("version_out_of_bound",
+                        "version " + std::to_string(*chunk.weight_version) +
+                            " is outside " +
+                            VersionRangeText(this->request.versions));
+  }
+  return std::nullopt;
+}
+
+void Generation::OnChunk(const GenerationChunk& chunk) {
+  if (auto problem = this->CheckChunk(chunk); problem) {
+    this->FailAttempt({std::move(*problem)});
+    return;
+  }
+  this->answer.Append(chunk);
+  this->failures_in_row = 0;
+  if (chunk.weight_version) {
+    this->environment.selector.OnVersion(this->target.instance,
+                                         *chunk.weight_version);
+  }
+  if (this->handlers.on_chunk) {
+    this->handlers.on_chunk(chunk);
+  }
+}
+
+void Generation::OnWhole() {
+  if (this->status != kStatusOk) {
+    AttemptFailure failure;
+    auto refusal = Problem::FromText(this->status, this->refusal_body);
+    failure.problem =
+        refusal ? std::move(*refusal)
+                : BrokenStream("backend_failed",
+                               "status " + std::to_string(this->status));
+    failure.backend_crashed = failure.problem.code == "backend_crashed";
+    this->FailAttempt(failure);
+    return;
+  }
+  if (!this->whole || this->answer.finish_reason.empty()) {
+    this->FailAttempt({BrokenStream("backend_failed",
+                                    "the answer ended before its end mark")});
+    return;
+  }
+  this->EndAttempt(AttemptEnd::kWhole);
+  this->finished = true;
+  this->handlers.on_done(this->answer);
+}
+
+void Generation::EndAttempt(AttemptEnd end) {
+  // Destroying an exchange that has not ended cancels it.
+  this->exchange.reset();
+  if (!this->attempt_open) {
+    return;
+  }
+  this->attempt_open = false;
+  this->environment.selector.OnEnded(this->target.instance,
+                                     this->request.service, end);
+}
+
+void Generation::FailAttempt(const AttemptFailure& failure) {
+  if (failure.backend_crashed) {
+    this->environment.selector.OnCrash(this->target.instance, this->digest,
+                                       this->alone);
+  }
+  this->EndAttempt(EndOf(failure));
+  if (this->avoid.size() >= kAvoidAtMost) {
+    this->avoid.clear();
+  }
+  this->avoid.push_back(this->target.instance);
+  if (this->handlers.on_retry) {
+    this->handlers.on_retry(this->target, failure.problem);
+  }
+  this->RetryOrFail(failure.problem);
+}
+
+void Generation::RetryOrFail(const Problem& problem) {
+  ++this->failures_in_row;
+  const WallMilliseconds now = this->environment.clock.WallNow();
+  RetryQuestion question;
+  question.service = this->request.service;
+  question.service_class = this->request.service_class;
+  question.failures = this->failures_in_row;
+  // Generating tokens has no effect beyond the answer.
+  question.repeatable = true;
+  question.retry_after = problem.retry_after;
+  question.remaining = Milliseconds(this->request.deadline_ms - now);
+  if (question.remaining <= Milliseconds(0)) {
+    this->Fail(DeadlineProblem(problem));
+    return;
+  }
+  const auto pause = this->environment.retries.Ask(question);
+  if (!pause) {
+    this->Fail(problem);
+    return;
+  }
+  this->retry_timer = this->environment.loop.CallAfter(
+      *pause, [this] { this->BeginAttempt(); });
+}
+
+void Generation::Fail(const Problem& problem) {
+  this->finished = true;
+  this->handlers.on_failure(problem);
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/generation.h
@@ -0,0 +1,144 @@
+// One model answer, made whole over as many attempts as it takes: a broken
+// stream goes on at another server after the tokens that have arrived.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibLedger/ledger.h"
+#include "attempt.h"
+#include "generation_chunk.h"
+#include "retry_gate.h"
+#include "server_selector.h"
+
+namespace carobbank {
+
+struct GenerationRequest {
+  std::string service;
+  std::string pool;
+  std::string model;
+  RouteClass service_class = RouteClass::kLive;
+  std::string request_id;
+  // Empty for live calls.
+  std::string sample_id;
+  // Of the first attempt; empty: any. Later attempts get their own.
+  std::string attempt_id;
+  std::string prompt;
+  std::uint64_t max_tokens = 0;
+  std::uint64_t seed = 0;
+  VersionRange versions;
+  // No attempt begins after it.
+  WallMilliseconds deadline_ms = 0;
+  std::uint64_t expected_tokens = 0;
+  Milliseconds slack{0};
+  bool duplicate = false;
+  std::uint64_t configuration_offset = 0;
+};
+
+// What has arrived so far.
+// Invariant: the spans cover [0, tokens) without gap or overlap, and `text` is
+// the text of exactly these tokens.
+struct PartialAnswer {
+  std::string text;
+  std::uint64_t tokens = 0;
+  std::vector<TokenSpan> spans;
+  std::string finish_reason;
+  TokenUsage usage;
+
+  void Append(const GenerationChunk& chunk);
+};
+
+struct GenerationHandlers {
+  // Each token once and in order.
+  std::function<void(const GenerationChunk& chunk)> on_chunk;
+  std::function<void(const PartialAnswer& answer)> on_done;
+  // Final: nothing more is tried.
+  std::function<void(const Problem& problem)> on_failure;
+  // For the time line: the attempt that begins, and where.
+  std::function<void(const WorkLabels& labels, const AttemptTarget& target)>
+      on_attempt;
+  // For the time line: an attempt failed and another follows.
+  std::function<void(const AttemptTarget& target, const Problem& problem)>
+      on_retry;
+};
+
+// What every generation of an entry shares.
+struct GenerationEnvironment {
+  EventLoop& loop;
+  const Clock& clock;
+  Random& random;
+  AttemptSender& sender;
+  ServerSelector& selector;
+  RetryGate& retries;
+};
+
+class Generation {
+ public:
+  Generation(GenerationEnvironment& environment,
+             GenerationRequest request,
+             GenerationHandlers handlers);
+  // Cancels what runs.
+  ~Generation();
+  Generation(const Generation&) = delete;
+  Generation& operator=(const Generation&) = delete;
+
+  // Goes on from `partial`, which an earlier generation of the same request
+  // produced within the same version range.
+  void Start(PartialAnswer partial = {});
+  // Back-pressure from whoever takes the chunks.
+  void Pause();
+  void Resume();
+
+  const PartialAnswer& Partial() const { return this->answer; }
+  const GenerationRequest& Request() const { return this->request; }
+
+ private:
+  void BeginAttempt();
+  WorkLabels MakeLabels() const;
+  HttpRequest MakeRequest() const;
+  void OnBody(std::string_view bytes);
+  void OnEvent(const GenerationEvent& event);
+  void OnChunk(const GenerationChunk& chunk);
+  // Nothing when the chunk continues the answer as it must.
+  std::optional<Problem> CheckChunk(const GenerationChunk& chunk) const;
+  void OnWhole();
+  void EndAttempt(AttemptEnd end);
+  void FailAttempt(const AttemptFailure& failure);
+  void RetryOrFail(const Problem& problem);
+  void Fail(const Problem& problem);
+
+  GenerationEnvironment& environment;
+  GenerationRequest request;
+  GenerationHandlers handlers;
+  std::string digest;
+  PartialAnswer answer;
+
+  // State of the attempt that runs.
+  std::string attempt_id;
+  AttemptTarget target;
+  std::unique_ptr<HttpExchange> exchange;
+  ServerSentEventReader reader;
+  // Invariant: true exactly between selector.OnStarted and OnEnded.
+  bool attempt_open = false;
+  bool whole = false;
+  bool alone = false;
+  int status = 0;
+  std::string refusal_body;
+
+  std::uint32_t attempts = 0;
+  std::uint32_t failures_in_row = 0;
+  std::vector<std::string> avoid;
+  std::unique_ptr<Timer> retry_timer;
+  bool paused = false;
+  bool finished = false;
+  // Expires with this object, so that callbacks can tell.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+// The digest under which a prompt is quarantined.
+std::string DigestOfPrompt(std::string_view model, std::string_view prompt);
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/key_service.h
@@ -0,0 +1,83 @@
+// Keyed non-idempotent requests: the claim in the log that lets at most one
+// attempt be sent, and the outcome that a repeat gets.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "LibLedger/ledger.h"
+#include "log_stream_tail.h"
+#include "log_writer.h"
+
+namespace carobbank {
+
+struct KeyedRequest {
+  KeyName name;
+  WallMilliseconds issued_ms = 0;
+  WallMilliseconds deadline_ms = 0;
+  std::string request_digest;
+};
+
+// The attempt may be sent, once.
+struct ClaimWon {
+  std::string attempt;
+};
+
+// Won, answered before, or refused.
+using ClaimAnswer = std::variant<ClaimWon, StoredOutcome, Problem>;
+
+struct KeyServiceEnvironment {
+  EventLoop& loop;
+  const Clock& clock;
+  Random& random;
+  LogClient& log;
+  EventTimeline& timeline;
+  MetricRegistry& metrics;
+  GroupCommitterOptions committer;
+  RetentionOptions retention;
+  Milliseconds key_window{0};
+};
+
+class KeyService {
+ public:
+  explicit KeyService(KeyServiceEnvironment environment);
+
+  void Start();
+
+  void Claim(KeyedRequest request, std::function<void(ClaimAnswer)> done);
+  // Certain that the attempt did not run and never will.
+  void Release(const KeyName& name, const std::string& attempt);
+  // The attempt ran. `done` is called when the outcome is in the log, or when
+  // the wait for it is over; the writer goes on trying.
+  void Finish(const KeyName& name,
+              const std::string& attempt,
+              StoredOutcome outcome,
+              std::function<void()> done);
+
+  bool WritesPending() const { return this->writer.BufferedEntries() > 0; }
+  Json::Value StatusJson() const;
+
+ private:
+  void ResetFold(std::uint64_t first_retained);
+  void WhenCaughtUp(std::function<void(bool)> then);
+  void Decide(const KeyedRequest& request,
+              const std::function<void(ClaimAnswer)>& done);
+  void AppendClaim(const KeyedRequest& request,
+                   const std::function<void(ClaimAnswer)>& done);
+  void AfterClaim(const KeyedRequest& request,
+                  const std::string& attempt,
+                  const LogPosition& claimed_at,
+                  const std::function<void(ClaimAnswer)>& done);
+  void Record(const KeyName& name, std::string attempt, std::string detail);
+
+  KeyServiceEnvironment environment;
+  std::unique_ptr<KeyFold> fold;
+  LogStreamTail tail;
+  LogWriter writer;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/peer_methods.cc
@@ -0,0 +1,125 @@
+// Dispatch of peers' calls, and the configuration long poll.
+
+#include "peer_methods.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::int64_t kLongestWaitMs = 10'000;
+
+}  // namespace
+
+PeerMethods::PeerMethods(EventLoop& loop,
+                         std::shared_ptr<const ControlSnapshot>& control,
+                         std::function<StepService&(std::string_view)> steps)
+    : loop(loop), control(control), steps(std::move(steps)) {
+  this->dispatcher.RegisterDeferred(
+      "configuration", [this](const Json::Value& parameters, RpcReply reply) {
+        this->Configuration(parameters, std::move(reply));
+      });
+  this->dispatcher.RegisterDeferred(
+      "step_owner", [this](const Json::Value& parameters, RpcReply reply) {
+        this->StepOwner(parameters, std::move(reply));
+      });
+}
+
+void PeerMethods::Handle(const HttpRequest& request,
+                         std::shared_ptr<HttpResponder> responder) {
+  this->dispatcher.Handle(
+      request.body, [responder = std::move(responder)](std::string text) {
+        HttpResponse response;
+        response.body = std::move(text);
+        SetHeader(response.headers, "Content-Type", "application/json");
+        responder->Send(std::move(response));
+      });
+}
+
+std::string PeerMethods::Fingerprint() const {
+  const ControlSnapshot& snapshot = *this->control;
+  std::string text = std::to_string(snapshot.configuration->offset);
+  for (const ModelVersion& version : snapshot.versions) {
+    text += "|" + version.model + ":" + std::to_string(version.newest);
+  }
+  text += "|" + std::to_string(snapshot.quarantined.size());
+  return text;
+}
+
+Json::Value PeerMethods::ConfigurationJson() const {
+  const ControlSnapshot& snapshot = *this->control;
+  Json::Value value = snapshot.configuration_export;
+  value["fingerprint"] = this->Fingerprint();
+  value["quarantine"] = Json::arrayValue;
+  for (const std::string& digest : snapshot.quarantined) {
+    value["quarantine"].append(digest);
+  }
+  value["versions"] = Json::objectValue;
+  for (const ModelVersion& version : snapshot.versions) {
+    value["versions"][version.model] = Json::UInt64(version.newest);
+  }
+  return value;
+}
+
+void PeerMethods::Configuration(const Json::Value& parameters, RpcReply reply) {
+  // `seen` is the fingerprint of an earlier answer; callers that know only an
+  // offset send `after_offset`.
+  const std::string seen = JsonString(parameters, "seen");
+  const std::int64_t after = JsonInteger(parameters, "after_offset", -1);
+  const std::int64_t wait = std::clamp<std::int64_t>(
+      JsonInteger(parameters, "wait_ms"), 0, kLongestWaitMs);
+  const bool news = seen.empty() ? this->control->configuration->offset > after
+                                 : seen != this->Fingerprint();
+  if (news || wait == 0) {
+    reply(this->ConfigurationJson());
+    return;
+  }
+  auto poll = std::make_shared<LongPoll>();
+  poll->seen = this->Fingerprint();
+  poll->reply = std::move(reply);
+  poll->timer = this->loop.CallAfter(
+      Milliseconds(wait), [this, weak = std::weak_ptr<LongPoll>(poll)] {
+        if (const auto expired = weak.lock(); expired) {
+          std::erase(this->polls, expired);
+          expired->reply(this->ConfigurationJson());
+        }
+      });
+  this->polls.push_back(std::move(poll));
+}
+
+void PeerMethods::OnSnapshot() {
+  const std::string fingerprint = this->Fingerprint();
+  std::vector<std::shared_ptr<LongPoll>> ready;
+  std::erase_if(this->polls, [&](const std::shared_ptr<LongPoll>& poll) {
+    if (poll->seen == fingerprint) {
+      return false;
+    }
+    ready.push_back(poll);
+    return true;
+  });
+  for (const std::shared_ptr<LongPoll>& poll : ready) {
+    poll->timer->Cancel();
+    poll->reply(this->ConfigurationJson());
+  }
+}
+
+void PeerMethods::StepOwner(const Json::Value& parameters, RpcReply reply) {
+  const std::string service = JsonString(parameters, "service");
+  const bool known = this->control->configuration->services.contains(service);
+  if (!known) {
+    Json::Value result;
+    result["working"] = false;
+    reply(std::move(result));
+    return;
+  }
+  this->steps(service).AnswerOwnership(JsonString(parameters, "request_id"),
+                                       [reply](bool working) {
+                                         Json::Value result;
+                                         result["working"] = working;
+                                         reply(std::move(result));
+                                       });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/peer_methods.h
@@ -0,0 +1,52 @@
+// JSON-RPC methods that an entry offers to sidecars and other entries.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibHTTP/http.h"
+#include "LibRPC/rpc.h"
+#include "control_snapshot.h"
+#include "step_service.h"
+
+namespace carobbank {
+
+class PeerMethods {
+ public:
+  PeerMethods(EventLoop& loop,
+              std::shared_ptr<const ControlSnapshot>& control,
+              std::function<StepService&(std::string_view)> steps);
+
+  // The proof has been checked. Answers now, or when a long poll ends.
+  void Handle(const HttpRequest& request,
+              std::shared_ptr<HttpResponder> responder);
+
+  // A new snapshot is in place: answers the long polls that it concerns.
+  void OnSnapshot();
+
+ private:
+  // `configuration {after_offset, wait_ms}`
+  void Configuration(const Json::Value& parameters, RpcReply reply);
+  // `step_owner {service, request_id}`: {working}
+  void StepOwner(const Json::Value& parameters, RpcReply reply);
+
+  struct LongPoll {
+    std::string seen;
+    RpcReply reply;
+    std::unique_ptr<Timer> timer;
+  };
+  Json::Value ConfigurationJson() const;
+  // Changes whenever a poller should hear of something.
+  std::string Fingerprint() const;
+
+  EventLoop& loop;
+  std::shared_ptr<const ControlSnapshot>& control;
+  std::function<StepService&(std::string_view)> steps;
+  RpcDispatcher dispatcher;
+  std::vector<std::shared_ptr<LongPoll>> polls;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/plain_call.cc
@@ -0,0 +1,483 @@
+// Passing a plain service's request and answer, with its claim where it has a
+// key.
+
+#include "plain_call.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "problems.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr std::size_t kLongestKey = 256;
+// Answers to keyed requests are held whole until their outcome is in the log.
+constexpr std::size_t kLargestKeyedAnswer = 8 * 1024 * 1024;
+
+// Headers that concern one connection (RFC 9110, section 7.6.1), or this
+// system alone.
+constexpr std::array<std::string_view, 11> kOwnHeaders = {"connection",
+                                                          "keep-alive",
+                                                          "transfer-encoding",
+                                                          "te",
+                                                          "trailer",
+                                                          "upgrade",
+                                                          "proxy-connection",
+                                                          "host",
+                                                          "authorization",
+                                                          "content-length",
+                                                          "expect"};
+
+std::string Lower(std::string_view text) {
+  std::string lower(text);
+  std::ranges::transform(lower, lower.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return lower;
+}
+
+HttpHeaders PassedHeaders(const HttpHeaders& headers) {
+  HttpHeaders passed;
+  for (const HttpHeader& header : headers) {
+    const std::string name = Lower(header.name);
+    const bool own = std::ranges::find(kOwnHeaders, name) != kOwnHeaders.end();
+    if (!own && !name.starts_with("x-carobbank-")) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+Problem BackendFailed(std::string detail) {
+  Problem problem;
+  problem.status = kBadGateway;
+  problem.code = "backend_failed";
+  problem.detail = std::move(detail);
+  problem.remedy = "repeat the request only if it is idempotent";
+  problem.execution = Execution::kMayHaveRun;
+  return problem;
+}
+
+}  // namespace
+
+PlainCall::PlainCall(CallEnvironment& environment,
+                     AuthenticatedCall call,
+                     HttpRequest request,
+                     std::shared_ptr<HttpResponder> responder)
+    : environment(environment),
+      call(std::move(call)),
+      request(std::move(request)),
+      responder(std::move(responder)) {}
+
+void PlainCall::Begin(CallEnvironment& environment,
+                      HttpRequest request,
+                      std::string_view service,
+                      std::string_view path,
+                      std::shared_ptr<HttpResponder> responder) {
+  auto authenticated =
+      AuthenticateCall(*environment.control, service, request.headers);
+  if (const auto* problem = std::get_if<Problem>(&authenticated)) {
+    responder->Send(problem->ToResponse());
+    return;
+  }
+  auto& call = std::get<AuthenticatedCall>(authenticated);
+  const ServiceDocument& document = call.service->document;
+  ServiceMeter& meter = environment.meters.Of(document);
+  const auto refuse = [&](const Problem& problem) {
+    meter.CountRefusal(problem);
+    responder->Send(problem.ToResponse());
+  };
+  if (document.kind != ServiceKind::kPlain) {
+    refuse(BadRequest("'" + document.name + "' is a model service",
+                      "call POST /v1/completions or POST /v1/rollouts"));
+    return;
+  }
+  const auto body_limit =
+      static_cast<std::uint64_t>(document.limits.body_bytes);
+  if (request.body.size() > body_limit) {
+    refuse(BodyTooLarge(body_limit));
+    return;
+  }
+  if (const auto wait = meter.Begin(call.caller); wait) {
+    refuse(RateLimited(*wait));
+    return;
+  }
+  request.target = path.empty() ? "/" : std::string(path);
+  auto self = std::make_shared<PlainCall>(
+      environment, std::move(call), std::move(request), std::move(responder));
+  self->Start();
+}
+
+void PlainCall::Start() {
+  this->began = this->environment.clock.Now();
+  this->request_id = RequestIdOf(this->request, this->environment.random);
+  this->deadline_ms = DeadlineOf(this->request, this->Document(),
+                                 this->environment.clock.WallNow());
+  this->digest = Sha256Hex(this->request.method + "\n" + this->request.target +
+                           "\n" + this->request.body);
+  this->Record(EventKind::kAdmit, "", this->call.caller);
+  this->environment.generation.retries.OnFirstAttempt(this->Document().name);
+  this->responder->OnClosed([weak = this->weak_from_this()] {
+    if (const auto call = weak.lock(); call && !call->key) {
+      call->End(EventKind::kCancel, "the caller went away");
+    }
+  });
+  const auto key = FindHeader(this->request.headers,
+                              this->Document().idempotency.key_header);
+  const bool repeatable =
+      this->Document().IsRepeatable(this->request.method, this->request.Path());
+  if (repeatable) {
+    this->repetition = Repetition::kRepeatable;
+  } else if (key) {
+    this->repetition = Repetition::kKeyed;
+    auto read = this->ReadKey(*key);
+    if (const auto* problem = std::get_if<Problem>(&read)) {
+      this->Refuse(*problem);
+      return;
+    }
+    this->ClaimKey(std::get<KeyedRequest>(std::move(read)));
+    return;
+  }
+  this->BeginAttempt();
+}
+
+std::variant<KeyedRequest, Problem> PlainCall::ReadKey(
+    std::string_view key) const {
+  if (key.empty() || key.size() > kLongestKey) {
+    return BadRequest(
+        "the idempotency key has " + std::to_string(key.size()) + " characters",
+        "send a key of 1 to " + std::to_string(kLongestKey) + " characters");
+  }
+  KeyedRequest keyed;
+  keyed.name = {this->Document().name, std::string(key)};
+  keyed.deadline_ms = this->deadline_ms;
+  keyed.request_digest = this->digest;
+  const auto issued =
+      FindHeader(this->request.headers, "Idempotency-Key-Issued");
+  if (!issued) {
+    return BadRequest("the header Idempotency-Key-Issued is missing",
+                      "send when the key was issued, in unix milliseconds");
+  }
+  const char* const end = issued->data() + issued->size();
+  const auto parsed = std::from_chars(issued->data(), end, keyed.issued_ms);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return BadRequest("Idempotency-Key-Issued is no whole number",
+                      "send when the key was issued, in unix milliseconds");
+  }
+  const WallMilliseconds now = this->environment.clock.WallNow();
+  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+  const std::int64_t window =
+      this->Document().idempotency.key_window_s * kMillisecondsPerSecond;
+  if (keyed.issued_ms + window < now) {
+    Problem problem =
+        BadRequest("the key is older than the service's key window",
+                   "check whether it ran, then issue a new key");
+    problem.code = "key_expired";
+    // What this entry knows says nothing about earlier attempts.
+    problem.execution = Execution::kMayHaveRun;
+    return problem;
+  }
+  return keyed;
+}
+
+void PlainCall::ClaimKey(KeyedRequest request) {
+  const auto self = this->shared_from_this();
+  const KeyName name = request.name;
+  this->environment.keys.Claim(
+      std::move(request), [self, name](ClaimAnswer answer) {
+        if (const auto* won = std::get_if<ClaimWon>(&answer)) {
+          if (self->ended) {
+            self->environment.keys.Release(name, won->attempt);
+            return;
+          }
+          self->key = name;
+          self->attempt_id = won->attempt;
+          self->BeginAttempt();
+          return;
+        }
+        if (const auto* stored = std::get_if<StoredOutcome>(&answer)) {
+          if (!self->ended) {
+            self->SendStored(*stored);
+          }
+          return;
+        }
+        self->Refuse(std::get<Problem>(answer));
+      });
+}
+
+void PlainCall::SendStored(const StoredOutcome& outcome) {
+  if (!outcome.whole) {
+    Problem problem = ConflictProblem(
+        "key_done",
+        "the request ran and answered with status " +
+            std::to_string(outcome.status) +
+            "; its answer was too large to be kept",
+        "read the result from the service", Execution::kMayHaveRun);
+    this->Refuse(problem);
+    return;
+  }
+  HttpResponse response;
+  response.status = static_cast<int>(outcome.status);
+  response.body = outcome.body;
+  if (!outcome.content_type.empty()) {
+    SetHeader(response.headers, "Content-Type", outcome.content_type);
+  }
+  SetHeader(response.headers, "Idempotency-Replayed", "true");
+  this->responder->Send(std::move(response));
+  this->End(EventKind::kFinish, "replayed");
+}
+
+void PlainCall::BeginAttempt() {
+  if (this->ended) {
+    return;
+  }
+  if (this->environment.clock.WallNow() >= this->deadline_ms) {
+    Problem problem = InternalProblem("the deadline passed before the work");
+    problem.status = 504;
+    problem.code = "deadline_exceeded";
+    problem.remedy = "allow more time";
+    problem.execution = Execution::kNotRun;
+    this->Refuse(problem);
+    return;
+  }
+  SelectionRequest selection;
+  selection.service = this->Document().name;
+  selection.pool = this->Document().pool;
+  selection.service_class = RouteClassOf(this->Document().service_class);
+  selection.digest = this->digest;
+  selection.avoid = this->avoid;
+  auto choice = this->environment.pools.Choose(selection);
+  if (const auto* problem = std::get_if<Problem>(&choice)) {
+    if (!this->RetrySoon(*problem)) {
+      this->Refuse(*problem);
+    }
+    return;
+  }
+  this->target = std::get<AttemptTarget>(std::move(choice));
+  this->attempt_open = true;
+  this->status = 0;
+  this->buffered.clear();
+  if (!this->key) {
+    this->attempt_id = this->environment.random.Identifier();
+  }
+  WorkLabels labels;
+  labels.service = this->Document().name;
+  labels.request_id = this->request_id;
+  labels.attempt_id = this->attempt_id;
+  labels.digest = this->digest;
+  labels.deadline_ms = this->deadline_ms;
+  labels.configuration_offset =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(
+          0, this->environment.control->configuration->offset));
+  HttpRequest sent = this->request;
+  sent.headers = PassedHeaders(this->request.headers);
+  this->Record(EventKind::kSend, this->target.instance, "");
+
+  const auto self = this->shared_from_this();
+  AttemptHandlers handlers;
+  handlers.on_headers = [self](int status, const HttpHeaders& headers) {
+    self->OnHeaders(status, headers);
+  };
+  handlers.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
+  handlers.on_done = [self] { self->OnAnswered(); };
+  handlers.on_failure = [self](const AttemptFailure& failure) {
+    self->OnLinkFailure(failure);
+  };
+  handlers.on_load = [self](const LoadHint& load) {
+    self->environment.pools.OnLoad(self->target.instance, load);
+  };
+  const bool idempotent = this->repetition == Repetition::kRepeatable;
+  this->exchange = this->environment.sender.Start(
+      this->target, labels, sent, idempotent, std::move(handlers));
+}
+
+void PlainCall::OnHeaders(int status, const HttpHeaders& headers) {
+  this->status = status;
+  this->refused_by_sidecar = IsSidecarRefusal(headers);
+  this->answer_headers = PassedHeaders(headers);
+  this->streaming = !this->refused_by_sidecar && !this->key;
+  if (this->streaming) {
+    this->responder->Start(status, this->answer_headers);
+  }
+}
+
+void PlainCall::OnBody(std::string_view bytes) {
+  if (!this->streaming) {
+    if (this->buffered.size() + bytes.size() <= kLargestKeyedAnswer) {
+      this->buffered += bytes;
+    } else {
+      this->AfterFailure(BackendFailed("the answer is too large to be kept"),
+                         AttemptEnd::kRefused);
+    }
+    return;
+  }
+  if (this->unwritten++ == 0) {
+    this->exchange->Pause();
+  }
+  this->responder->Write(
+      std::string(bytes), [weak = this->weak_from_this()](bool ok) {
+        const auto call = weak.lock();
+        if (!call) {
+          return;
+        }
+        if (!ok) {
+          call->End(EventKind::kCancel, "the caller went away");
+        } else if (--call->unwritten == 0 && call->exchange) {
+          call->exchange->Resume();
+        }
+      });
+}
+
+void PlainCall::OnAnswered() {
+  if (this->ended) {
+    return;
+  }
+  if (this->refused_by_sidecar) {
+    const auto refusal = Problem::FromText(this->status, this->buffered);
+    const Problem problem =
+        refusal ? *refusal : BackendFailed("an unreadable refusal");
+    this->AfterFailure(problem, problem.code == "draining"
+                                    ? AttemptEnd::kDraining
+                                : problem.code == "backend_crashed"
+                                    ? AttemptEnd::kBackendCrashed
+                                    : AttemptEnd::kRefused);
+    return;
+  }
+  this->EndAttempt(AttemptEnd::kWhole);
+  if (this->key) {
+    this->FinishKeyed();
+    return;
+  }
+  this->responder->Finish();
+  if (ServiceMeter* meter =
+          this->environment.meters.Find(this->Document().name)) {
+    meter->CountAnswer(this->status);
+  }
+  this->End(EventKind::kFinish, std::to_string(this->status));
+}
+
+void PlainCall::FinishKeyed() {
+  const auto content_type = FindHeader(this->answer_headers, "Content-Type");
+  StoredOutcome outcome =
+      MakeStoredOutcome(static_cast<std::uint32_t>(this->status),
+                        content_type.value_or(""), this->buffered);
+  const auto self = this->shared_from_this();
+  this->environment.keys.Finish(
+      *this->key, this->attempt_id, std::move(outcome), [self] {
+        if (self->ended) {
+          return;
+        }
+        HttpResponse response;
+        response.status = self->status;
+        response.headers = self->answer_headers;
+        response.body = self->buffered;
+        self->responder->Send(std::move(response));
+        self->End(EventKind::kFinish, std::to_string(self->status));
+      });
+}
+
+void PlainCall::OnLinkFailure(const AttemptFailure& failure) {
+  this->AfterFailure(failure.problem, AttemptEnd::kLinkFailed);
+}
+
+void PlainCall::AfterFailure(const Problem& problem, AttemptEnd end) {
+  if (this->ended) {
+    return;
+  }
+  if (end == AttemptEnd::kBackendCrashed) {
+    this->environment.pools.OnCrash(this->target.instance, this->digest, false);
+  }
+  this->EndAttempt(end);
+  this->avoid.push_back(this->target.instance);
+  if (this->streaming) {
+    // Part of the answer is out; cutting it off is the only honest end.
+    this->responder->Abort();
+    this->End(EventKind::kRefusal, "cut: " + problem.code);
+    return;
+  }
+  const bool repeatable = problem.execution == Execution::kNotRun ||
+                          this->repetition == Repetition::kRepeatable;
+  if (repeatable && this->RetrySoon(problem)) {
+    return;
+  }
+  this->Refuse(problem);
+}
+
+bool PlainCall::RetrySoon(const Problem& problem) {
+  ++this->failures;
+  RetryQuestion question;
+  question.service = this->Document().name;
+  question.service_class = RouteClass::kLive;
+  question.failures = this->failures;
+  question.repeatable = true;
+  question.retry_after = problem.retry_after;
+  question.remaining =
+      Milliseconds(this->deadline_ms - this->environment.clock.WallNow());
+  const auto pause = this->environment.generation.retries.Ask(question);
+  if (!pause) {
+    return false;
+  }
+  this->Record(EventKind::kRetry, this->target.instance, problem.code);
+  this->retry_timer = this->environment.loop.CallAfter(
+      *pause, [self = this->shared_from_this()] { self->BeginAttempt(); });
+  return true;
+}
+
+void PlainCall::Refuse(const Problem& problem) {
+  if (this->ended) {
+    return;
+  }
+  if (ServiceMeter* meter =
+          this->environment.meters.Find(this->Document().name)) {
+    meter->CountRefusal(problem);
+  }
+  if (this->key && problem.execution == Execution::kNotRun) {
+    this->environment.keys.Release(*this->key, this->attempt_id);
+  }
+  this->responder->Send(problem.ToResponse());
+  this->End(EventKind::kRefusal, problem.code);
+}
+
+void PlainCall::EndAttempt(AttemptEnd end) {
+  if (!std::exchange(this->attempt_open, false)) {
+    return;
+  }
+  this->environment.pools.OnEnded(this->target.instance, this->Document().name,
+                                  end);
+  // Its callback may be on the stack.
+  std::shared_ptr<HttpExchange> retired(std::move(this->exchange));
+  this->environment.loop.Post([retired] {});
+}
+
+void PlainCall::End(EventKind kind, std::string detail) {
+  if (std::exchange(this->ended, true)) {
+    return;
+  }
+  this->EndAttempt(AttemptEnd::kCancelled);
+  this->Record(kind, "", std::move(detail));
+  if (ServiceMeter* meter =
+          this->environment.meters.Find(this->Document().name)) {
+    meter->End(this->call.caller, this->began);
+  }
+}
+
+void PlainCall::Record(EventKind kind, std::string server, std::string detail) {
+  if (this->Document().quiet) {
+    return;
+  }
+  Event event;
+  event.kind = kind;
+  event.service = this->Document().name;
+  event.request = this->request_id;
+  event.attempt = this->attempt_id;
+  event.server = std::move(server);
+  event.detail = std::move(detail);
+  this->environment.timeline.Record(std::move(event));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/plain_call.h
@@ -0,0 +1,93 @@
+// One request to a plain service: passed on and back as it is, repeated only
+// where that is harmless, run at most once everywhere else.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "call_environment.h"
+
+namespace carobbank {
+
+class PlainCall : public std::enable_shared_from_this<PlainCall> {
+ public:
+  // `path`: the target below "/plain/<service>", with its query.
+  static void Begin(CallEnvironment& environment,
+                    HttpRequest request,
+                    std::string_view service,
+                    std::string_view path,
+                    std::shared_ptr<HttpResponder> responder);
+
+  PlainCall(CallEnvironment& environment,
+            AuthenticatedCall call,
+            HttpRequest request,
+            std::shared_ptr<HttpResponder> responder);
+
+ private:
+  // How often the request may reach a backend server.
+  enum class Repetition {
+    // Any number of times.
+    kRepeatable,
+    // At most once, guarded by a claim in the log.
+    kKeyed,
+    // At most once, by this call alone.
+    kOnce,
+  };
+
+  void Start();
+  // The claim's request, or why the key is refused.
+  std::variant<KeyedRequest, Problem> ReadKey(std::string_view key) const;
+  void ClaimKey(KeyedRequest request);
+  void BeginAttempt();
+  void OnHeaders(int status, const HttpHeaders& headers);
+  void OnBody(std::string_view bytes);
+  void OnAnswered();
+  void OnLinkFailure(const AttemptFailure& failure);
+  void AfterFailure(const Problem& problem, AttemptEnd end);
+  bool RetrySoon(const Problem& problem);
+  void Refuse(const Problem& problem);
+  void SendStored(const StoredOutcome& outcome);
+  void FinishKeyed();
+  void EndAttempt(AttemptEnd end);
+  void End(EventKind kind, std::string detail);
+  void Record(EventKind kind, std::string server, std::string detail);
+  const ServiceDocument& Document() const {
+    return this->call.service->document;
+  }
+
+  CallEnvironment& environment;
+  AuthenticatedCall call;
+  // As the backend server shall see it.
+  HttpRequest request;
+  std::shared_ptr<HttpResponder> responder;
+  Repetition repetition = Repetition::kOnce;
+  std::string request_id;
+  std::string digest;
+  WallMilliseconds deadline_ms = 0;
+  MonotonicTime began{};
+
+  // With kKeyed, the attempt that won the claim.
+  std::optional<KeyName> key;
+  std::string attempt_id;
+
+  AttemptTarget target;
+  std::unique_ptr<HttpExchange> exchange;
+  bool attempt_open = false;
+  std::vector<std::string> avoid;
+  std::uint32_t failures = 0;
+  std::unique_ptr<Timer> retry_timer;
+
+  int status = 0;
+  bool refused_by_sidecar = false;
+  HttpHeaders answer_headers;
+  // A refusal, or the whole answer to a keyed request; otherwise empty.
+  std::string buffered;
+  bool streaming = false;
+  std::size_t unwritten = 0;
+  bool ended = false;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/service_meter.h
@@ -0,0 +1,85 @@
+// Per service at this entry: concurrency, request rate, retry budget, counters.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibContract/contract.h"
+#include "LibRouting/routing.h"
+#include "LibTimeline/timeline.h"
+#include "retry_gate.h"
+
+namespace carobbank {
+
+// One service's limits and metric handles.
+class ServiceMeter {
+ public:
+  ServiceMeter(const Clock& clock,
+               MetricRegistry& metrics,
+               std::string service);
+
+  // Applies the document's limits; state goes on.
+  void Configure(const ServiceDocument& document);
+
+  // Nothing when the request may begin, which then ends with End(); otherwise
+  // how long to stay away.
+  std::optional<Milliseconds> Begin(std::string_view caller);
+  void End(std::string_view caller, MonotonicTime began);
+
+  RetryPolicy& Retries() { return *this->retries; }
+  void CountRefusal(const Problem& problem);
+  void CountAnswer(int status);
+  void CountRetry();
+
+ private:
+  const Clock& clock;
+  MetricRegistry& metrics;
+  std::string service;
+  ServiceLimits limits;
+  RetryRules retry_rules;
+  std::int64_t streams_per_caller = 0;
+  std::unique_ptr<RetryPolicy> retries;
+  // Token bucket of limits.requests_per_s; one second's worth at most.
+  double request_tokens = 0;
+  MonotonicTime refilled{};
+  std::int64_t running = 0;
+  std::map<std::string, std::int64_t, std::less<>> running_by_caller;
+  Gauge& in_progress;
+  Timing& request_time;
+  Counter& requests;
+  Counter& retry_count;
+
+  friend class ServiceMeters;
+};
+
+// All meters, and the retry gate over them.
+class ServiceMeters final : public RetryGate {
+ public:
+  ServiceMeters(const Clock& clock,
+                Random& random,
+                MetricRegistry& metrics,
+                std::int64_t streams_per_caller)
+      : clock(clock),
+        random(random),
+        metrics(metrics),
+        streams_per_caller(streams_per_caller) {}
+
+  ServiceMeter& Of(const ServiceDocument& document);
+  ServiceMeter* Find(std::string_view service);
+
+  void OnFirstAttempt(std::string_view service) override;
+  std::optional<Milliseconds> Ask(const RetryQuestion& question) override;
+
+ private:
+  const Clock& clock;
+  Random& random;
+  MetricRegistry& metrics;
+  std::int64_t streams_per_caller;
+  std::map<std::string, std::unique_ptr<ServiceMeter>, std::less<>> meters;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/step_runner.h
@@ -0,0 +1,114 @@
+// Works on one step that this entry owns: starts its samples, goes on with
+// broken ones elsewhere, commits finished ones to the log.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibLedger/ledger.h"
+#include "LibRouting/routing.h"
+#include "LibTimeline/timeline.h"
+#include "generation.h"
+#include "log_writer.h"
+#include "routed_pools.h"
+
+namespace carobbank {
+
+// What a service's document says about its steps.
+struct StepPolicy {
+  std::string service;
+  std::string pool;
+  RouteClass service_class = RouteClass::kTraining;
+  // Whether versions after the named one may take part.
+  bool newer_versions = true;
+  StragglerOptions stragglers;
+  // A sample that no server began within this is given up by that attempt.
+  Milliseconds attempt_deadline{std::chrono::minutes(30)};
+  std::uint64_t configuration_offset = 0;
+};
+
+struct StepRunnerEnvironment {
+  GenerationEnvironment& generation;
+  RoutedPools& pools;
+  LogWriter& writer;
+  EventTimeline& timeline;
+  MetricRegistry& metrics;
+};
+
+class StepRunner {
+ public:
+  // `step` need not outlive the call.
+  static Result<std::unique_ptr<StepRunner>> Create(
+      StepRunnerEnvironment environment,
+      StepPolicy policy,
+      const StepState& step);
+  // Cancels every attempt that runs.
+  ~StepRunner();
+
+  // The fold has taken in more of the step's results.
+  void OnResults(const StepState& step);
+  bool Done() const { return this->plan.Done(); }
+  const StepPlanCounts& Counts() const { return this->plan.Counts(); }
+
+ private:
+  struct Running {
+    std::string sample_id;
+    std::unique_ptr<Generation> generation;
+    // Tokens that were there before this attempt.
+    std::uint64_t resumed_tokens = 0;
+    std::uint64_t reported_tokens = 0;
+  };
+
+  StepRunner(StepRunnerEnvironment environment,
+             StepPolicy policy,
+             const StepState& step,
+             StepPlan plan);
+  void Pump();
+  void PumpLater(Milliseconds delay);
+  std::size_t Window() const;
+  void StartSample(const Dispatch& dispatch);
+  GenerationRequest MakeRequest(const Dispatch& dispatch) const;
+  GenerationHandlers MakeHandlers(const std::string& attempt);
+  void OnChunk(const std::string& attempt);
+  void OnDone(const std::string& attempt, const PartialAnswer& answer);
+  void OnFailure(const std::string& attempt, const Problem& problem);
+  void Commit(const std::string& attempt, const PartialAnswer& answer);
+  void GiveUp(const std::string& sample_id, const std::string& code);
+  // False when the writer's buffer is full.
+  bool TryWrite(const RolloutEntry& entry);
+  void Write(RolloutEntry entry);
+  void WriteUnwritten();
+  // Takes the attempt out; it is destroyed after the present callback.
+  void Retire(const std::string& attempt);
+  void RecordEvent(EventKind kind,
+                   std::string sample_id,
+                   std::string attempt,
+                   std::string server,
+                   std::string detail,
+                   std::int64_t number);
+
+  StepRunnerEnvironment environment;
+  StepPolicy policy;
+  AcceptEntry accept;
+  LogPosition accepted_at;
+  StepPlan plan;
+  VersionRange versions;
+  // Results of the step's fold that were taken in.
+  std::size_t results_seen = 0;
+  std::map<std::string, const PromptGroup*> group_of_sample;
+  std::map<std::string, Running> running;
+  // The longest partial answer of each sample that broke off.
+  std::map<std::string, PartialAnswer> partials;
+  // Results that found the writer's buffer full; written before new work.
+  std::vector<RolloutEntry> unwritten;
+  std::unique_ptr<Timer> pump_timer;
+  MonotonicTime paused_until{};
+  bool pumping = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/step_service.cc
@@ -0,0 +1,463 @@
+// Accepting, polling, owning and carrying forward the steps of one service.
+
+#include "step_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "problems.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kLogPatience{5'000};
+constexpr Milliseconds kAskOwnerInterval{1'000};
+constexpr Milliseconds kCarryCheck{10'000};
+constexpr std::size_t kCarryPartBytes = 1024 * 1024;
+
+std::uint64_t Remaining(const StepState& step) {
+  const std::uint64_t expected = step.accept.ExpectedSamples();
+  return expected - std::min<std::uint64_t>(expected, step.results.size());
+}
+
+}  // namespace
+
+StepService::StepService(RolloutEnvironment& environment, std::string service)
+    : environment(environment),
+      service(std::move(service)),
+      tail(
+          environment.generation.loop,
+          environment.log,
+          RolloutStream(this->service),
+          {[this](const LogRecord& record) {
+             this->fold->Apply({record.offset, record.time_ms, record.payload});
+           },
+           [this](std::uint64_t from, std::uint64_t first_retained) {
+             this->ResetFold(from, first_retained);
+           },
+           [this] { this->OnPage(); }}),
+      writer(
+          {environment.generation.loop, environment.generation.clock,
+           environment.generation.random, environment.log, environment.metrics},
+          RolloutStream(this->service),
+          environment.committer) {
+  this->ResetFold(0, 0);
+}
+
+StepService::~StepService() = default;
+
+void StepService::ResetFold(std::uint64_t, std::uint64_t first_retained) {
+  const WallMilliseconds now = this->environment.generation.clock.WallNow();
+  RolloutFoldOptions options;
+  options.service = this->service;
+  options.step_lifetime = StepLifetime(this->environment.retention);
+  options.covered_since_ms =
+      CoveredSince(this->environment.retention, first_retained, now);
+  this->fold = std::make_unique<RolloutFold>(std::move(options));
+}
+
+void StepService::Start() {
+  this->tail.Start(0);
+  this->carry_timer = this->environment.generation.loop.CallAfter(
+      kCarryCheck, [this] { this->CarryDueSteps(); });
+}
+
+void StepService::WhenCaughtUp(std::function<void(bool)> then) {
+  if (this->tail.CaughtUp()) {
+    then(true);
+    return;
+  }
+  this->tail.WhenCurrent(kLogPatience, std::move(then));
+}
+
+void StepService::Submit(AcceptEntry accept, SubmitCallback callback) {
+  this->WhenCaughtUp([this, accept = std::move(accept),
+                      callback = std::move(callback)](bool caught_up) mutable {
+    const bool usable =
+        caught_up && this->tail.Reachable() && this->writer.Reachable();
+    if (!usable) {
+      callback(LogUnavailable(Execution::kNotRun));
+      return;
+    }
+    this->SubmitCaughtUp(std::move(accept), callback);
+  });
+}
+
+void StepService::SubmitCaughtUp(AcceptEntry accept,
+                                 const SubmitCallback& callback) {
+  switch (
+      this->fold->DecideAccept(accept.request_id, accept.request_digest,
+                               this->environment.generation.clock.WallNow())) {
+    case AcceptDecision::kRepeat:
+      callback(this->fold->FirstCursor(*this->fold->Find(accept.request_id)));
+      return;
+    case AcceptDecision::kClash:
+      callback(RequestIdReused());
+      return;
+    case AcceptDecision::kNew:
+      break;
+  }
+  // Shared by the three ways in which waiting can end; the first one counts.
+  auto answered = std::make_shared<bool>(false);
+  auto answer_once = [answered,
+                      callback](const std::variant<Cursor, Problem>& answer) {
+    if (!std::exchange(*answered, true)) {
+      callback(answer);
+    }
+  };
+  const std::string request_id = accept.request_id;
+  const std::string digest = accept.request_digest;
+  const auto added = Capture([&]() -> Result<EntryTicket> {
+    return this->writer.Append(
+        EncodeRolloutEntry(accept),
+        [this, request_id, digest, answer_once](LogPosition position) {
+          this->tail.WhenReached(
+              position.offset, kLogPatience,
+              [this, request_id, digest, answer_once](bool reached) {
+                if (!reached) {
+                  answer_once(LogUnavailable(Execution::kMayHaveRun));
+                  return;
+                }
+                this->AfterAccept(request_id, digest, answer_once);
+              });
+        });
+  });
+  if (!added.Ok()) {
+    callback(OverloadedProblem(added.GetError()));
+    return;
+  }
+  // The entry may still reach the log after this answer.
+  auto timer = std::make_shared<std::unique_ptr<Timer>>();
+  *timer = this->environment.generation.loop.CallAfter(
+      2 * kLogPatience, [answer_once, timer] {
+        answer_once(LogUnavailable(Execution::kMayHaveRun));
+        timer->reset();
+      });
+}
+
+void StepService::AfterAccept(const std::string& request_id,
+                              const std::string& digest,
+                              const SubmitCallback& callback) {
+  const StepState* step = this->fold->Find(request_id);
+  if (!step) {
+    callback(InternalProblem("the accepted step is not in its stream"));
+    return;
+  }
+  if (step->accept.request_digest != digest) {
+    callback(RequestIdReused());
+    return;
+  }
+  this->RecordStep(EventKind::kOwnership, *step, "accepted");
+  this->memories[request_id].started = this->environment.generation.clock.Now();
+  callback(this->fold->FirstCursor(*step));
+  this->EnsureOwned(*step, OwnerEvidence::kUnknown);
+}
+
+void StepService::Poll(Cursor cursor,
+                       Milliseconds wait,
+                       std::size_t max_results,
+                       PollCallback callback) {
+  this->WhenCaughtUp([this, cursor = std::move(cursor), wait, max_results,
+                      callback = std::move(callback)](bool caught_up) mutable {
+    if (!caught_up) {
+      callback(LogUnavailable(Execution::kNotRun));
+      return;
+    }
+    const std::uint64_t accepted = cursor.accepted_at.offset;
+    this->tail.WhenReached(
+        accepted, kLogPatience,
+        [this, cursor = std::move(cursor), wait, max_results,
+         callback = std::move(callback)](bool reached) mutable {
+          if (!reached) {
+            callback(LogUnavailable(Execution::kNotRun));
+            return;
+          }
+          this->PollCaughtUp(std::move(cursor), wait, max_results,
+                             std::move(callback));
+        });
+  });
+}
+
+void StepService::PollCaughtUp(Cursor cursor,
+                               Milliseconds wait,
+                               std::size_t max_results,
+                               PollCallback callback) {
+  if (const StepState* step = this->fold->Find(cursor.request_id); step) {
+    this->memories[cursor.request_id].polled_ms = this->fold->LogTime();
+    this->EnsureOwned(*step, OwnerEvidence::kUnknown);
+  }
+  auto answer = this->ReadNow(cursor, max_results);
+  const auto* samples = std::get_if<PolledSamples>(&answer);
+  const bool empty = samples && samples->results.empty() && !samples->done;
+  if (!empty || wait <= Milliseconds(0)) {
+    callback(std::move(answer));
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>();
+  waiter->cursor = std::move(cursor);
+  waiter->max_results = max_results;
+  waiter->callback = std::move(callback);
+  waiter->timer = this->environment.generation.loop.CallAfter(
+      wait, [this, weak = std::weak_ptr<Waiter>(waiter)] {
+        if (const auto expired = weak.lock(); expired) {
+          std::erase(this->waiters, expired);
+          expired->callback(
+              this->ReadNow(expired->cursor, expired->max_results));
+        }
+      });
+  this->waiters.push_back(std::move(waiter));
+}
+
+std::variant<PolledSamples, Problem> StepService::ReadNow(
+    const Cursor& cursor,
+    std::size_t max_results) const {
+  const auto page =
+      Capture([&] { return ReadDelivery(*this->fold, cursor, max_results); });
+  if (!page.Ok()) {
+    return CursorProblem(page.GetError());
+  }
+  PolledSamples samples;
+  for (const SampleResult* result : page.Value().results) {
+    samples.results.push_back(*result);
+  }
+  samples.next = page.Value().next;
+  samples.done = page.Value().done;
+  samples.end_reason = page.Value().end_reason;
+  if (const StepState* step = this->fold->Find(cursor.request_id); step) {
+    samples.remaining = Remaining(*step);
+  }
+  return samples;
+}
+
+void StepService::OnPage() {
+  for (auto& [request_id, runner] : this->runners) {
+    if (const StepState* step = this->fold->Find(request_id); step) {
+      runner->OnResults(*step);
+    }
+  }
+  if (this->tail.Next() == 0 || this->tail.CaughtUp()) {
+    this->Reconcile();
+  }
+  this->AnswerWaiters();
+}
+
+void StepService::AnswerWaiters() {
+  std::vector<std::shared_ptr<Waiter>> ready;
+  std::vector<std::variant<PolledSamples, Problem>> answers;
+  std::erase_if(this->waiters, [&](const std::shared_ptr<Waiter>& waiter) {
+    auto answer = this->ReadNow(waiter->cursor, waiter->max_results);
+    const auto* samples = std::get_if<PolledSamples>(&answer);
+    if (samples && samples->results.empty() && !samples->done) {
+      return false;
+    }
+    ready.push_back(waiter);
+    answers.push_back(std::move(answer));
+    return true;
+  });
+  for (std::size_t index = 0; index < ready.size(); ++index) {
+    ready[index]->timer->Cancel();
+    ready[index]->callback(std::move(answers[index]));
+  }
+}
+
+void StepService::Reconcile() {
+  std::erase_if(this->runners, [&](const auto& item) {
+    const StepState* step = this->fold->Find(item.first);
+    if (!step) {
+      return true;
+    }
+    if (step->Complete()) {
+      this->RecordStep(EventKind::kOwnership, *step, "whole");
+      const auto memory = this->memories.find(item.first);
+      if (memory != this->memories.end() &&
+          memory->second.started != MonotonicTime()) {
+        this->environment.metrics
+            .GetTiming(metrics::kStepTime, {{"service", this->service}})
+            .Record(this->environment.generation.clock.Now() -
+                    memory->second.started);
+      }
+      return true;
+    }
+    return step->owner.owner != this->environment.self;
+  });
+  for (const StepState* step : this->fold->Steps()) {
+    const bool mine = step->owner.owner == this->environment.self;
+    if (mine && !step->Complete() &&
+        !this->runners.contains(step->accept.request_id)) {
+      this->StartRunner(*step);
+    }
+  }
+  std::erase_if(this->memories, [&](const auto& item) {
+    return !this->fold->Find(item.first);
+  });
+}
+
+void StepService::StartRunner(const StepState& step) {
+  auto policy = this->environment.policy(this->service);
+  if (!policy) {
+    return;
+  }
+  StepRunnerEnvironment environment{
+      this->environment.generation, this->environment.pools, this->writer,
+      this->environment.timeline, this->environment.metrics};
+  auto runner = Capture([&] {
+    return StepRunner::Create(environment, std::move(*policy), step);
+  });
+  if (!runner.Ok()) {
+    this->RecordStep(EventKind::kRefusal, step, runner.GetError().Text());
+    return;
+  }
+  this->RecordStep(EventKind::kOwnership, step, "owned");
+  this->memories[step.accept.request_id].taking = false;
+  this->runners[step.accept.request_id] = std::move(runner.Value());
+}
+
+void StepService::EnsureOwned(const StepState& step, OwnerEvidence evidence) {
+  const OwnershipView view =
+      ViewOwnership(step, this->environment.self, evidence);
+  switch (view.action) {
+    case OwnershipAction::kNone:
+    case OwnershipAction::kLeave:
+      return;
+    case OwnershipAction::kWork:
+      if (!this->runners.contains(step.accept.request_id)) {
+        this->StartRunner(step);
+      }
+      return;
+    case OwnershipAction::kAskOwner:
+      this->AskOwner(step);
+      return;
+    case OwnershipAction::kTake:
+      this->Take(*view.take);
+      return;
+  }
+}
+
+void StepService::AskOwner(const StepState& step) {
+  const std::string request_id = step.accept.request_id;
+  StepMemory& memory = this->memories[request_id];
+  const MonotonicTime now = this->environment.generation.clock.Now();
+  if (memory.asking || now < memory.ask_again) {
+    return;
+  }
+  memory.asking = true;
+  memory.ask_again = now + kAskOwnerInterval;
+  this->environment.ask_owner(
+      step.owner.owner, this->service, request_id,
+      [this, request_id,
+       token = std::weak_ptr<bool>(this->alive)](OwnerEvidence evidence) {
+        if (token.expired()) {
+          return;
+        }
+        this->memories[request_id].asking = false;
+        const StepState* step = this->fold->Find(request_id);
+        if (step && evidence != OwnerEvidence::kUnknown) {
+          this->EnsureOwned(*step, evidence);
+        }
+      });
+}
+
+void StepService::Take(const TakeEntry& take) {
+  StepMemory& memory = this->memories[take.request_id];
+  if (memory.taking) {
+    return;
+  }
+  memory.taking = true;
+  const auto added = Capture([&]() -> Result<EntryTicket> {
+    return this->writer.Append(
+        EncodeRolloutEntry(take),
+        [this, request_id = take.request_id](LogPosition position) {
+          this->tail.WhenReached(position.offset, kLogPatience,
+                                 [this, request_id](bool) {
+                                   this->memories[request_id].taking = false;
+                                 });
+        });
+  });
+  if (!added.Ok()) {
+    memory.taking = false;
+  }
+}
+
+void StepService::AnswerOwnership(std::string request_id,
+                                  std::function<void(bool)> done) {
+  this->WhenCaughtUp([this, request_id = std::move(request_id),
+                      done = std::move(done)](bool caught_up) {
+    if (caught_up) {
+      this->Reconcile();
+    }
+    done(this->runners.contains(request_id));
+  });
+}
+
+void StepService::CarryDueSteps() {
+  const WallMilliseconds now = this->environment.generation.clock.WallNow();
+  for (const StepState* step : this->fold->Steps()) {
+    const CarrySchedule schedule =
+        ScheduleCarry(this->environment.retention, step->lives_until_ms);
+    const bool mine = step->owner.owner == this->environment.self;
+    const StepMemory& memory = this->memories[step->accept.request_id];
+    const bool due = now >= (mine ? schedule.owner_ms : schedule.others_ms);
+    // A whole step is kept only while its trainer asks for it here.
+    const bool wanted =
+        !step->Complete() || memory.polled_ms > memory.carried_until_ms;
+    if (due && wanted && memory.carried_until_ms < step->lives_until_ms) {
+      this->Carry(*step);
+    }
+  }
+  this->carry_timer = this->environment.generation.loop.CallAfter(
+      kCarryCheck, [this] { this->CarryDueSteps(); });
+}
+
+void StepService::Carry(const StepState& step) {
+  this->memories[step.accept.request_id].carried_until_ms = step.lives_until_ms;
+  const std::string carry_id = this->environment.generation.random.Identifier();
+  for (const RolloutEntry& entry :
+       this->fold->BuildCarry(step, carry_id, kCarryPartBytes)) {
+    const auto added = Capture([&]() -> Result<EntryTicket> {
+      return this->writer.Append(EncodeRolloutEntry(entry), [](LogPosition) {});
+    });
+    if (!added.Ok()) {
+      // The next check tries again with a new copy.
+      this->memories[step.accept.request_id].carried_until_ms = 0;
+      return;
+    }
+  }
+}
+
+void StepService::RecordStep(EventKind kind,
+                             const StepState& step,
+                             std::string detail) {
+  Event event;
+  event.kind = kind;
+  event.service = this->service;
+  event.request = step.accept.request_id;
+  event.step = step.accept.step;
+  event.detail = std::move(detail);
+  event.number = static_cast<std::int64_t>(step.results.size());
+  this->environment.timeline.Record(std::move(event));
+}
+
+Json::Value StepService::StatusJson() const {
+  Json::Value status;
+  status["service"] = this->service;
+  status["log_reachable"] = this->tail.Reachable() && this->writer.Reachable();
+  status["buffered_bytes"] = Json::UInt64(this->writer.BufferedBytes());
+  status["duplicate_results"] =
+      Json::UInt64(this->fold->Counters().duplicate_results);
+  status["invalid_commits"] =
+      Json::UInt64(this->fold->Counters().invalid_commits);
+  status["steps"] = Json::arrayValue;
+  for (const StepState* step : this->fold->Steps()) {
+    Json::Value row;
+    row["request_id"] = step->accept.request_id;
+    row["owner"] = step->owner.owner;
+    row["samples"] = Json::UInt64(step->accept.ExpectedSamples());
+    row["remaining"] = Json::UInt64(Remaining(*step));
+    row["running_here"] = this->runners.contains(step->accept.request_id);
+    status["steps"].append(std::move(row));
+  }
+  return status;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Entry/step_service.h
@@ -0,0 +1,133 @@
+// One service's steps at this entry: the stream that holds them, the trainers
+// that wait for samples, and the runners of the steps that this entry owns.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibLedger/ledger.h"
+#include "log_stream_tail.h"
+#include "log_writer.h"
+#include "step_runner.h"
+
+namespace carobbank {
+
+struct RolloutEnvironment {
+  GenerationEnvironment& generation;
+  RoutedPools& pools;
+  LogClient& log;
+  EventTimeline& timeline;
+  MetricRegistry& metrics;
+  // This entry's instance id, the owner in `take` entries.
+  std::string self;
+  GroupCommitterOptions committer;
+  RetentionOptions retention;
+  // What the service's document says now; nothing when none is in force.
+  std::function<std::optional<StepPolicy>(std::string_view service)> policy;
+  // Asks the owner whether it works on a step.
+  std::function<void(std::string_view owner,
+                     std::string_view service,
+                     std::string_view request_id,
+                     std::function<void(OwnerEvidence)> done)>
+      ask_owner;
+};
+
+struct PolledSamples {
+  // Copies, because the fold moves on.
+  std::vector<SampleResult> results;
+  Cursor next;
+  bool done = false;
+  std::string end_reason;
+  std::uint64_t remaining = 0;
+};
+
+class StepService {
+ public:
+  StepService(RolloutEnvironment& environment, std::string service);
+  ~StepService();
+
+  // Begins to follow the stream.
+  void Start();
+
+  using SubmitCallback = std::function<void(std::variant<Cursor, Problem>)>;
+  void Submit(AcceptEntry accept, SubmitCallback callback);
+
+  using PollCallback =
+      std::function<void(std::variant<PolledSamples, Problem>)>;
+  void Poll(Cursor cursor,
+            Milliseconds wait,
+            std::size_t max_results,
+            PollCallback callback);
+
+  // Whether this entry works on the step; begins to if it owns it.
+  void AnswerOwnership(std::string request_id,
+                       std::function<void(bool working)> done);
+
+  // Steps that this entry works on.
+  std::size_t Running() const { return this->runners.size(); }
+  bool WritesPending() const { return this->writer.BufferedEntries() > 0; }
+  const RolloutFold& Fold() const { return *this->fold; }
+  Json::Value StatusJson() const;
+
+ private:
+  struct Waiter {
+    Cursor cursor;
+    std::size_t max_results = 0;
+    PollCallback callback;
+    std::unique_ptr<Timer> timer;
+  };
+  // What this entry remembers of a step beside its fold.
+  struct StepMemory {
+    MonotonicTime ask_again{};
+    bool asking = false;
+    bool taking = false;
+    MonotonicTime started{};
+    // In log time: the latest poll here.
+    WallMilliseconds polled_ms = 0;
+    // lives_until_ms of the copy that was last written from here.
+    WallMilliseconds carried_until_ms = 0;
+  };
+
+  void ResetFold(std::uint64_t from, std::uint64_t first_retained);
+  void WhenCaughtUp(std::function<void(bool)> then);
+  void SubmitCaughtUp(AcceptEntry accept, const SubmitCallback& callback);
+  void AfterAccept(const std::string& request_id,
+                   const std::string& digest,
+                   const SubmitCallback& callback);
+  void PollCaughtUp(Cursor cursor,
+                    Milliseconds wait,
+                    std::size_t max_results,
+                    PollCallback callback);
+  std::variant<PolledSamples, Problem> ReadNow(const Cursor& cursor,
+                                               std::size_t max_results) const;
+  void OnPage();
+  void AnswerWaiters();
+  void Reconcile();
+  void StartRunner(const StepState& step);
+  void EnsureOwned(const StepState& step, OwnerEvidence evidence);
+  void AskOwner(const StepState& step);
+  void Take(const TakeEntry& take);
+  void CarryDueSteps();
+  void Carry(const StepState& step);
+  void RecordStep(EventKind kind, const StepState& step, std::string detail);
+
+  RolloutEnvironment& environment;
+  std::string service;
+  std::unique_ptr<RolloutFold> fold;
+  LogStreamTail tail;
+  LogWriter writer;
+  // By request id. Invariant: only steps whose owner in the fold is this entry.
+  std::map<std::string, std::unique_ptr<StepRunner>, std::less<>> runners;
+  std::map<std::string, StepMemory, std::less<>> memories;
+  std::vector<std::shared_ptr<Waiter>> waiters;
+  std::unique_ptr<Timer> carry_timer;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
