--- /dev/null
+++ b/Benchmarks/Lab/deployment.py
@@ -0,0 +1,384 @@
+"""Runs a deployment on loopback: stand-ins, sidecars and entries as processes.
+
+Used by the demo, the fault runs and the experiments. Settings are written as
+JSON, which is YAML too. Every process is ended by its own id.
+"""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+READY_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 20
+PEER_SECRET = "loopback-peer-secret-of-at-least-32-characters"
+
+
+def token_of(service):
+    """The bearer token that the documents of the lab list for a service."""
+    return f"{service}-token"
+
+
+def sha256_hex(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def free_ports(count):
+    """Ports that were free a moment ago, all distinct."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def call(url, method="GET", body=None, headers=None, timeout=10):
+    """One exchange; returns (status, parsed JSON or text)."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    request.add_header("Content-Type", "application/json")
+    for name, value in (headers or {}).items():
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            status, text = answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        status, text = error.code, error.read().decode()
+    try:
+        return status, json.loads(text)
+    except ValueError:
+        return status, text
+
+
+@dataclass
+class Pool:
+    """Backend servers of one kind."""
+
+    name: str
+    kind: str  # "engine" or "plain"
+    count: int
+    data_centers: list
+    model: str = ""
+    checks_fencing: bool = True
+    options: dict = field(default_factory=dict)
+
+
+@dataclass
+class Topology:
+    """What a deployment consists of."""
+
+    name: str
+    region: str
+    data_centers: list
+    latency_ms: float
+    pools: list
+    documents: list  # paths of service documents
+    entries: int = 3
+    log_options: dict = field(default_factory=dict)
+    list_options: dict = field(default_factory=dict)
+    entry_settings: dict = field(default_factory=dict)
+    sidecar_settings: dict = field(default_factory=dict)
+    stand_in_threads: int = 2
+    stand_in_seed: int = 1
+
+
+@dataclass
+class Server:
+    """One backend server, and the sidecar beside it."""
+
+    instance: str
+    pool: Pool
+    data_center: str
+    backend_port: int
+    sidecar_port: int
+    incarnation: int = 1
+    state: str = "live"
+
+    @property
+    def sidecar_url(self):
+        return f"http://127.0.0.1:{self.sidecar_port}"
+
+    @property
+    def backend_url(self):
+        return f"http://127.0.0.1:{self.backend_port}"
+
+
+@dataclass
+class EntryInstance:
+    """One entry instance."""
+
+    instance: str
+    data_center: str
+    port: int
+    incarnation: int = 1
+    state: str = "live"
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.port}"
+
+
+class Deployment:
+    """A running topology. Use it as a context manager."""
+
+    def __init__(self, topology, binaries, folder):
+        self.topology = topology
+        self.binaries = Path(binaries)
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.processes = {}
+        self.servers = []
+        self.entries = []
+        self._assign_ports()
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def _assign_ports(self):
+        topology = self.topology
+        servers = sum(pool.count for pool in topology.pools)
+        ports = iter(free_ports(3 + 2 * servers + topology.entries))
+        self.log_port, self.list_port, self.weights_port = (next(ports) for _ in range(3))
+        for pool in topology.pools:
+            for number in range(pool.count):
+                data_center = pool.data_centers[number % len(pool.data_centers)]
+                instance = f"{data_center}-{pool.name}-{number}"
+                self.servers.append(
+                    Server(instance, pool, data_center, next(ports), next(ports)))
+        for number in range(topology.entries):
+            data_center = topology.data_centers[number % len(topology.data_centers)]
+            self.entries.append(
+                EntryInstance(f"{data_center}-entry-{number}", data_center, next(ports)))
+
+    @property
+    def log_url(self):
+        return f"http://127.0.0.1:{self.log_port}"
+
+    @property
+    def list_url(self):
+        return f"http://127.0.0.1:{self.list_port}"
+
+    @property
+    def weights_url(self):
+        return f"http://127.0.0.1:{self.weights_port}"
+
+    def start(self):
+        self._start_stand_ins()
+        self.publish_instances()
+        for server in self.servers:
+            self.start_sidecar(server)
+        for entry in self.entries:
+            self.start_entry(entry)
+        for document in self.topology.documents:
+            self.publish(document)
+        self.wait_ready()
+
+    # Processes
+
+    def spawn(self, name, arguments):
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [str(self.binaries / arguments[0]), *arguments[1:]],
+            stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+        return self.processes[name]
+
+    def _start_stand_ins(self):
+        rows = [
+            {"role": "log", "port": self.log_port, "options": self.topology.log_options},
+            {"role": "instances", "port": self.list_port, "options": self.topology.list_options},
+            {"role": "weights", "port": self.weights_port},
+        ]
+        for server in self.servers:
+            options = dict(server.pool.options)
+            if server.pool.kind == "engine":
+                options.setdefault("model", server.pool.model)
+                options.setdefault("checks_fencing", server.pool.checks_fencing)
+            rows.append({"role": server.pool.kind, "port": server.backend_port,
+                         "options": options})
+        description = {"address": "127.0.0.1", "seed": self.topology.stand_in_seed,
+                       "threads": self.topology.stand_in_threads, "stand_ins": rows}
+        path = self._write("stand-ins.yaml", description)
+        self.spawn("stand-ins", ["carobbank-stand-in", "all", "--settings", str(path)])
+        self._until(lambda: call(f"{self.list_url}/instances", timeout=2)[0] == 200,
+                    "the stand-ins to answer")
+        for pool in self.topology.pools:
+            if pool.kind == "engine":
+                self.put_version(pool.model, int(pool.options.get("version", 1)))
+
+    def start_sidecar(self, server):
+        settings = {
+            "place": self._place(server, server.sidecar_port),
+            "pool": server.pool.name,
+            "backend": {"url": server.backend_url, "kind": server.pool.kind},
+            "platform": self._platform(),
+            "peer": {"secret": PEER_SECRET},
+            **self.topology.sidecar_settings,
+        }
+        if server.pool.kind == "engine":
+            settings["backend"]["model"] = server.pool.model
+            settings["backend"]["checks_fencing"] = server.pool.checks_fencing
+        path = self._write(f"{server.instance}.yaml", settings)
+        return self.spawn(server.instance, ["carobbank-sidecar", "--settings", str(path)])
+
+    def start_entry(self, entry):
+        others = [each for each in self.topology.data_centers if each != entry.data_center]
+        settings = {
+            "place": self._place(entry, entry.port),
+            "platform": self._platform(),
+            "peer": {"secret": PEER_SECRET},
+            "data_centers": [
+                {"name": other, "region": self.topology.region,
+                 "latency_ms": self.topology.latency_ms} for other in others],
+            **self.topology.entry_settings,
+        }
+        path = self._write(f"{entry.instance}.yaml", settings)
+        return self.spawn(entry.instance, ["carobbank", "run", "--settings", str(path)])
+
+    def _place(self, instance, port):
+        return {"instance": instance.instance, "data_center": instance.data_center,
+                "region": self.topology.region, "address": "127.0.0.1", "port": port}
+
+    def _platform(self):
+        return {"log_url": self.log_url, "instance_list_url": self.list_url,
+                "weight_store_url": self.weights_url}
+
+    def _write(self, name, value):
+        path = self.folder / name
+        path.write_text(json.dumps(value, indent=1))
+        return path
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def terminate(self, name):
+        """SIGTERM; returns the exit status."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=STOP_TIMEOUT_S)
+
+    def stop(self):
+        """Ends everything; returns the names that did not end by SIGTERM."""
+        stubborn = []
+        last = [name for name in self.processes if name == "stand-ins"]
+        first = [name for name in self.processes if name != "stand-ins"]
+        for names in (first, last):
+            for name in names:
+                self.processes[name].send_signal(signal.SIGCONT)
+                self.processes[name].terminate()
+            for name in names:
+                process = self.processes.pop(name)
+                try:
+                    process.wait(timeout=STOP_TIMEOUT_S)
+                except subprocess.TimeoutExpired:
+                    stubborn.append(name)
+                    process.kill()
+                    process.wait()
+        return stubborn
+
+    # Platform
+
+    def publish_instances(self):
+        rows = []
+        for server in self.servers:
+            rows.append(self._row(server, "backend_server", server.pool.name,
+                                  server.sidecar_port))
+        for entry in self.entries:
+            rows.append(self._row(entry, "entry", "", entry.port))
+        self.control(self.list_url, {"set": rows})
+
+    @staticmethod
+    def _row(instance, role, pool, port):
+        return {"id": instance.instance, "role": role, "state": instance.state,
+                "data_center": instance.data_center, "pool": pool,
+                "address": f"127.0.0.1:{port}", "incarnation": instance.incarnation}
+
+    def control(self, url, command):
+        """Sets faults of one stand-in."""
+        status, answer = call(f"{url}/control", "POST", command)
+        if status != 200:
+            raise RuntimeError(f"{url}/control {command}: {status} {answer}")
+        return answer
+
+    def put_version(self, model, version):
+        self.control(self.weights_url, {"put": {"model": model, "version": version}})
+
+    def publish(self, document):
+        """Appends one document to the log, as `carobbank publish` does."""
+        text = Path(document).read_text()
+        service = next(line.split(":", 1)[1].strip() for line in text.splitlines()
+                       if line.startswith("name:"))
+        entry = {"kind": "document", "service": service, "base_revision": -1,
+                 "document": text, "publisher": "lab", "publish_id": f"lab-{service}"}
+        status, answer = call(f"{self.log_url}/streams/configuration/records", "POST",
+                              {"payload": json.dumps({"entries": [entry]})})
+        if status != 200:
+            raise RuntimeError(f"publish {document}: {status} {answer}")
+
+    def announce(self, service, model, version, entry=0):
+        """Stores a weight version and announces it, as a trainer does."""
+        self.put_version(model, version)
+        return call(f"{self.entries[entry].url}/v1/models/{model}/versions", "POST",
+                    {"version": version},
+                    {"Authorization": f"Bearer {token_of(service)}"})
+
+    # Waiting
+
+    def wait_ready(self):
+        for entry in self.entries:
+            self._until(lambda entry=entry: self._ready(entry.url), f"{entry.instance} ready")
+        for server in self.servers:
+            self._until(lambda server=server: self._ready(server.sidecar_url),
+                        f"{server.instance} ready")
+        for entry in self.entries:
+            self._until(lambda entry=entry: self._sees_all(entry.url),
+                        f"{entry.instance} to see every backend server")
+
+    @staticmethod
+    def _ready(url):
+        return call(f"{url}/readyz", timeout=2)[0] == 200
+
+    def _sees_all(self, url):
+        _, status = call(f"{url}/status", timeout=2)
+        seen = [row for row in status["servers"] if row["takes_new_work"]]
+        return len(seen) == len(self.servers)
+
+    @staticmethod
+    def _until(condition, what):
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise RuntimeError(f"waited {READY_TIMEOUT_S} s in vain for {what}")
+
+
+def default_binaries():
+    """Where the build put the programs."""
+    root = Path(__file__).resolve().parents[2]
+    return os.environ.get("CAROBBANK_BIN", str(root / "Build" / "release" / "bin"))
--- /dev/null
+++ b/Benchmarks/Lab/topologies.py
@@ -0,0 +1,40 @@
+"""The two deployments that the demo, the fault runs and the experiments use."""
+
+from pathlib import Path
+
+from deployment import Pool, Topology
+
+HERE = Path(__file__).resolve().parent
+
+
+def documents(folder):
+    return sorted((HERE / "Documents" / folder).glob("*.yaml"))
+
+
+def prompts(name):
+    text = (HERE / "Prompts" / name).read_text()
+    return [line for line in text.splitlines() if line]
+
+
+def ruta_clara(time_scale=0.1, engines=10, records_apps=10, **changes):
+    data_centers = ["mvd-a", "mvd-b", "canelones-c"]
+    return Topology(
+        name="ruta-clara", region="uy-sur", data_centers=data_centers, latency_ms=1,
+        pools=[
+            Pool("scorer-lm", "engine", engines, data_centers, model="scorer",
+                 checks_fencing=True, options={"time_scale": time_scale, "version": 1}),
+            Pool("records-app", "plain", records_apps, data_centers),
+        ],
+        documents=documents("ruta-clara"), **changes)
+
+
+def gulf_reach(time_scale=0.1, engines=10, dispatch_apps=5, **changes):
+    data_centers = ["mobile-hall", "biloxi-hall", "pascagoula-dc", "gulfport-dc"]
+    return Topology(
+        name="gulf-reach", region="gulf-south", data_centers=data_centers, latency_ms=1.5,
+        pools=[
+            Pool("policy-llm", "engine", engines, data_centers, model="policy",
+                 checks_fencing=False, options={"time_scale": time_scale, "version": 1}),
+            Pool("dispatch-app", "plain", dispatch_apps, data_centers),
+        ],
+        documents=documents("gulf-reach"), **changes)
