--- a/Libraries/LibContract/service_document.h
+++ b/Libraries/LibContract/service_document.h
@@ -114,6 +114,8 @@
   bool IsRepeatable(std::string_view method, std::string_view path) const;
 };
 
+inline constexpr std::size_t kMaxDocumentBytes = 256 * 1024;
+
 // Reads and checks one document; `file` only names it in the findings.
 Checked<ServiceDocument> ReadServiceDocument(std::string_view file,
                                              std::string_view text);
--- a/Libraries/LibContract/yaml_text.h
+++ b/Libraries/LibContract/yaml_text.h
@@ -10,11 +10,12 @@
 #include <string>
 #include <string_view>
 
+#include "LibContract/service_document.h"
 #include "LibContract/validation.h"
 
 namespace carobbank {
 
-inline constexpr std::size_t kMaxYamlBytes = 256 * 1024;
+inline constexpr std::size_t kMaxYamlBytes = kMaxDocumentBytes;
 
 // Where findings go while one file is read.
 class YamlContext {
--- /dev/null
+++ b/Libraries/LibOperator/publisher.cc
@@ -0,0 +1,236 @@
+// The publisher's two loops: catching up, and appending until the fate of each
+// document is read from the log.
+
+#include "LibOperator/publisher.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kPause{200};
+constexpr std::size_t kRecordsPerRead = 500;
+
+}  // namespace
+
+std::string_view PublishResultName(PublishResult result) {
+  switch (result) {
+    case PublishResult::kInForce:
+      return "in_force";
+    case PublishResult::kAlreadyInForce:
+      return "already_in_force";
+    case PublishResult::kSuperseded:
+      return "superseded";
+    case PublishResult::kRefused:
+      return "refused";
+    case PublishResult::kNotAppended:
+      return "not_appended";
+    case PublishResult::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+Publisher::Publisher(OperatorEnvironment& environment, PublishOptions options)
+    : environment(environment),
+      options(std::move(options)),
+      deadline(environment.GetClock().Now() + this->options.timeout) {}
+
+const ConfigurationState& Publisher::InForce() const {
+  return *this->fold.State();
+}
+
+bool Publisher::TimeIsOver() const {
+  return this->environment.GetClock().Now() >= this->deadline;
+}
+
+std::optional<Error> Publisher::ReadOnce() {
+  LogClient& log = this->environment.Log(this->options.log_url);
+  const auto page =
+      Await<LogPage>(this->environment, [&](LogClient::ReadCallback callback) {
+        log.Read(kConfigurationStream, this->next, kRecordsPerRead,
+                 Milliseconds(0), std::move(callback));
+      });
+  if (!page.Ok()) {
+    this->at_end = false;
+    this->last_problem = page.GetError().Text();
+    if (page.GetError().kind == ErrorKind::kExpired) {
+      this->next = kOldestRetained;
+    }
+    return page.GetError();
+  }
+  for (const LogRecord& record : page.Value().records) {
+    this->fold.Apply(static_cast<std::int64_t>(record.offset), record.time_ms,
+                     record.payload);
+    this->next = record.offset + 1;
+  }
+  if (this->next == kOldestRetained) {
+    this->next = page.Value().end;
+  }
+  this->at_end = this->next >= page.Value().end;
+  return std::nullopt;
+}
+
+Result<bool> Publisher::CatchUp() {
+  while (!this->at_end) {
+    const std::optional<Error> problem = this->ReadOnce();
+    if (!problem) {
+      continue;
+    }
+    if (this->TimeIsOver()) {
+      return Fail(*problem);
+    }
+    this->environment.Progress()
+        << "reading the log: " << problem->Text() << "\n";
+    this->environment.Wait(kPause);
+  }
+  if (static_cast<std::uint64_t>(this->fold.NextOffset()) != this->next ||
+      !this->fold.Complete()) {
+    return Fail(ErrorKind::kExpired,
+                "the log holds neither the oldest documents nor a snapshot",
+                "let an entry that still knows them append a snapshot, then "
+                "publish again");
+  }
+  return true;
+}
+
+std::int64_t Publisher::BaseOf(const PublishRequest& request) const {
+  if (this->options.base_revision) {
+    return *this->options.base_revision;
+  }
+  const ServiceInForce* present =
+      this->fold.State()->Find(request.document.name);
+  return present == nullptr ? kNoRevision : present->revision;
+}
+
+bool Publisher::SettledBefore(const PublishRequest& request,
+                              PublishReport& report) const {
+  const ServiceInForce* present =
+      this->fold.State()->Find(request.document.name);
+  if (present == nullptr) {
+    if (this->BaseOf(request) == kNoRevision) {
+      return false;
+    }
+    report.result = PublishResult::kRefused;
+    report.detail = "the service has no revision yet; leave out the base";
+    return true;
+  }
+  report.revision = present->revision;
+  report.publisher = present->publisher;
+  if (present->digest == DocumentDigest(request.document)) {
+    report.result = PublishResult::kAlreadyInForce;
+    return true;
+  }
+  if (present->document.team != request.document.team) {
+    report.result = PublishResult::kRefused;
+    report.detail =
+        "the service belongs to the team '" + present->document.team + "'";
+    return true;
+  }
+  if (this->BaseOf(request) != present->revision) {
+    report.result = PublishResult::kRefused;
+    report.detail = "based on revision " +
+                    std::to_string(this->BaseOf(request)) + " while " +
+                    std::to_string(present->revision) + " of " +
+                    present->publisher + " is in force";
+    return true;
+  }
+  return false;
+}
+
+std::vector<PublishReport> Publisher::Publish(
+    std::vector<PublishRequest>& requests) {
+  std::vector<PublishReport> reports(requests.size());
+  std::vector<Pending> pending;
+  for (std::size_t at = 0; at < requests.size(); ++at) {
+    PublishRequest& request = requests[at];
+    reports[at].file = request.file;
+    reports[at].service = request.document.name;
+    if (!this->SettledBefore(request, reports[at])) {
+      request.publish_id = this->environment.GetRandom().Identifier();
+      pending.push_back({&request, &reports[at]});
+    }
+  }
+  if (!pending.empty()) {
+    this->AppendAndFollow(pending);
+  }
+  for (const Pending& item : pending) {
+    this->Settle(item);
+  }
+  return reports;
+}
+
+std::string Publisher::RecordOf(const std::vector<Pending>& pending) const {
+  std::vector<ConfigurationEntry> entries;
+  for (const Pending& item : pending) {
+    const PublishRequest& request = *item.request;
+    entries.emplace_back(
+        PublishEntry{request.document.name, this->BaseOf(request), request.text,
+                     this->options.publisher, request.publish_id});
+  }
+  return WriteConfigurationRecord(entries);
+}
+
+void Publisher::AppendAndFollow(const std::vector<Pending>& pending) {
+  // The same ids and bases in every attempt: the fold refuses the copies.
+  const std::string record = this->RecordOf(pending);
+  LogClient& log = this->environment.Log(this->options.log_url);
+  while (true) {
+    const auto offset = Await<std::uint64_t>(
+        this->environment, [&](LogClient::AppendCallback callback) {
+          log.Append(kConfigurationStream, record, std::move(callback));
+        });
+    this->may_be_appended |=
+        offset.Ok() || offset.GetError().kind == ErrorKind::kOutcomeUnknown;
+    if (!offset.Ok()) {
+      this->last_problem = offset.GetError().Text();
+      this->environment.Progress()
+          << "appending: " << this->last_problem << "\n";
+    }
+    // Once appended for certain, reading alone tells the rest.
+    do {
+      this->ReadOnce();
+      if (this->AllFolded(pending) || this->TimeIsOver()) {
+        return;
+      }
+      this->environment.Wait(kPause);
+    } while (offset.Ok());
+  }
+}
+
+bool Publisher::AllFolded(const std::vector<Pending>& pending) const {
+  return std::ranges::all_of(pending, [this](const Pending& item) {
+    return this->fold.OutcomeOf(item.request->publish_id).has_value();
+  });
+}
+
+void Publisher::Settle(const Pending& pending) const {
+  PublishReport& report = *pending.report;
+  const auto outcome = this->fold.OutcomeOf(pending.request->publish_id);
+  const ServiceInForce* present =
+      this->fold.State()->Find(pending.request->document.name);
+  if (present != nullptr) {
+    report.revision = present->revision;
+    report.publisher = present->publisher;
+  }
+  if (!outcome) {
+    report.result = this->may_be_appended ? PublishResult::kUnknown
+                                          : PublishResult::kNotAppended;
+    report.detail = this->last_problem;
+    return;
+  }
+  if (outcome->verdict != PublishVerdict::kInForce) {
+    report.result = PublishResult::kRefused;
+    report.detail = outcome->detail;
+    if (!outcome->met_publisher.empty()) {
+      report.detail += ", published by " + outcome->met_publisher;
+    }
+    return;
+  }
+  const bool still = present->publish_id == pending.request->publish_id;
+  report.result = still ? PublishResult::kInForce : PublishResult::kSuperseded;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibOperator/system_environment.cc
@@ -0,0 +1,91 @@
+// The real environment: one event loop, run while an answer is awaited.
+
+#include <iostream>
+#include <thread>
+
+#include "LibOperator/environment.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kFetchTimeout{5'000};
+constexpr int kStatusOk = 200;
+
+HttpClientRequest GetRequest(std::string url, std::string_view token) {
+  HttpClientRequest request;
+  request.url = std::move(url);
+  request.timeout = kFetchTimeout;
+  if (!token.empty()) {
+    SetHeader(request.headers, "Authorization", "Bearer " + std::string(token));
+  }
+  return request;
+}
+
+Outcome<Json::Value> ReadAnswer(std::string_view url,
+                                const Outcome<HttpResponse>& answer) {
+  if (!answer.Ok()) {
+    return answer.GetError();
+  }
+  const HttpResponse& response = answer.Value();
+  if (response.status != kStatusOk) {
+    return Error{
+        ErrorKind::kUnavailable,
+        std::string(url) + " answered " + std::to_string(response.status),
+        "check the URL, and the token file if operators have a token"};
+  }
+  return Capture([&] { return ParseJson(response.body); });
+}
+
+class SystemEnvironment final : public OperatorEnvironment {
+ public:
+  SystemEnvironment() : random(SeedFromSystem()) {
+    this->client = HttpClient::Create(this->loop);
+  }
+
+  const Clock& GetClock() const override { return this->clock; }
+  Random& GetRandom() override { return this->random; }
+  std::ostream& Out() override { return std::cout; }
+  std::ostream& Progress() override { return std::cerr; }
+
+  LogClient& Log(std::string_view base_url) override {
+    if (!this->log || this->log_url != base_url) {
+      this->log_url = base_url;
+      this->log = CreateHttpLogClient(*this->client, this->log_url);
+    }
+    return *this->log;
+  }
+
+  void Fetch(std::string url,
+             std::string_view token,
+             JsonCallback callback) override {
+    HttpClientRequest request = GetRequest(url, token);
+    this->client->Fetch(std::move(request),
+                        [url = std::move(url), callback = std::move(callback)](
+                            const Outcome<HttpResponse>& answer) {
+                          callback(ReadAnswer(url, answer));
+                        });
+  }
+
+  void RunUntilWoken() override { this->loop.Run(); }
+  void Wake() override { this->loop.Stop(); }
+  void Wait(Milliseconds duration) override {
+    std::this_thread::sleep_for(duration);
+  }
+
+ private:
+  SystemClock clock;
+  Random random;
+  EventLoop loop;
+  std::unique_ptr<HttpClient> client;
+  std::string log_url;
+  std::unique_ptr<LogClient> log;
+};
+
+}  // namespace
+
+std::unique_ptr<OperatorEnvironment> CreateSystemEnvironment() {
+  return std::make_unique<SystemEnvironment>();
+}
+
+}  // namespace carobbank
