Sidecar: Add the gate before one backend server

Cause: only a process beside the backend server can enforce queue order, shares, drain, version bounds, orders and deadlines, because entries have old views.

An answer is checked event by event before it goes on: attempt, token numbers, version, end mark; what can't be whole ends in the event error. not_run is said only of work that no byte was sent of.

On SIGTERM what runs goes on, and what waits is refused at once as draining, so that the entries send it elsewhere; waiting for the whole queue would hold a leaving instance for minutes.

--- /dev/null
+++ b/Services/Sidecar/configuration_poll.h
@@ -0,0 +1,92 @@
+// Learns the configuration by long polls at two entries at a time.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibContract/contract.h"
+#include "Sidecar/control_timer.h"
+#include "Sidecar/peer_caller.h"
+
+namespace carobbank {
+
+// An entry as the platform's list or another entry names it.
+struct EntryAddress {
+  std::string id;
+  std::string address;
+
+  bool operator==(const EntryAddress&) const = default;
+};
+
+// What the entries said so far. Nothing in it ever goes back.
+struct LearnedConfiguration {
+  std::shared_ptr<const ConfigurationState> state;
+  std::set<std::string, std::less<>> quarantine;
+  // Newest announced version of the model.
+  std::optional<std::uint64_t> version;
+};
+
+class ConfigurationPoll {
+ public:
+  // `changed` is called after something new was learned.
+  ConfigurationPoll(ControlTimers& timers,
+                    PeerCaller& peers,
+                    std::string instance,
+                    std::string model,
+                    std::function<void()> changed);
+  ~ConfigurationPoll();
+
+  // The entries that may be asked; polling begins with the first ones.
+  void SetEntries(std::vector<EntryAddress> entries);
+
+  const LearnedConfiguration& Learned() const { return this->learned; }
+  // Answers that were no configuration.
+  std::uint64_t Malformed() const { return this->malformed; }
+
+ private:
+  // One of the parallel polls; each asks a different entry.
+  struct Lane {
+    std::string entry;
+    // The fingerprint of the entry's last answer; it answers again at once
+    // when that has changed.
+    std::string seen;
+    std::uint32_t failures = 0;
+    bool asking = false;
+    std::unique_ptr<Timer> timer;
+  };
+
+  static constexpr std::size_t kLanes = 2;
+
+  void AssignLanes();
+  void Ask(std::size_t lane_index);
+  void OnAnswer(std::size_t lane_index,
+                const std::string& entry,
+                const Outcome<Json::Value>& answer);
+  void AskLater(std::size_t lane_index, Milliseconds delay);
+  bool Take(const Json::Value& answer);
+  bool TakeDocuments(const Json::Value& answer);
+
+  ControlTimers& timers;
+  PeerCaller& peers;
+  std::string instance;
+  std::string model;
+  std::function<void()> changed;
+  ConfigurationFold fold;
+  LearnedConfiguration learned;
+  std::vector<EntryAddress> entries;
+  // How many entries were passed over because they did not answer.
+  std::size_t rotation = 0;
+  std::array<Lane, kLanes> lanes;
+  std::uint64_t malformed = 0;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/crash_reporter.cc
@@ -0,0 +1,76 @@
+// One append at a time, for all evidence that waits.
+
+#include "Sidecar/crash_reporter.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "LibLedger/ledger.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::size_t kMaxWaiting = 1'024;
+constexpr Milliseconds kRetryPause{1'000};
+
+}  // namespace
+
+CrashReporter::CrashReporter(ControlTimers& timers,
+                             LogClient& log,
+                             std::string instance,
+                             std::uint64_t incarnation)
+    : timers(timers),
+      log(log),
+      instance(std::move(instance)),
+      incarnation(incarnation) {}
+
+void CrashReporter::Report(CrashEvidence evidence) {
+  this->waiting.push_back(std::move(evidence));
+  if (this->waiting.size() > kMaxWaiting && !this->busy) {
+    this->waiting.pop_front();
+  }
+  this->Append();
+}
+
+void CrashReporter::Append() {
+  if (this->busy || this->waiting.empty()) {
+    return;
+  }
+  this->busy = true;
+  this->timer.reset();
+  std::vector<std::string> entries;
+  for (const CrashEvidence& evidence : this->waiting) {
+    CrashEntry entry;
+    entry.instance = this->instance;
+    entry.incarnation = this->incarnation;
+    entry.digests = evidence.digests;
+    entry.complete = evidence.complete;
+    entries.push_back(EncodeServerEntry(entry));
+  }
+  this->log.Append(
+      kServerStream, EncodeRecord(entries),
+      [this, count = entries.size(), token = std::weak_ptr<bool>(this->alive)](
+          const Outcome<std::uint64_t>& offset) {
+        if (!token.expired()) {
+          this->OnAppended(count, offset);
+        }
+      });
+}
+
+void CrashReporter::OnAppended(std::size_t count,
+                               const Outcome<std::uint64_t>& offset) {
+  this->busy = false;
+  if (!offset.Ok()) {
+    // Evidence that is appended twice counts once: it names the instance.
+    this->timer =
+        this->timers.CallAfter(kRetryPause, [this] { this->Append(); });
+    return;
+  }
+  const auto end = this->waiting.begin() + static_cast<std::ptrdiff_t>(count);
+  this->waiting.erase(this->waiting.begin(), end);
+  this->Append();
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/crash_reporter.h
@@ -0,0 +1,42 @@
+// Appends crash evidence to the log, so that every entry learns which digests
+// were running. Evidence waits in bounded memory while the log is down.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "LibPlatform/platform.h"
+#include "Sidecar/control_timer.h"
+#include "Sidecar/crash_suspects.h"
+
+namespace carobbank {
+
+class CrashReporter {
+ public:
+  CrashReporter(ControlTimers& timers,
+                LogClient& log,
+                std::string instance,
+                std::uint64_t incarnation);
+
+  void Report(CrashEvidence evidence);
+  std::size_t Waiting() const { return this->waiting.size(); }
+
+ private:
+  void Append();
+  void OnAppended(std::size_t count, const Outcome<std::uint64_t>& offset);
+
+  ControlTimers& timers;
+  LogClient& log;
+  std::string instance;
+  std::uint64_t incarnation;
+  // Invariant: at most kMaxWaiting; the oldest are dropped first.
+  std::deque<CrashEvidence> waiting;
+  bool busy = false;
+  std::unique_ptr<Timer> timer;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/engine_watch.cc
@@ -0,0 +1,60 @@
+// One round of questions after the other.
+
+#include "Sidecar/engine_watch.h"
+
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kInterval{250};
+// The load report lags anyway.
+constexpr std::uint64_t kRoundsPerLoad = 4;
+// A report that is missing now and then changes nothing.
+constexpr std::uint32_t kFailuresToUnknown = 3;
+
+}  // namespace
+
+EngineWatch::EngineWatch(ControlTimers& timers,
+                         EngineControl& engine,
+                         std::function<void()> reported)
+    : timers(timers), engine(engine), reported(std::move(reported)) {}
+
+void EngineWatch::Start() {
+  this->Ask();
+}
+
+void EngineWatch::Ask() {
+  const std::weak_ptr<bool> token = this->alive;
+  if (this->rounds % kRoundsPerLoad == 0) {
+    this->engine.Load([this, token](const Outcome<EngineLoad>& outcome) {
+      if (!token.expired() && outcome.Ok()) {
+        this->load = outcome.Value();
+      }
+    });
+  }
+  ++this->rounds;
+  this->engine.State([this, token](const Outcome<EngineState>& outcome) {
+    if (!token.expired()) {
+      this->OnState(outcome);
+    }
+  });
+}
+
+void EngineWatch::OnState(const Outcome<EngineState>& outcome) {
+  this->timer = this->timers.CallAfter(kInterval, [this] { this->Ask(); });
+  if (outcome.Ok()) {
+    this->failures = 0;
+    this->state = outcome.Value();
+    this->reported();
+    return;
+  }
+  ++this->failures;
+  if (this->failures == kFailuresToUnknown) {
+    this->state.reset();
+    this->reported();
+  }
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/http_peer_caller.cc
@@ -0,0 +1,59 @@
+// Composes, signs and judges calls to entries.
+
+#include "Sidecar/http_peer_caller.h"
+
+#include <utility>
+
+#include "LibRPC/rpc.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::string_view kRpcPath = "/rpc";
+constexpr Milliseconds kConnectTimeout{1'000};
+constexpr int kStatusOk = 200;
+
+Outcome<Json::Value> Judge(const HttpResponse& response) {
+  if (response.status != kStatusOk) {
+    return Error{ErrorKind::kUnavailable,
+                 "the entry answered " + std::to_string(response.status),
+                 "check that both sides share the peer secret"};
+  }
+  const RpcOutcome outcome = ParseRpcAnswer(response.body);
+  if (!outcome.Ok()) {
+    return Error{ErrorKind::kCorrupt, outcome.Error().message,
+                 "check that both sides run compatible versions"};
+  }
+  return outcome.Value();
+}
+
+}  // namespace
+
+void HttpPeerCaller::Call(std::string_view address,
+                          std::string_view method,
+                          Json::Value parameters,
+                          Milliseconds timeout,
+                          Callback callback) {
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + std::string(address) + std::string(kRpcPath);
+  request.body = ComposeRpcRequest(std::string(method), parameters);
+  request.timeout = timeout;
+  request.connect_timeout = kConnectTimeout;
+  SetHeader(request.headers, "Content-Type", "application/json");
+  SetHeader(request.headers, kPeerProofHeader,
+            this->signer.Sign({request.method, kRpcPath, request.body},
+                              this->clock.WallNow()));
+  this->client.Fetch(
+      std::move(request),
+      [callback = std::move(callback)](const Outcome<HttpResponse>& answer) {
+        if (!answer.Ok()) {
+          callback(answer.GetError());
+          return;
+        }
+        callback(Judge(answer.Value()));
+      });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/http_peer_caller.h
@@ -0,0 +1,28 @@
+// JSON-RPC over signed HTTP requests.
+
+#pragma once
+
+#include "Sidecar/peer_caller.h"
+
+namespace carobbank {
+
+class HttpPeerCaller final : public PeerCaller {
+ public:
+  HttpPeerCaller(HttpClient& client,
+                 const Clock& clock,
+                 const PeerProofSigner& signer)
+      : client(client), clock(clock), signer(signer) {}
+
+  void Call(std::string_view address,
+            std::string_view method,
+            Json::Value parameters,
+            Milliseconds timeout,
+            Callback callback) override;
+
+ private:
+  HttpClient& client;
+  const Clock& clock;
+  const PeerProofSigner& signer;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/order_keeper.cc
@@ -0,0 +1,156 @@
+// From the order machine to the engine and back.
+
+#include "Sidecar/order_keeper.h"
+
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+OrderAnswer AnswerOf(const Outcome<bool>& outcome) {
+  if (outcome.Ok()) {
+    return OrderAnswer::kTaken;
+  }
+  switch (outcome.GetError().kind) {
+    case ErrorKind::kFenced:
+      return OrderAnswer::kFenced;
+    case ErrorKind::kConflict:
+    case ErrorKind::kUnavailable:
+    case ErrorKind::kOverloaded:
+      return OrderAnswer::kNotTaken;
+    default:
+      return OrderAnswer::kUnknown;
+  }
+}
+
+EngineReport ReportOf(const EngineState& state) {
+  EngineReport report;
+  report.version = state.version;
+  report.loading = state.loading;
+  report.last_order_id = state.last_order_id;
+  report.last_order_failed = state.last_order_failed;
+  report.fencing = state.fencing;
+  report.incarnation = state.incarnation;
+  return report;
+}
+
+}  // namespace
+
+SwapRules SwapRulesOf(const ConfigurationState& configuration,
+                      std::string_view pool,
+                      std::string_view model) {
+  SwapRules rules;
+  for (const auto& [name, service] : configuration.services) {
+    const ServiceDocument& document = service->document;
+    const bool concerned =
+        document.pool == pool && document.model == model && !document.retired;
+    if (!concerned) {
+      continue;
+    }
+    if (document.swap != SwapStrategy::kInterrupt) {
+      rules.mode = SwapMode::kWait;
+    }
+    if (document.swap == SwapStrategy::kRolling) {
+      rules.plan.pace = SwapPace::kRolling;
+    }
+  }
+  return rules;
+}
+
+OrderKeeper::OrderKeeper(const Clock& clock,
+                         EngineControl& engine,
+                         EventTimeline& timeline,
+                         MetricRegistry& registry,
+                         std::string instance,
+                         std::string model,
+                         std::function<void()> fenced)
+    : clock(clock),
+      engine(engine),
+      timeline(timeline),
+      registry(registry),
+      instance(instance),
+      model(std::move(model)),
+      fenced(std::move(fenced)),
+      machine(std::move(instance), OrderMachineOptions()) {}
+
+void OrderKeeper::SetAuthority(const std::optional<OrderAuthority>& authority) {
+  this->machine.SetAuthority(authority);
+  Event event;
+  event.kind = EventKind::kLease;
+  event.server = this->instance;
+  event.detail = authority ? "held" : "yielded";
+  event.number = authority ? static_cast<std::int64_t>(authority->fencing) : -1;
+  this->timeline.Record(std::move(event));
+  this->Advance();
+}
+
+void OrderKeeper::SetTarget(std::uint64_t version,
+                            const SwapRules& rules,
+                            const std::vector<std::string>& pool) {
+  this->mode = rules.mode;
+  if (this->target && this->target->version >= version) {
+    return;
+  }
+  const Milliseconds delay =
+      SwapDelay(rules.plan, this->instance, pool, this->model, version);
+  this->target = TargetVersion{this->model, version, this->clock.Now() + delay};
+  this->machine.SetTarget(*this->target);
+  this->Advance();
+}
+
+void OrderKeeper::OnReport(const EngineState& state) {
+  this->machine.OnReport(ReportOf(state), this->clock.Now());
+  this->registry.GetGauge(metrics::kWeightVersion, {{"model", this->model}})
+      .Set(static_cast<double>(state.version));
+  this->Advance();
+}
+
+void OrderKeeper::Advance() {
+  if (const auto order = this->machine.Next(this->clock.Now())) {
+    this->Record("issued", order->version);
+    LoadVersionOrder sent;
+    sent.order_id = order->order_id;
+    sent.fencing = order->fencing;
+    sent.model = order->model;
+    sent.version = order->version;
+    sent.mode = this->mode;
+    this->recorded = OrderState::kIssued;
+    this->engine.LoadVersion(sent, [this, order_id = order->order_id,
+                                    token = std::weak_ptr<bool>(this->alive)](
+                                       const Outcome<bool>& outcome) {
+      if (!token.expired()) {
+        this->OnAnswer(order_id, outcome);
+      }
+    });
+  }
+  const OrderState state = this->machine.State();
+  if (state == this->recorded) {
+    return;
+  }
+  this->recorded = state;
+  this->Record(OrderStateName(state), this->target ? this->target->version : 0);
+  if (state == OrderState::kSuperseded) {
+    this->fenced();
+  }
+}
+
+void OrderKeeper::OnAnswer(const std::string& order_id,
+                           const Outcome<bool>& outcome) {
+  this->machine.OnAnswer(order_id, AnswerOf(outcome), this->clock.Now());
+  this->Advance();
+}
+
+void OrderKeeper::Record(std::string_view detail, std::uint64_t version) {
+  this->registry
+      .GetCounter(metrics::kOrders, {{"outcome", std::string(detail)}})
+      .Add();
+  Event event;
+  event.kind = EventKind::kOrder;
+  event.server = this->instance;
+  event.detail = detail;
+  event.number = static_cast<std::int64_t>(version);
+  this->timeline.Record(std::move(event));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/peer_caller.h
@@ -0,0 +1,28 @@
+// Calls of JSON-RPC methods at entries.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "LibHTTP/http.h"
+
+namespace carobbank {
+
+class PeerCaller {
+ public:
+  virtual ~PeerCaller() = default;
+
+  // `address`: "127.0.0.1:9001". Errors: kUnavailable when the peer was not
+  // reached, else kOutcomeUnknown or what the peer answered.
+  using Callback = std::function<void(Outcome<Json::Value>)>;
+  virtual void Call(std::string_view address,
+                    std::string_view method,
+                    Json::Value parameters,
+                    Milliseconds timeout,
+                    Callback callback) = 0;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/problems.cc
@@ -0,0 +1,167 @@
+// Texts and statuses of the sidecar's problems; docs/CALLERS.md lists them.
+
+#include "Sidecar/problems.h"
+
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnprocessable = 422;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+constexpr Milliseconds kConfigurationRetry{300};
+constexpr Milliseconds kVersionRetry{250};
+constexpr Milliseconds kBackendRetry{500};
+
+Problem Refusal(int status,
+                std::string code,
+                std::string detail,
+                std::string remedy) {
+  Problem problem;
+  problem.status = status;
+  problem.code = std::move(code);
+  problem.detail = std::move(detail);
+  problem.remedy = std::move(remedy);
+  problem.execution = Execution::kNotRun;
+  return problem;
+}
+
+Problem Failure(std::string code, std::string detail, std::string remedy) {
+  Problem problem = Refusal(kBadGateway, std::move(code), std::move(detail),
+                            std::move(remedy));
+  problem.execution = Execution::kMayHaveRun;
+  return problem;
+}
+
+Problem Later(Problem problem, Milliseconds retry_after) {
+  problem.retry_after = retry_after;
+  return problem;
+}
+
+}  // namespace
+
+Problem BadRequestProblem(std::string detail) {
+  return Refusal(kBadRequest, "bad_request", std::move(detail),
+                 "send the headers of docs/PROTOCOL.md");
+}
+
+Problem UnauthenticatedProblem(std::string detail) {
+  return Refusal(kUnauthorized, "unauthenticated", std::move(detail),
+                 "prove the peer secret of the settings; check the clocks");
+}
+
+Problem UnknownServiceProblem(std::string_view service) {
+  return Refusal(kNotFound, "unknown_service",
+                 "no document in force gives this pool the service " +
+                     std::string(service),
+                 "publish the document, or send to the service's own pool");
+}
+
+Problem ConfigurationBehindProblem(std::string_view service) {
+  return Later(Refusal(kServiceUnavailable, "configuration_behind",
+                       "the document of " + std::string(service) +
+                           " has not arrived here yet",
+                       "send to another server, or again in a moment"),
+               kConfigurationRetry);
+}
+
+Problem DrainingProblem() {
+  return Refusal(kServiceUnavailable, "draining",
+                 "this server is leaving and takes no new work",
+                 "send to another server");
+}
+
+Problem QueueFullProblem(Milliseconds retry_after) {
+  return Later(Refusal(kTooManyRequests, "queue_full",
+                       "the queue of this server is full",
+                       "wait for Retry-After or send to another server"),
+               retry_after);
+}
+
+Problem ShedProblem(Milliseconds retry_after) {
+  return Later(Refusal(kServiceUnavailable, "overloaded",
+                       "given up for work of a higher class",
+                       "wait for Retry-After or send to another server"),
+               retry_after);
+}
+
+Problem DeadlineProblem() {
+  return Refusal(kGatewayTimeout, "deadline_exceeded",
+                 "the deadline passed before the work could begin",
+                 "allow more time");
+}
+
+Problem NoVersionProblem(const AllowedVersions& allowed) {
+  return Later(Refusal(kServiceUnavailable, "no_version",
+                       "the engine has no version in " + allowed.Text(),
+                       "send to another server, or again in a moment"),
+               kVersionRetry);
+}
+
+Problem QuarantinedProblem() {
+  return Refusal(kUnprocessable, "quarantined",
+                 "this request crashed two backend servers",
+                 "do not send it again; report its prompt to the operators");
+}
+
+Problem NotIdleProblem(Milliseconds retry_after) {
+  return Later(Refusal(kServiceUnavailable, "not_idle",
+                       "the work asks for an idle server",
+                       "send to an idle server, or again later"),
+               retry_after);
+}
+
+Problem BackendUnreachableProblem(std::string detail) {
+  return Later(
+      Refusal(kServiceUnavailable, "backend_failed",
+              "the backend server takes no connection: " + std::move(detail),
+              "send to another server"),
+      kBackendRetry);
+}
+
+Problem PreemptedProblem(Milliseconds retry_after) {
+  return Later(Failure("preempted", "stopped to make room for live work",
+                       "resume after the tokens that have arrived"),
+               retry_after);
+}
+
+Problem VersionOutOfBoundProblem(std::uint64_t version,
+                                 const AllowedVersions& allowed) {
+  return Failure("version_out_of_bound",
+                 "the engine went on with version " + std::to_string(version) +
+                     ", outside " + allowed.Text(),
+                 "run the sample again");
+}
+
+Problem CrossedAnswerProblem(std::string_view attempt_id) {
+  return Failure("crossed_answer",
+                 "the answer belongs to another attempt, " +
+                     std::string(attempt_id.substr(0, 64)),
+                 "repeat the request if it is idempotent");
+}
+
+Problem BackendFailedProblem(std::string detail) {
+  return Failure("backend_failed", std::move(detail),
+                 "repeat the request if it is idempotent");
+}
+
+Problem BackendCrashedProblem() {
+  return Failure("backend_crashed",
+                 "the backend server crashed while it ran this work",
+                 "repeat the request if it is idempotent");
+}
+
+Problem DrainDeadlineProblem() {
+  return Failure("draining", "the drain deadline passed",
+                 "resume after the tokens that have arrived, elsewhere");
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/sidecar_process.h
@@ -0,0 +1,77 @@
+// The sidecar process: one control thread, one traffic thread, and their end.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include "LibContract/contract.h"
+#include "LibHTTP/http.h"
+#include "LibPlatform/platform.h"
+#include "LibTimeline/timeline.h"
+#include "Sidecar/control_state.h"
+#include "Sidecar/http_peer_caller.h"
+#include "Sidecar/traffic_server.h"
+#include "Sidecar/work_gate.h"
+
+namespace carobbank {
+
+class SidecarProcess {
+ public:
+  // Binds the port. Fails with kUnavailable when it is taken.
+  static Result<std::unique_ptr<SidecarProcess>> Create(
+      SidecarSettings settings);
+  ~SidecarProcess();
+  SidecarProcess(const SidecarProcess&) = delete;
+  SidecarProcess& operator=(const SidecarProcess&) = delete;
+
+  // Serves until SIGTERM or SIGINT and the drain after it.
+  void Run();
+
+ private:
+  SidecarProcess(SidecarSettings settings, PeerProofVerifier verifier);
+  Result<void> Listen();
+  void StartControl();
+  void OnSnapshot(std::shared_ptr<const ControlSnapshot> snapshot);
+  void WakeAt(MonotonicTime time);
+  void TickPeriodically();
+  void BeginDrain();
+  void ContinueDrain();
+
+  // Construction order is dependency order.
+  SidecarSettings settings;
+  SystemClock clock;
+  std::uint64_t incarnation;
+  EventTimeline timeline;
+  MetricRegistry registry;
+  PeerProofSigner signer;
+  PeerProofVerifier verifier;
+  EventLoop traffic_loop;
+  EventLoop control_loop;
+
+  // Traffic thread.
+  std::unique_ptr<HttpClient> traffic_client;
+  std::unique_ptr<EngineControl> traffic_engine;
+  Backend backend;
+  WorkGate gate;
+  TrafficServer traffic;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<Timer> tick_timer;
+  std::unique_ptr<Timer> wake_timer;
+  MonotonicTime wake_time = MonotonicTime::max();
+  std::unique_ptr<Timer> drain_timer;
+  std::optional<MonotonicTime> drain_deadline;
+
+  // Control thread; created before it starts and destroyed after it ended.
+  LoopTimers control_timers;
+  std::unique_ptr<HttpClient> control_client;
+  HttpPeerCaller peers;
+  std::unique_ptr<InstanceListClient> list;
+  std::unique_ptr<LogClient> log;
+  std::unique_ptr<EngineControl> control_engine;
+  std::unique_ptr<ControlState> control;
+  std::thread control_thread;
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/work_gate.h
@@ -0,0 +1,154 @@
+// The last gate before the backend server: takes work in, queues it through the
+// scheduler, runs it, and ends it truthfully. Lives on the traffic thread.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "LibScheduling/scheduling.h"
+#include "Sidecar/admission.h"
+#include "Sidecar/backend.h"
+#include "Sidecar/crash_suspects.h"
+#include "Sidecar/gate_recorder.h"
+#include "Sidecar/work_reply.h"
+#include "Sidecar/work_stream.h"
+
+namespace carobbank {
+
+struct GateOptions {
+  std::string instance;
+  std::string pool;
+  SchedulerOptions scheduler;
+  // 0: as many as the engine reports for its batch.
+  std::uint32_t places = 0;
+};
+
+struct GateEnvironment {
+  const Clock& clock;
+  Backend& backend;
+  GateRecorder recorder;
+  // Call Tick() at this time, at the latest.
+  std::function<void(MonotonicTime)> wake_at;
+  // The backend server crashed; called once for each crash.
+  std::function<void(const CrashEvidence& evidence)> on_crash;
+};
+
+struct GateLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t max_batch = 0;
+
+  // "<running>,<waiting>,<max_batch>"
+  std::string Text() const;
+};
+
+class WorkGate {
+ public:
+  WorkGate(GateEnvironment environment, const GateOptions& options);
+  ~WorkGate();
+  WorkGate(const WorkGate&) = delete;
+  WorkGate& operator=(const WorkGate&) = delete;
+
+  // Takes the request in, or refuses it.
+  void Admit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  // New control state.
+  void Apply(std::shared_ptr<const ControlSnapshot> snapshot);
+  // Time passed: expiry, starts, comments to those who wait.
+  void Tick();
+
+  // From now on everything is refused; what has not begun is refused at once,
+  // so that the entries send it elsewhere; what runs goes on.
+  void BeginDrain();
+  // Ends what still runs with an explicit error.
+  void EndDrain();
+  bool Draining() const;
+  // Nothing waits and nothing runs.
+  bool Idle() const { return this->works.empty(); }
+
+  GateLoad Load() const;
+  std::vector<ServiceReport> Services() const {
+    return this->scheduler.Report();
+  }
+  const ControlSnapshot& Snapshot() const { return *this->snapshot; }
+  // Barred at once, before the configuration says so.
+  void Quarantine(std::string digest);
+
+ private:
+  // A piece of work between its receipt and its end.
+  struct GatedWork {
+    std::shared_ptr<const WorkRequest> request;
+    std::shared_ptr<WorkReply> reply;
+    WorkHandle handle;
+    // Set while it runs.
+    std::shared_ptr<WorkStream> stream;
+    // The engine's, when the work began.
+    std::optional<std::uint64_t> incarnation;
+    std::optional<std::uint64_t> version;
+    std::uint64_t tokens = 0;
+    // Its digest is in the evidence of a crash already.
+    bool blamed = false;
+    // No events for it.
+    bool quiet = false;
+  };
+
+  std::shared_ptr<WorkReply> MakeReply(
+      const WorkRequest& work,
+      std::shared_ptr<HttpResponder> responder) const;
+  std::optional<Problem> Judge(const WorkRequest& work) const;
+  Milliseconds RetryAfter(std::string_view service) const;
+  bool IsQuiet(std::string_view service) const;
+  void Enqueue(WorkRequest work, std::shared_ptr<WorkReply> reply);
+
+  GatedWork* Find(WorkHandle handle);
+  void RefuseQueued(WorkHandle handle, const Problem& problem);
+  void RefuseAllQueued(
+      const std::function<std::optional<Problem>(const WorkRequest&)>& judge);
+  void StopRunning(
+      const std::function<std::optional<Problem>(const WorkRequest&)>& judge);
+  std::vector<WorkHandle> Handles(bool running) const;
+
+  // Refuses what expired, preempts, and starts what may start.
+  void Pump();
+  void RefuseExpired();
+  void Preempt();
+  bool StartNext();
+  void Run(GatedWork& work);
+  void OnTokens(WorkHandle handle,
+                std::uint32_t tokens,
+                std::optional<std::uint64_t> version);
+  void OnEnd(WorkHandle handle,
+             StreamEnd end,
+             const std::optional<Problem>& problem);
+  // Everything that runs now may be the cause.
+  void BlameRunning();
+  void OnProbed(WorkHandle handle, const Problem& problem, bool crashed);
+  void Forget(WorkHandle handle, std::string_view outcome);
+  void OnCallerGone(WorkHandle handle);
+  void ApplyLimits();
+  void RecordQueues();
+
+  GateEnvironment environment;
+  GateOptions options;
+  Scheduler scheduler;
+  // Never null.
+  std::shared_ptr<const ControlSnapshot> snapshot;
+  // By the handle's slot. Invariant: holds exactly what the scheduler holds.
+  std::unordered_map<std::uint32_t, GatedWork> works;
+  CrashSuspects suspects;
+  std::set<std::string, std::less<>> barred;
+  // A work that must run with nothing else at risk.
+  std::optional<WorkHandle> alone;
+  bool terminating = false;
+  bool was_draining = false;
+  bool pumping = false;
+  // Expires with this object, so that probes can tell.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/work_request.cc
@@ -0,0 +1,152 @@
+// Reading X-Carobbank headers and the shape of a completion.
+
+#include "Sidecar/work_request.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::string_view kHeaderPrefix = "x-carobbank-";
+// Kept towards the backend server, which may log it or pass it on.
+constexpr std::string_view kAttemptHeader = "x-carobbank-attempt";
+constexpr std::size_t kCharactersPerToken = 4;
+constexpr std::size_t kMaxLabelBytes = 512;
+
+// Connection-level headers (RFC 9110, section 7.6.1) and those that the client
+// writes itself.
+constexpr std::array<std::string_view, 9> kHopHeaders = {
+    "connection", "keep-alive", "te",     "trailer",       "transfer-encoding",
+    "upgrade",    "host",       "expect", "content-length"};
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char letter) { return std::tolower(letter); });
+  return lower;
+}
+
+bool IsForwarded(const HttpHeader& header) {
+  const std::string name = LowerCase(header.name);
+  if (name == kAttemptHeader) {
+    return true;
+  }
+  const bool hop = std::find(kHopHeaders.begin(), kHopHeaders.end(), name) !=
+                   kHopHeaders.end();
+  return !hop && !name.starts_with(kHeaderPrefix);
+}
+
+HttpHeaders ForwardedHeaders(const HttpHeaders& headers) {
+  HttpHeaders kept;
+  std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
+               IsForwarded);
+  return kept;
+}
+
+std::string Label(const HttpHeaders& headers, std::string_view name) {
+  const auto value = FindHeader(headers, name);
+  return value ? std::string(value->substr(0, kMaxLabelBytes)) : "";
+}
+
+// Nothing when the header is missing.
+Result<std::optional<std::int64_t>> Number(const HttpHeaders& headers,
+                                           std::string_view name) {
+  const auto text = FindHeader(headers, name);
+  if (!text || text->empty()) {
+    return std::optional<std::int64_t>();
+  }
+  std::int64_t value = 0;
+  const char* end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "not a whole number: header " + std::string(name),
+                "send decimal digits");
+  }
+  return std::optional<std::int64_t>(value);
+}
+
+std::uint32_t Tokens(std::int64_t count) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(count, 0, INT32_MAX));
+}
+
+// A body that is not a completion is passed on for the engine to refuse.
+void ReadCompletion(WorkRequest& work) {
+  if (work.forward.method != "POST" ||
+      work.forward.Path() != "/v1/completions") {
+    return;
+  }
+  const auto body = Capture([&] { return ParseJson(work.forward.body); });
+  if (!body.Ok() || !body.Value().isObject()) {
+    return;
+  }
+  const Json::Value& completion = body.Value();
+  const std::size_t characters = JsonString(completion, "prompt").size();
+  work.streamed = JsonBoolean(completion, "stream", false);
+  work.resumed_tokens = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(JsonInteger(completion["resume"], "tokens"), 0));
+  work.prompt_tokens = Tokens(static_cast<std::int64_t>(
+      characters / kCharactersPerToken + work.resumed_tokens));
+  if (work.expected_tokens == 0) {
+    return;
+  }
+  const std::int64_t longest =
+      JsonInteger(completion, "max_tokens", work.expected_tokens);
+  const std::int64_t left =
+      std::min<std::int64_t>(work.expected_tokens, longest) -
+      static_cast<std::int64_t>(work.resumed_tokens);
+  work.expected_tokens = Tokens(std::max<std::int64_t>(left, 1));
+}
+
+}  // namespace
+
+Result<WorkRequest> ParseWorkRequest(HttpRequest request,
+                                     const Clock& clock,
+                                     bool is_engine) {
+  WorkRequest work;
+  const HttpHeaders& headers = request.headers;
+  work.received = clock.Now();
+  work.service = Label(headers, "X-Carobbank-Service");
+  work.request_id = Label(headers, "X-Carobbank-Request");
+  work.attempt_id = Label(headers, "X-Carobbank-Attempt");
+  work.sample_id = Label(headers, "X-Carobbank-Sample");
+  work.digest = Label(headers, "X-Carobbank-Digest");
+  work.alone = Label(headers, "X-Carobbank-Alone") == "1";
+  work.duplicate = Label(headers, "X-Carobbank-Duplicate") == "1";
+  if (work.service.empty() || work.attempt_id.empty()) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "X-Carobbank-Service or X-Carobbank-Attempt is missing",
+                "name the service and a unique attempt");
+  }
+  BOOST_LEAF_AUTO(
+      versions, AllowedVersions::Parse(Label(headers, "X-Carobbank-Versions")));
+  BOOST_LEAF_AUTO(wall_deadline, Number(headers, "X-Carobbank-Deadline"));
+  BOOST_LEAF_AUTO(budget, Number(headers, "X-Carobbank-Budget"));
+  BOOST_LEAF_AUTO(expected, Number(headers, "X-Carobbank-Expected-Tokens"));
+  BOOST_LEAF_AUTO(slack, Number(headers, "X-Carobbank-Slack"));
+  BOOST_LEAF_AUTO(offset, Number(headers, "X-Carobbank-Config"));
+  work.versions = versions;
+  work.wall_deadline_ms = wall_deadline.value_or(0);
+  if (budget) {
+    work.deadline = work.received + Milliseconds(*budget);
+  }
+  work.expected_tokens = Tokens(expected.value_or(0));
+  if (slack) {
+    work.slack = Milliseconds(*slack);
+  }
+  work.configuration_offset = offset.value_or(-1);
+  work.forward = std::move(request);
+  work.forward.headers = ForwardedHeaders(work.forward.headers);
+  if (is_engine) {
+    ReadCompletion(work);
+  }
+  return work;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/work_stream.cc
@@ -0,0 +1,169 @@
+// Passing an answer on, and judging how it ended.
+
+#include "Sidecar/work_stream.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+#include "Sidecar/problems.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+// The answer is chunked anew, so that its framing headers don't go on.
+constexpr std::array<std::string_view, 7> kFramingHeaders = {
+    "connection", "keep-alive",        "trailer", "content-length",
+    "upgrade",    "transfer-encoding", "date"};
+
+bool IsFramingHeader(const HttpHeader& header) {
+  std::string name = header.name;
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char letter) { return std::tolower(letter); });
+  return std::find(kFramingHeaders.begin(), kFramingHeaders.end(), name) !=
+         kFramingHeaders.end();
+}
+
+bool IsEventStream(const HttpHeaders& headers) {
+  const auto type = FindHeader(headers, "Content-Type");
+  return type && type->starts_with("text/event-stream");
+}
+
+}  // namespace
+
+WorkStream::WorkStream(Backend& backend,
+                       std::shared_ptr<const WorkRequest> work,
+                       std::shared_ptr<WorkReply> reply,
+                       StreamHandlers handlers)
+    : backend(backend),
+      work(std::move(work)),
+      reply(std::move(reply)),
+      handlers(std::move(handlers)) {}
+
+void WorkStream::Begin() {
+  // The exchange belongs to this object, yet a handler may drop the last
+  // reference to it while it runs.
+  const auto guarded = [weak = this->weak_from_this()](auto method) {
+    return [weak, method](auto&&... arguments) {
+      if (const auto self = weak.lock(); self && !self->ended) {
+        ((*self).*method)(arguments...);
+      }
+    };
+  };
+  HttpClientHandlers client_handlers;
+  client_handlers.on_headers = guarded(&WorkStream::OnHeaders);
+  client_handlers.on_body = guarded(&WorkStream::OnBody);
+  client_handlers.on_done = guarded(&WorkStream::OnDone);
+  client_handlers.on_failure = guarded(&WorkStream::OnFailure);
+  this->reply->OnDrained([weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->paused && self->exchange) {
+      self->paused = false;
+      self->exchange->Resume();
+    }
+  });
+  this->exchange = this->backend.Start(*this->work, std::move(client_handlers));
+}
+
+void WorkStream::Stop(const Problem& problem) {
+  if (this->ended) {
+    return;
+  }
+  this->backend.Cancel(this->work->attempt_id);
+  this->reply->Fail(problem);
+  this->End(StreamEnd::kStopped, problem);
+}
+
+void WorkStream::OnHeaders(int status, const HttpHeaders& headers) {
+  this->status = status;
+  std::copy_if(
+      headers.begin(), headers.end(), std::back_inserter(this->answer_headers),
+      [](const HttpHeader& header) { return !IsFramingHeader(header); });
+  this->bodiless = this->work->forward.method == "HEAD" ||
+                   status == kNoContent || status == kNotModified;
+  if (this->bodiless) {
+    return;
+  }
+  const bool events =
+      this->work->streamed && status == kStatusOk && IsEventStream(headers);
+  if (events) {
+    this->inspector.emplace(this->work->attempt_id, this->work->versions,
+                            this->work->resumed_tokens);
+  } else if (this->reply->Started()) {
+    // A comment has begun the stream; another kind of answer can't follow.
+    this->Stop(BackendFailedProblem("the backend server answered " +
+                                    std::to_string(status)));
+    return;
+  }
+  this->reply->Start(status, this->answer_headers);
+}
+
+void WorkStream::OnBody(std::string_view bytes) {
+  if (this->bodiless) {
+    return;
+  }
+  if (this->inspector) {
+    this->PassInspected(bytes);
+  } else {
+    this->PassBytes(bytes);
+  }
+}
+
+void WorkStream::PassInspected(std::string_view bytes) {
+  InspectedBytes inspected = this->inspector->Feed(bytes);
+  if (!inspected.pass.empty()) {
+    this->PassBytes(inspected.pass);
+  }
+  if (inspected.tokens > 0) {
+    this->handlers.on_tokens(inspected.tokens, inspected.version);
+  }
+  if (inspected.problem) {
+    this->Stop(*inspected.problem);
+  }
+}
+
+void WorkStream::PassBytes(std::string_view bytes) {
+  this->reply->Write(bytes);
+  if (!this->reply->Drained() && !this->paused) {
+    this->paused = true;
+    this->exchange->Pause();
+  }
+}
+
+void WorkStream::OnDone() {
+  if (this->bodiless) {
+    this->reply->Send(this->status, this->answer_headers);
+  } else if (const auto problem =
+                 this->inspector ? this->inspector->End() : std::nullopt) {
+    this->End(StreamEnd::kBroken, problem);
+    return;
+  }
+  this->reply->Finish();
+  this->End(StreamEnd::kWhole, std::nullopt);
+}
+
+void WorkStream::OnFailure(const HttpClientFailure& failure) {
+  const std::string detail = failure.error.message;
+  if (failure.send_state == SendState::kNotSent) {
+    const Problem problem = BackendUnreachableProblem(detail);
+    this->reply->Fail(problem);
+    this->End(StreamEnd::kUnreachable, problem);
+    return;
+  }
+  this->backend.Cancel(this->work->attempt_id);
+  this->End(StreamEnd::kBroken, BackendFailedProblem(detail));
+}
+
+void WorkStream::End(StreamEnd end, std::optional<Problem> problem) {
+  this->ended = true;
+  this->exchange.reset();
+  this->handlers.on_end(end, std::move(problem));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Sidecar/work_stream.h
@@ -0,0 +1,78 @@
+// One piece of work while it runs: the request to the backend server, and the
+// passing on of its answer, chunk by chunk and with back-pressure.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibHTTP/http.h"
+#include "Sidecar/answer_inspector.h"
+#include "Sidecar/backend.h"
+#include "Sidecar/work_reply.h"
+
+namespace carobbank {
+
+enum class StreamEnd {
+  // The whole answer was passed on.
+  kWhole,
+  // No byte reached the backend server.
+  kUnreachable,
+  // The connection broke after the request was sent; `problem` is to be
+  // decided by a probe.
+  kBroken,
+  // The answer broke a rule, or the work was stopped; the reply has ended.
+  kStopped,
+};
+
+struct StreamHandlers {
+  // Tokens were passed on; the version of the last one.
+  std::function<void(std::uint32_t tokens,
+                     std::optional<std::uint64_t> version)>
+      on_tokens;
+  // Called once, last. `problem` is set unless the answer is whole.
+  std::function<void(StreamEnd end, std::optional<Problem> problem)> on_end;
+};
+
+class WorkStream : public std::enable_shared_from_this<WorkStream> {
+ public:
+  WorkStream(Backend& backend,
+             std::shared_ptr<const WorkRequest> work,
+             std::shared_ptr<WorkReply> reply,
+             StreamHandlers handlers);
+
+  void Begin();
+  // Ends the work at the backend server, and the answer with `problem`.
+  void Stop(const Problem& problem);
+
+  const WorkRequest& Work() const { return *this->work; }
+
+ private:
+  void OnHeaders(int status, const HttpHeaders& headers);
+  void OnBody(std::string_view bytes);
+  void PassInspected(std::string_view bytes);
+  void PassBytes(std::string_view bytes);
+  void OnDone();
+  void OnFailure(const HttpClientFailure& failure);
+  void End(StreamEnd end, std::optional<Problem> problem);
+
+  Backend& backend;
+  std::shared_ptr<const WorkRequest> work;
+  std::shared_ptr<WorkReply> reply;
+  StreamHandlers handlers;
+  // Set for answers that are events of a model.
+  std::optional<AnswerInspector> inspector;
+  std::unique_ptr<HttpExchange> exchange;
+  int status = 0;
+  HttpHeaders answer_headers;
+  // An answer that has no body, and is sent whole at its end.
+  bool bodiless = false;
+  bool paused = false;
+  bool ended = false;
+};
+
+}  // namespace carobbank
