--- /dev/null
+++ b/Tests/Sidecar/fakes.h
@@ -0,0 +1,181 @@
+// Hand-written fakes at the sidecar's interfaces: the entry's connection, the
+// backend server, timers and entries' RPC. Everything answers synchronously.
+
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibHTTP/http.h"
+#include "Sidecar/control_timer.h"
+#include "Sidecar/peer_caller.h"
+
+namespace carobbank {
+
+// What an entry received of one answer.
+struct ReceivedAnswer {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  // The answer's end arrived.
+  bool whole = false;
+  // The connection was closed in the middle.
+  bool aborted = false;
+  // The entry takes nothing while set; Take() lets one chunk through.
+  bool slow = false;
+  std::function<void(bool)> waiting_write;
+  std::function<void()> closed;
+
+  std::string Code() const {
+    const std::size_t data = this->body.rfind("data: ");
+    const std::string text = this->status == 200 && data != std::string::npos
+                                 ? this->body.substr(data + 6)
+                                 : this->body;
+    const auto problem = Problem::FromText(this->status, text);
+    return problem ? problem->code : "";
+  }
+  bool NotRun() const {
+    return this->body.find("not_run") != std::string::npos;
+  }
+  void Take() {
+    const auto written = std::exchange(this->waiting_write, nullptr);
+    written(true);
+  }
+};
+
+class FakeResponder final : public HttpResponder {
+ public:
+  explicit FakeResponder(std::shared_ptr<ReceivedAnswer> answer)
+      : answer(std::move(answer)) {}
+
+  void Send(HttpResponse response) override {
+    this->answer->status = response.status;
+    this->answer->headers = std::move(response.headers);
+    this->answer->body = std::move(response.body);
+    this->answer->whole = true;
+  }
+  void Start(int status, HttpHeaders headers) override {
+    this->answer->status = status;
+    this->answer->headers = std::move(headers);
+  }
+  void Write(std::string chunk, std::function<void(bool)> written) override {
+    this->answer->body += chunk;
+    if (this->answer->slow) {
+      this->answer->waiting_write = std::move(written);
+    } else {
+      written(true);
+    }
+  }
+  void Finish() override { this->answer->whole = true; }
+  void Abort() override { this->answer->aborted = true; }
+  void OnClosed(std::function<void()> closed) override {
+    this->answer->closed = std::move(closed);
+  }
+
+ private:
+  std::shared_ptr<ReceivedAnswer> answer;
+};
+
+// One request that the backend server received.
+struct BackendExchange {
+  HttpClientRequest request;
+  HttpClientHandlers handlers;
+  bool paused = false;
+  // The sidecar broke it off or let go of it after its end.
+  bool dropped = false;
+};
+
+class FakeBackendClient final : public HttpClient {
+ public:
+  std::vector<std::shared_ptr<BackendExchange>> exchanges;
+
+  std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
+                                      HttpClientHandlers handlers) override {
+    auto exchange = std::make_shared<BackendExchange>();
+    exchange->request = std::move(request);
+    exchange->handlers = std::move(handlers);
+    this->exchanges.push_back(exchange);
+    return std::make_unique<Handle>(exchange);
+  }
+
+ private:
+  class Handle final : public HttpExchange {
+   public:
+    explicit Handle(std::shared_ptr<BackendExchange> exchange)
+        : exchange(std::move(exchange)) {}
+    ~Handle() override { this->exchange->dropped = true; }
+    void Pause() override { this->exchange->paused = true; }
+    void Resume() override { this->exchange->paused = false; }
+
+   private:
+    std::shared_ptr<BackendExchange> exchange;
+  };
+};
+
+class FakeTimers final : public ControlTimers {
+ public:
+  std::unique_ptr<Timer> CallAfter(Milliseconds delay,
+                                   std::function<void()> task) override {
+    auto pending = std::make_shared<Pending>();
+    pending->delay = delay;
+    pending->task = std::move(task);
+    this->pending.push_back(pending);
+    return std::make_unique<Handle>(pending);
+  }
+
+  // Runs every timer that is set now, whatever its delay.
+  void RunAll() {
+    const auto due = std::exchange(this->pending, {});
+    for (const auto& timer : due) {
+      if (timer->task) {
+        const auto task = std::exchange(timer->task, nullptr);
+        task();
+      }
+    }
+  }
+
+ private:
+  struct Pending {
+    Milliseconds delay{0};
+    // Empty once cancelled or run.
+    std::function<void()> task;
+  };
+  class Handle final : public Timer {
+   public:
+    explicit Handle(std::shared_ptr<Pending> pending)
+        : pending(std::move(pending)) {}
+    ~Handle() override { this->pending->task = nullptr; }
+    void Cancel() override { this->pending->task = nullptr; }
+
+   private:
+    std::shared_ptr<Pending> pending;
+  };
+
+  std::deque<std::shared_ptr<Pending>> pending;
+};
+
+class FakePeers final : public PeerCaller {
+ public:
+  struct CallRecord {
+    std::string address;
+    Json::Value parameters;
+    Callback callback;
+  };
+  std::vector<CallRecord> calls;
+
+  void Call(std::string_view address,
+            std::string_view,
+            Json::Value parameters,
+            Milliseconds,
+            Callback callback) override {
+    this->calls.push_back(
+        {std::string(address), std::move(parameters), std::move(callback)});
+  }
+};
+
+}  // namespace carobbank
