LibHTTP: Keep the acceptor while its connections live

Cause: RESTinio's connections count themselves in their acceptor through a plain pointer; a connection that outlives the server, because an operation of it is still queued, wrote into freed memory (found by the asan preset).

Change: each open connection owns the acceptor's owner. Ruled out: leaving the count to this library, which would lose RESTinio's pause of accepting.

--- a/Libraries/LibHTTP/connection_registry.h
+++ b/Libraries/LibHTTP/connection_registry.h
@@ -50,6 +50,9 @@
 
   // Null after Shutdown().
   HttpHandler handler;
+  // RESTinio's connections count themselves in their acceptor without owning
+  // it, so each open connection keeps the acceptor's owner.
+  std::weak_ptr<void> acceptor_owner;
   std::shared_ptr<asio::ssl::context> tls_context;
   std::size_t requests_in_progress = 0;
   // Answers name "Connection: close" from then on.
--- a/Libraries/LibHTTP/http_server.cc
+++ b/Libraries/LibHTTP/http_server.cc
@@ -133,9 +133,10 @@
   void Open(const asio::ip::address& address) {
     restinio::server_settings_t<ServerTraits> settings;
     this->Configure(settings, address);
-    this->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
+    this->server = std::make_shared<restinio::http_server_t<ServerTraits>>(
         restinio::external_io_context(this->registry->Context()),
         std::move(settings));
+    this->registry->acceptor_owner = this->server;
     this->server->open_sync();
     this->registry->StartSweeping();
   }
@@ -189,7 +190,7 @@
   }
 
   std::shared_ptr<ConnectionRegistry> registry;
-  std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+  std::shared_ptr<restinio::http_server_t<ServerTraits>> server;
   std::uint16_t port = 0;
 };
 
--- a/Libraries/LibHTTP/server_connection.cc
+++ b/Libraries/LibHTTP/server_connection.cc
@@ -59,6 +59,7 @@
 
 void ServerConnection::Begin(std::uint64_t connection_id) {
   this->id = connection_id;
+  this->acceptor_owner = this->registry->acceptor_owner.lock();
   this->peer = EndpointText(this->Lowest());
   this->read_deadline =
       std::chrono::steady_clock::now() + this->registry->Options().read_timeout;
--- a/Libraries/LibHTTP/server_connection.h
+++ b/Libraries/LibHTTP/server_connection.h
@@ -89,6 +89,8 @@
   void CloseStream();
 
   std::shared_ptr<ConnectionRegistry> registry;
+  // Set while accepted; see ConnectionRegistry::acceptor_owner.
+  std::shared_ptr<void> acceptor_owner;
   // Invariant: exactly one of the two is set.
   std::optional<TcpStream> tcp;
   std::unique_ptr<TlsStream> tls;
