StandIns: Bound records and pages of the log, take lists of versions

PLATFORM.md promises records up to 4 MiB but neither stand-in nor fake refused longer ones, and a page could hold a thousand of them. Both now refuse with 413, and a page ends at 4 MiB. The contract gains cases for long records and for a log that never answers.

--- a/StandIns/log_stand_in.cc
+++ b/StandIns/log_stand_in.cc
@@ -13,6 +13,9 @@
 constexpr std::string_view kPrefix = "/streams/";
 constexpr std::string_view kSuffix = "/records";
 constexpr std::uint64_t kDefaultMaxRecords = 1'000;
+constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
+// A page holds at least one record, however long it is.
+constexpr std::size_t kMaxPageBytes = 4 * 1024 * 1024;
 
 constexpr SettingField<LogSettings> kLogSettings[] = {
     {"appends_per_second", &LogSettings::appends_per_second},
@@ -113,6 +116,11 @@
     SendCode(*responder, 400, "no_payload");
     return;
   }
+  const std::string payload = body.Value()["payload"].asString();
+  if (payload.size() > kMaxRecordBytes) {
+    SendCode(*responder, 413, "record_too_long");
+    return;
+  }
   const bool within_budget = this->append_budget.Take(
       this->settings.appends_per_second, this->clock.Now());
   if (!within_budget || TakeOne(this->settings.refuse_appends)) {
@@ -126,8 +134,7 @@
   Stream& stream = this->streams[name];
   Json::Value answer;
   answer["offset"] = Json::UInt64{stream.records.size()};
-  stream.records.push_back(
-      {this->clock.WallNow(), body.Value()["payload"].asString()});
+  stream.records.push_back({this->clock.WallNow(), payload});
   if (TakeOne(this->settings.lose_answers)) {
     responder->Abort();
   } else if (TakeOne(this->settings.late_answers)) {
@@ -204,10 +211,15 @@
     read.responder->Send(JsonResponse(410, page));
     return;
   }
+  std::size_t page_bytes = 0;
   for (std::uint64_t offset = read.from;
        offset < stream.records.size() &&
        page["records"].size() < read.max_records;
        ++offset) {
+    page_bytes += stream.records[offset].payload.size();
+    if (page_bytes > kMaxPageBytes && offset > read.from) {
+      break;
+    }
     Json::Value record;
     record["offset"] = Json::UInt64{offset};
     record["time_ms"] = Json::Int64{stream.records[offset].time_ms};
--- a/StandIns/weight_store_stand_in.cc
+++ b/StandIns/weight_store_stand_in.cc
@@ -63,15 +63,30 @@
 Result<void> WeightStoreStandIn::ControlMember(const std::string& name,
                                                const Json::Value& value) {
   if (name == "put") {
-    this->Store(JsonString(value, "model"),
-                static_cast<std::uint64_t>(JsonInteger(value, "version")),
-                JsonInteger(value, "bytes", this->settings.version_bytes));
-    return {};
+    return this->Put(value);
   }
   return ApplySetting<WeightStoreSettings>(kWeightStoreSettings, name, value,
                                            this->settings);
 }
 
+Result<void> WeightStoreStandIn::Put(const Json::Value& value) {
+  if (value.isArray()) {
+    for (const Json::Value& item : value) {
+      BOOST_LEAF_CHECK(this->Put(item));
+    }
+    return {};
+  }
+  const std::string model = JsonString(value, "model");
+  const std::int64_t version = JsonInteger(value, "version");
+  if (model.empty() || version <= 0) {
+    return Fail(ErrorKind::kInvalidArgument, "put without model or version",
+                "send {\"model\", \"version\", \"bytes\"}");
+  }
+  this->Store(model, static_cast<std::uint64_t>(version),
+              JsonInteger(value, "bytes", this->settings.version_bytes));
+  return {};
+}
+
 void WeightStoreStandIn::ShowControl(Json::Value& shown) const {
   ShowSettings<WeightStoreSettings>(kWeightStoreSettings, this->settings,
                                     shown);
--- a/StandIns/weight_store_stand_in.h
+++ b/StandIns/weight_store_stand_in.h
@@ -22,7 +22,8 @@
   bool outage = false;
 };
 
-// Control command besides the settings: "put": {"model", "version", "bytes"}.
+// Control command besides the settings: "put": {"model", "version", "bytes"}
+// or a list of such.
 class WeightStoreStandIn final : public StandIn {
  public:
   using StandIn::StandIn;
@@ -40,6 +41,7 @@
   // Sizes in bytes by version.
   using Versions = std::map<std::uint64_t, std::int64_t>;
 
+  Result<void> Put(const Json::Value& value);
   void SendVersions(const std::string& model, HttpResponder& responder) const;
   void SendBytes(const std::string& model,
                  std::uint64_t version,
--- a/Tests/Contracts/engine_contract_test.cc
+++ b/Tests/Contracts/engine_contract_test.cc
@@ -254,7 +254,10 @@
   CHECK_TRUE(subject.Order(OrderFor("a", 1, 2)).Ok());
 }
 
+// The connection has been used before, so that a client that silently repeats
+// a request on a fresh connection is found out.
 void LostAnswerIsUnknownAndTheOrderTaken(EngineSubject& subject) {
+  CHECK_TRUE(subject.State().Ok());
   subject.Switch(EngineFault::kLostAnswer);
   CheckError(ErrorKind::kOutcomeUnknown, subject.Order(OrderFor("a", 1, 2)));
   subject.FinishOrder();
--- a/Tests/Contracts/log_contract_test.cc
+++ b/Tests/Contracts/log_contract_test.cc
@@ -30,6 +30,8 @@
   kLostRequest,
   // The next append is over the budget.
   kOverBudget,
+  // Nothing is answered any more.
+  kSilent,
   // Only the newest record can still be read.
   kShortRetention,
 };
@@ -102,6 +104,10 @@
       case LogFault::kOverBudget:
         faults.append_budget = 0;
         break;
+      case LogFault::kSilent:
+        faults.lost_requests = 1;
+        faults.read_outage = true;
+        break;
       case LogFault::kShortRetention:
         this->log.retained_records = 1;
         break;
@@ -152,6 +158,9 @@
 
   void Switch(LogFault fault) override {
     this->host.ControlDirectly(ControlFor(fault));
+    if (fault == LogFault::kSilent) {
+      this->UseShortTimeout();
+    }
   }
 
   std::vector<std::string> Truth(std::string_view stream) override {
@@ -164,6 +173,14 @@
   }
 
  private:
+  // A call to a silent log fails however long it waits.
+  void UseShortTimeout() {
+    PlatformClientOptions options;
+    options.timeout = Milliseconds(50);
+    this->log =
+        CreateHttpLogClient(this->host.Client(), this->host.Url(), options);
+  }
+
   static std::string_view ControlFor(LogFault fault) {
     switch (fault) {
       case LogFault::kAppendOutage:
@@ -176,6 +193,8 @@
         return R"({"lose_requests": 1})";
       case LogFault::kOverBudget:
         return R"({"refuse_appends": 1})";
+      case LogFault::kSilent:
+        return R"({"silent": true})";
       case LogFault::kShortRetention:
         return R"({"retention_records": 1})";
     }
@@ -278,6 +297,23 @@
   CheckPayloads({"a"}, subject.Truth("s"));
 }
 
+void SilentLogLeavesAppendsUnknown(LogSubject& subject) {
+  subject.Append("s", "a");
+  subject.Switch(LogFault::kSilent);
+  CheckError(ErrorKind::kOutcomeUnknown, subject.Append("s", "b"));
+  CheckError(ErrorKind::kUnavailable, subject.Read("s", 0, 10, kNoWait));
+}
+
+void LongRecordsAreRefused(LogSubject& subject) {
+  constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
+  const std::string longest(kMaxRecordBytes, 'a');
+  CHECK_TRUE(subject.Append("s", longest).Ok());
+  CheckError(ErrorKind::kInvalidArgument, subject.Append("s", longest + "a"));
+  const LogPage page = subject.Read("s", 0, 10, kNoWait).Value();
+  CHECK_EQUAL(1U, page.end);
+  CHECK_EQUAL(kMaxRecordBytes, page.records[0].payload.size());
+}
+
 void ReadBelowRetentionIsExpired(LogSubject& subject) {
   for (const char* payload : {"a", "b", "c"}) {
     subject.Append("s", payload);
@@ -312,6 +348,8 @@
     {"over budget appends nothing", OverBudgetAppendsNothing},
     {"a lost answer is unknown", LostAnswerIsUnknownAndAppendedOnce},
     {"a lost request is unknown", LostRequestIsUnknownAndNotAppended},
+    {"a silent log leaves appends unknown", SilentLogLeavesAppendsUnknown},
+    {"long records are refused", LongRecordsAreRefused},
     {"below retention is expired", ReadBelowRetentionIsExpired},
     {"oldest retained follows retention", OldestRetainedFollowsRetention},
 };
--- a/Tests/Support/fake_log.h
+++ b/Tests/Support/fake_log.h
@@ -123,6 +123,8 @@
   }
 
  private:
+  static constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
+
   struct Stream {
     // Invariant: the record at index i has offset i.
     std::vector<LogRecord> records;
@@ -163,6 +165,10 @@
       return Error{ErrorKind::kUnavailable, "the fake log is down",
                    "append again later"};
     }
+    if (payload.size() > kMaxRecordBytes) {
+      return Error{ErrorKind::kInvalidArgument, "the record is too long",
+                   "append at most 4 MiB at once"};
+    }
     if (this->faults.append_budget == std::size_t{0}) {
       return Error{ErrorKind::kOverloaded, "the append budget is spent",
                    "append again later"};
