Sidecar: Hold back the engine's end mark of a cancelled generation

Cause: an engine ends a cancelled stream with finish_reason cancelled and in good order, without [DONE]; the chunk went on to the entry as a finish reason. Change: it ends the answer as backend_failed instead.

--- a/Services/Sidecar/answer_inspector.cc
+++ b/Services/Sidecar/answer_inspector.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kEndMark = "[DONE]";
+// How an engine ends a generation that it was told to cancel.
+constexpr std::string_view kCancelled = "cancelled";
 
 }  // namespace
 
@@ -91,6 +93,9 @@
   const bool has_choice =
       choices.isArray() && !choices.empty() && choices[0U].isObject();
   if (has_choice && choices[0U]["finish_reason"].isString()) {
+    if (choices[0U]["finish_reason"].asString() == kCancelled) {
+      return BackendFailedProblem("the engine cancelled the generation");
+    }
     this->has_finish_reason = true;
   }
   result.tokens += static_cast<std::uint32_t>(to - from);
