--- /dev/null
+++ b/Tests/Sidecar/control_parts_test.cc
@@ -0,0 +1,222 @@
+// The control thread's parts: what is learned never goes back, and the engine
+// is brought to the announced version through faults.
+
+#include "LibContract/contract.h"
+#include "Sidecar/configuration_poll.h"
+#include "Sidecar/instance_watch.h"
+#include "Sidecar/order_keeper.h"
+#include "Support/fake_engine_control.h"
+#include "Support/fake_instance_list.h"
+#include "Support/manual_clock.h"
+#include "fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::string_view kTokenDigest =
+    "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+
+std::string DocumentText(std::string_view swap, int share) {
+  return "name: s\nteam: t\nkind: model\npool: pool\nmodel: m\n"
+         "class: training\nshare: " +
+         std::to_string(share) + "\nswap: " + std::string(swap) +
+         "\ncallers: [{name: c, token_sha256: " + std::string(kTokenDigest) +
+         "}]\n";
+}
+
+// What an entry answers that has taken in `records` documents of service s.
+Json::Value EntryAnswer(int records, std::string_view swap = "interrupt") {
+  ConfigurationFold fold;
+  for (int offset = 0; offset < records; ++offset) {
+    const ConfigurationEntry entry =
+        PublishEntry{"s", offset - 1, DocumentText(swap, offset + 1), "ana",
+                     "p" + std::to_string(offset)};
+    fold.Apply(offset, 1'000, WriteConfigurationRecord({&entry, 1}));
+  }
+  Json::Value answer = ConfigurationExportToJson(fold.Export());
+  answer["fingerprint"] = std::to_string(records);
+  answer["quarantine"] = Json::arrayValue;
+  answer["versions"]["m"] = records;
+  return answer;
+}
+
+struct PollFixture {
+  PollFixture() {
+    this->poll.SetEntries({{"e1", "1"}, {"e2", "2"}, {"e3", "3"}});
+  }
+
+  void Answer(std::size_t call, const Outcome<Json::Value>& answer) {
+    // Answering may make further calls.
+    const auto callback = this->peers.calls.at(call).callback;
+    callback(answer);
+  }
+
+  FakeTimers timers;
+  FakePeers peers;
+  int changes = 0;
+  ConfigurationPoll poll{this->timers, this->peers, "server-1", "m",
+                         [this] { ++this->changes; }};
+};
+
+Error Unreachable() {
+  return Error{ErrorKind::kUnavailable, "down", "ask again"};
+}
+
+}  // namespace
+
+TEST_GROUP(ControlParts){};
+
+TEST(ControlParts, TwoEntriesArePolledAtATime) {
+  PollFixture fixture;
+  LONGS_EQUAL(2, fixture.peers.calls.size());
+  CHECK_TRUE(fixture.peers.calls[0].address != fixture.peers.calls[1].address);
+}
+
+TEST(ControlParts, TheConfigurationNeverGoesBack) {
+  PollFixture fixture;
+  fixture.Answer(0, EntryAnswer(3));
+  LONGS_EQUAL(2, fixture.poll.Learned().state->offset);
+  fixture.Answer(1, EntryAnswer(1));
+  LONGS_EQUAL(2, fixture.poll.Learned().state->offset);
+  LONGS_EQUAL(3, *fixture.poll.Learned().version);
+  LONGS_EQUAL(1, fixture.changes);
+}
+
+TEST(ControlParts, NonsenseFromAnEntryChangesNothing) {
+  Json::Value damaged = EntryAnswer(3);
+  damaged["digest"] = "0";
+  Json::Value mistyped = EntryAnswer(3);
+  mistyped["documents"] = "none";
+  for (const Json::Value& answer :
+       {damaged, mistyped, Json::Value(7), Json::Value(Json::arrayValue)}) {
+    PollFixture fixture;
+    fixture.Answer(0, answer);
+    CHECK_TRUE(fixture.poll.Learned().state == nullptr);
+    LONGS_EQUAL(1, fixture.poll.Malformed());
+    fixture.timers.RunAll();
+    LONGS_EQUAL(3, fixture.peers.calls.size());
+  }
+}
+
+TEST(ControlParts, AnEntryThatDoesNotAnswerIsPassedOver) {
+  PollFixture fixture;
+  const std::string silent = fixture.peers.calls[0].address;
+  fixture.Answer(0, Unreachable());
+  fixture.timers.RunAll();
+  fixture.Answer(2, Unreachable());
+  fixture.timers.RunAll();
+  LONGS_EQUAL(4, fixture.peers.calls.size());
+  CHECK_TRUE(fixture.peers.calls[3].address != silent);
+}
+
+TEST(ControlParts, TheNextQuestionSaysWhatWasSeen) {
+  PollFixture fixture;
+  fixture.Answer(0, EntryAnswer(2));
+  fixture.timers.RunAll();
+  const Json::Value& parameters = fixture.peers.calls.at(2).parameters;
+  STRCMP_EQUAL("2", parameters["seen"].asCString());
+  LONGS_EQUAL(1, parameters["after_offset"].asInt64());
+}
+
+TEST(ControlParts, TheListTellsEntriesPoolAndLeaving) {
+  FakeTimers timers;
+  FakeInstanceList list;
+  Neighbourhood seen;
+  int changes = 0;
+  InstanceWatch watch(timers, list, "server-1", "pool",
+                      [&](const Neighbourhood& next) {
+                        seen = next;
+                        ++changes;
+                      });
+  list.outage = true;
+  watch.Start();
+  LONGS_EQUAL(0, changes);
+  list.outage = false;
+  list.Set(
+      {"e1", InstanceRole::kEntry, InstanceState::kLive, "dc", "", "1", 1});
+  list.Set(
+      {"e2", InstanceRole::kEntry, InstanceState::kLeaving, "dc", "", "2", 1});
+  for (const char* id : {"server-1", "server-2"}) {
+    list.Set({id, InstanceRole::kBackendServer, InstanceState::kLive, "dc",
+              "pool", "3", 1});
+  }
+  timers.RunAll();
+  LONGS_EQUAL(1, seen.entries.size());
+  LONGS_EQUAL(2, seen.pool.size());
+  CHECK_FALSE(seen.leaving);
+  timers.RunAll();
+  LONGS_EQUAL(1, changes);
+  list.SetState("server-1", InstanceState::kLeaving);
+  timers.RunAll();
+  CHECK_TRUE(seen.leaving);
+  list.outage = true;
+  timers.RunAll();
+  CHECK_TRUE(seen.leaving);
+}
+
+TEST(ControlParts, TheMostCarefulSwapOfTheDocumentsIsTaken) {
+  struct Case {
+    const char* swap;
+    SwapMode mode;
+    SwapPace pace;
+  };
+  const Case cases[] = {
+      {"interrupt", SwapMode::kInterrupt, SwapPace::kAtOnce},
+      {"wait", SwapMode::kWait, SwapPace::kAtOnce},
+      {"rolling", SwapMode::kWait, SwapPace::kRolling},
+  };
+  for (const Case& row : cases) {
+    PollFixture fixture;
+    fixture.Answer(0, EntryAnswer(1, row.swap));
+    const ConfigurationState& state = *fixture.poll.Learned().state;
+    const SwapRules rules = SwapRulesOf(state, "pool", "m");
+    CHECK_TRUE(rules.mode == row.mode);
+    CHECK_TRUE(rules.plan.pace == row.pace);
+    CHECK_TRUE(SwapRulesOf(state, "other", "m").mode == SwapMode::kInterrupt);
+  }
+}
+
+TEST(ControlParts, OrdersReachTheVersionThroughFaults) {
+  struct Case {
+    const char* name;
+    void (*fault)(FakeEngineControl&);
+    // Orders that took effect at the engine until it got there.
+    std::size_t orders;
+  };
+  const Case cases[] = {
+      {"none", [](FakeEngineControl&) {}, 1},
+      {"lost answer",
+       [](FakeEngineControl& engine) { engine.lost_answers = 1; }, 1},
+      {"lost order",
+       [](FakeEngineControl& engine) { engine.lost_requests = 1; }, 1},
+      {"outage", [](FakeEngineControl& engine) { engine.outage = true; }, 1},
+  };
+  for (const Case& row : cases) {
+    ManualClock clock;
+    FakeEngineControl engine;
+    EventTimeline timeline(clock, TimelineOptions());
+    MetricRegistry registry(clock);
+    engine.state.version = 1;
+    OrderKeeper keeper(clock, engine, timeline, registry, "server-1", "m",
+                       [] {});
+    OrderAuthority authority;
+    authority.fencing = 3;
+    keeper.SetAuthority(authority);
+    keeper.SetTarget(2, SwapRules(), {"server-1"});
+    row.fault(engine);
+    for (int round = 0; round < 40; ++round) {
+      keeper.OnReport(engine.state);
+      clock.Advance(Milliseconds(250));
+      engine.FinishOrder();
+      engine.outage = false;
+    }
+    CHECK_TRUE_TEXT(engine.state.version == 2, row.name);
+    CHECK_TRUE_TEXT(keeper.State() == OrderState::kConfirmed, row.name);
+    LONGS_EQUAL(row.orders, engine.taken_orders.size());
+  }
+}
+
+}  // namespace carobbank
