LibLedger: Let accepts state what their writer had read

Cause: property tests over random histories found a request id with two steps.

Ruled out: remembering the passed-over accepts, since a chain of repeats stays ambiguous for any length of coverage.

Change: an accept carries its writer's read_to and decided_ms. A fold that started after read_to passes it over; one that was held up for more than half a step lifetime is void for all. RolloutFold and KeyFold now take the start offset as a second argument (0, or the log's first retained offset), and DecideAccept returns an AcceptVerdict whose basis goes into the accept: fold = RolloutFold(options, first_retained); verdict = fold.DecideAccept(id, digest, now); accept.basis = verdict.basis; RolloutFoldOptions no longer has covered_since_ms.

Services/Entry follows in this commit, since it would not build otherwise. Its folds began at offset 0 also after a gap and then took no record at all; they now begin at the first retained one.

--- a/Libraries/LibLedger/delivery_reader.cc
+++ b/Libraries/LibLedger/delivery_reader.cc
@@ -15,12 +15,10 @@
 }
 
 RolloutFoldOptions ReaderOptions(const Cursor& cursor,
-                                 Milliseconds step_lifetime,
-                                 std::uint64_t start_offset) {
+                                 Milliseconds step_lifetime) {
   RolloutFoldOptions options;
   options.service = cursor.service;
   options.step_lifetime = step_lifetime;
-  options.start_offset = start_offset;
   options.only_step = StepName{cursor.request_id, cursor.accepted_at};
   return options;
 }
@@ -65,9 +63,8 @@
 DeliveryReader::DeliveryReader(Cursor cursor, Milliseconds step_lifetime)
     : cursor(std::move(cursor)),
       step_lifetime(step_lifetime),
-      fold(ReaderOptions(this->cursor,
-                         step_lifetime,
-                         this->cursor.start_offset)) {}
+      fold(ReaderOptions(this->cursor, step_lifetime),
+           this->cursor.start_offset) {}
 
 bool DeliveryReader::Apply(const StreamRecord& record) {
   return this->fold.Apply(record);
@@ -77,7 +74,7 @@
   const std::uint64_t start =
       std::max(first_retained, this->cursor.start_offset);
   this->fold =
-      RolloutFold(ReaderOptions(this->cursor, this->step_lifetime, start));
+      RolloutFold(ReaderOptions(this->cursor, this->step_lifetime), start);
 }
 
 Result<DeliveryPage> DeliveryReader::Read(std::uint64_t stream_end,
--- a/Libraries/LibLedger/key_fold.h
+++ b/Libraries/LibLedger/key_fold.h
@@ -24,8 +24,6 @@
   Milliseconds memory{std::chrono::hours(4)};
   // Every record later than this is folded (CoveredSince).
   WallMilliseconds covered_since_ms = kCoversEverything;
-  // The first offset that is folded.
-  std::uint64_t start_offset = 0;
   // Attempts of one key that may end released or lost; further claims are
   // void.
   std::size_t max_spent_attempts = 64;
@@ -87,8 +85,9 @@
 
 class KeyFold {
  public:
-  explicit KeyFold(KeyFoldOptions options)
-      : options(options), next_offset(options.start_offset) {}
+  // `start_offset`: 0, or the oldest kept offset.
+  KeyFold(KeyFoldOptions options, std::uint64_t start_offset)
+      : options(options), next_offset(start_offset) {}
 
   // As RolloutFold::Apply.
   bool Apply(const StreamRecord& record);
--- a/Libraries/LibLedger/rollout_carry.cc
+++ b/Libraries/LibLedger/rollout_carry.cc
@@ -113,8 +113,7 @@
     step->start_offset = std::max(step->start_offset, head.as_of_offset + 1);
     return;
   }
-  const bool read_all_since =
-      head.as_of_offset + 1 >= this->options.start_offset;
+  const bool read_all_since = head.as_of_offset + 1 >= this->start_offset;
   if (!read_all_since || this->steps.contains(head.request_id)) {
     ++this->counters.stray_entries;
     return;
--- a/Libraries/LibLedger/rollout_entries.cc
+++ b/Libraries/LibLedger/rollout_entries.cc
@@ -21,6 +21,8 @@
   value["named_version"] = Json::UInt64(entry.named_version);
   value["max_age_versions"] = Json::UInt64(entry.max_age_versions);
   value["request_digest"] = entry.request_digest;
+  value["read_to"] = Json::UInt64(entry.basis.read_to);
+  value["decided_ms"] = Json::Int64(entry.basis.decided_ms);
   value["groups"] = Json::Value(Json::arrayValue);
   for (const PromptGroup& group : entry.groups) {
     Json::Value item;
@@ -133,6 +135,8 @@
   entry.named_version = reader.Unsigned("named_version");
   entry.max_age_versions = reader.Unsigned("max_age_versions");
   entry.request_digest = reader.Text("request_digest");
+  entry.basis.read_to = reader.Unsigned("read_to");
+  entry.basis.decided_ms = reader.Integer("decided_ms");
   entry.groups = ReadGroups(reader);
   if (entry.groups.empty()) {
     reader.Reject();
--- a/Libraries/LibLedger/rollout_entries.h
+++ b/Libraries/LibLedger/rollout_entries.h
@@ -40,6 +40,14 @@
   bool operator==(const TokenSpan&) const = default;
 };
 
+// What the writer of an accept knew: the records before `read_to` name no
+// living step of this request id.
+struct AcceptBasis {
+  std::uint64_t read_to = 0;
+  // The writer's wall clock then.
+  WallMilliseconds decided_ms = 0;
+};
+
 // A step was accepted. The first accept of a request id counts.
 struct AcceptEntry {
   std::string request_id;
@@ -51,6 +59,8 @@
   std::uint64_t max_age_versions = 0;
   // Digest of the caller's request, to tell a repeat from a clash.
   std::string request_digest;
+  // From RolloutFold::DecideAccept.
+  AcceptBasis basis;
   std::vector<PromptGroup> groups;
 
   std::uint64_t ExpectedSamples() const;
--- a/Libraries/LibLedger/rollout_fold.cc
+++ b/Libraries/LibLedger/rollout_fold.cc
@@ -48,8 +48,10 @@
          this->results.size() >= this->accept.ExpectedSamples();
 }
 
-RolloutFold::RolloutFold(RolloutFoldOptions options)
-    : options(std::move(options)), next_offset(this->options.start_offset) {}
+RolloutFold::RolloutFold(RolloutFoldOptions options, std::uint64_t start_offset)
+    : options(std::move(options)),
+      start_offset(start_offset),
+      next_offset(start_offset) {}
 
 bool RolloutFold::Apply(const StreamRecord& record) {
   if (record.offset < this->next_offset) {
@@ -99,13 +101,15 @@
   }
 }
 
-bool RolloutFold::TooEarlyToAccept(const LogPosition& position,
-                                   WallMilliseconds time_ms) const {
+bool RolloutFold::MayCount(const AcceptEntry& entry,
+                           const LogPosition& position,
+                           WallMilliseconds time_ms) const {
   if (this->options.only_step) {
-    return position != this->options.only_step->accepted_at;
+    return position == this->options.only_step->accepted_at;
   }
-  return time_ms <=
-         this->options.covered_since_ms + this->options.step_lifetime.count();
+  const WallMilliseconds delay = time_ms - entry.basis.decided_ms;
+  return delay <= this->options.step_lifetime.count() / 2 &&
+         entry.basis.read_to >= this->start_offset;
 }
 
 void RolloutFold::OnAccept(const LogPosition& position,
@@ -115,7 +119,7 @@
     ++this->counters.repeated_accepts;
     return;
   }
-  if (this->TooEarlyToAccept(position, time_ms)) {
+  if (!this->MayCount(entry, position, time_ms)) {
     ++this->counters.stray_entries;
     return;
   }
@@ -208,7 +212,7 @@
 }
 
 RolloutFold::Orphan* RolloutFold::OrphanFor(const StepName& name) {
-  const bool started_late = this->options.start_offset > 0;
+  const bool started_late = this->start_offset > 0;
   if (!started_late || this->steps.contains(name.request_id)) {
     return nullptr;
   }
@@ -231,15 +235,19 @@
   return all;
 }
 
-AcceptDecision RolloutFold::DecideAccept(std::string_view request_id,
-                                         std::string_view request_digest,
-                                         WallMilliseconds now_ms) const {
+AcceptVerdict RolloutFold::DecideAccept(std::string_view request_id,
+                                        std::string_view request_digest,
+                                        WallMilliseconds now_ms) const {
+  AcceptVerdict verdict;
+  verdict.basis = {this->next_offset, now_ms};
   const StepState* step = this->Find(request_id);
   if (step == nullptr || now_ms > step->lives_until_ms) {
-    return AcceptDecision::kNew;
+    return verdict;
   }
-  return step->accept.request_digest == request_digest ? AcceptDecision::kRepeat
-                                                       : AcceptDecision::kClash;
+  verdict.decision = step->accept.request_digest == request_digest
+                         ? AcceptDecision::kRepeat
+                         : AcceptDecision::kClash;
+  return verdict;
 }
 
 Cursor RolloutFold::FirstCursor(const StepState& step) const {
--- a/Libraries/LibLedger/rollout_fold.h
+++ b/Libraries/LibLedger/rollout_fold.h
@@ -12,9 +12,12 @@
 // ordered list, so the number of a result never changes and old cursors stay
 // valid.
 //
-// A fold that starts late can't tell a first accept from a repeat until it has
-// read one step lifetime, so it takes no accept before. Steps accepted in that
-// time have expired by now, unless a copy brings them.
+// A fold that starts late can't see whether an older accept lies before its
+// start. Therefore an accept states how far its writer had read (its basis):
+// when that lies before the fold's start, the fold takes no notice of it. An
+// accept that reaches the log more than half a step lifetime after its writer
+// decided is void for every fold, so the ones passed over here have expired by
+// now, unless a copy brings them.
 
 #pragma once
 
@@ -95,20 +98,23 @@
   kClash,
 };
 
+struct AcceptVerdict {
+  AcceptDecision decision = AcceptDecision::kNew;
+  // For the accept to append, with kNew.
+  AcceptBasis basis;
+};
+
 struct RolloutFoldOptions {
   std::string service;
   Milliseconds step_lifetime{std::chrono::hours(3)};
-  // Every record later than this is folded (CoveredSince).
-  WallMilliseconds covered_since_ms = kCoversEverything;
-  // The first offset that is folded.
-  std::uint64_t start_offset = 0;
   // Folds this step alone, whose accept needs no check then.
   std::optional<StepName> only_step;
 };
 
 class RolloutFold {
  public:
-  explicit RolloutFold(RolloutFoldOptions options);
+  // `start_offset`: 0, or the oldest kept offset.
+  RolloutFold(RolloutFoldOptions options, std::uint64_t start_offset);
 
   // Takes the next record. Records below `NextOffset()` are ignored, so pages
   // may overlap. Returns false, and takes nothing, when records before this
@@ -125,9 +131,11 @@
   const StepState* Find(std::string_view request_id) const;
   std::vector<const StepState*> Steps() const;
 
-  AcceptDecision DecideAccept(std::string_view request_id,
-                              std::string_view request_digest,
-                              WallMilliseconds now_ms) const;
+  // Ask only a fold that was read to the stream's end within the last minute:
+  // one that lags may call a repeat new.
+  AcceptVerdict DecideAccept(std::string_view request_id,
+                             std::string_view request_digest,
+                             WallMilliseconds now_ms) const;
   // The cursor of the step's first result.
   Cursor FirstCursor(const StepState& step) const;
 
@@ -183,11 +191,13 @@
   // Where to keep an entry whose step may still be brought by a copy; nothing
   // when that can't be.
   Orphan* OrphanFor(const StepName& name);
-  bool TooEarlyToAccept(const LogPosition& position,
-                        WallMilliseconds time_ms) const;
+  bool MayCount(const AcceptEntry& entry,
+                const LogPosition& position,
+                WallMilliseconds time_ms) const;
   void DropExpired();
 
   RolloutFoldOptions options;
+  std::uint64_t start_offset = 0;
   std::uint64_t next_offset = 0;
   WallMilliseconds log_time_ms = kCoversEverything;
   // One living step per request id.
--- a/Services/Entry/key_service.cc
+++ b/Services/Entry/key_service.cc
@@ -83,7 +83,7 @@
   options.covered_since_ms =
       CoveredSince(this->environment.retention, first_retained,
                    this->environment.clock.WallNow());
-  this->fold = std::make_unique<KeyFold>(options);
+  this->fold = std::make_unique<KeyFold>(options, first_retained);
 }
 
 void KeyService::Start() {
--- a/Services/Entry/step_service.cc
+++ b/Services/Entry/step_service.cc
@@ -33,8 +33,8 @@
           {[this](const LogRecord& record) {
              this->fold->Apply({record.offset, record.time_ms, record.payload});
            },
-           [this](std::uint64_t from, std::uint64_t first_retained) {
-             this->ResetFold(from, first_retained);
+           [this](std::uint64_t, std::uint64_t first_retained) {
+             this->ResetFold(first_retained);
            },
            [this] { this->OnPage(); }}),
       writer(
@@ -42,19 +42,17 @@
            environment.generation.random, environment.log, environment.metrics},
           RolloutStream(this->service),
           environment.committer) {
-  this->ResetFold(0, 0);
+  this->ResetFold(0);
 }
 
 StepService::~StepService() = default;
 
-void StepService::ResetFold(std::uint64_t, std::uint64_t first_retained) {
-  const WallMilliseconds now = this->environment.generation.clock.WallNow();
+void StepService::ResetFold(std::uint64_t first_retained) {
   RolloutFoldOptions options;
   options.service = this->service;
   options.step_lifetime = StepLifetime(this->environment.retention);
-  options.covered_since_ms =
-      CoveredSince(this->environment.retention, first_retained, now);
-  this->fold = std::make_unique<RolloutFold>(std::move(options));
+  this->fold =
+      std::make_unique<RolloutFold>(std::move(options), first_retained);
 }
 
 void StepService::Start() {
@@ -86,9 +84,10 @@
 
 void StepService::SubmitCaughtUp(AcceptEntry accept,
                                  const SubmitCallback& callback) {
-  switch (
+  const AcceptVerdict verdict =
       this->fold->DecideAccept(accept.request_id, accept.request_digest,
-                               this->environment.generation.clock.WallNow())) {
+                               this->environment.generation.clock.WallNow());
+  switch (verdict.decision) {
     case AcceptDecision::kRepeat:
       callback(this->fold->FirstCursor(*this->fold->Find(accept.request_id)));
       return;
@@ -98,6 +97,7 @@
     case AcceptDecision::kNew:
       break;
   }
+  accept.basis = verdict.basis;
   // Shared by the three ways in which waiting can end; the first one counts.
   auto answered = std::make_shared<bool>(false);
   auto answer_once = [answered,
--- a/Services/Entry/step_service.h
+++ b/Services/Entry/step_service.h
@@ -94,7 +94,7 @@
     WallMilliseconds carried_until_ms = 0;
   };
 
-  void ResetFold(std::uint64_t from, std::uint64_t first_retained);
+  void ResetFold(std::uint64_t first_retained);
   void WhenCaughtUp(std::function<void(bool)> then);
   void SubmitCaughtUp(AcceptEntry accept, const SubmitCallback& callback);
   void AfterAccept(const std::string& request_id,
--- a/Tests/LibLedger/key_fold_test.cc
+++ b/Tests/LibLedger/key_fold_test.cc
@@ -31,7 +31,7 @@
 
 TEST_GROUP(KeyFold) {
   MemoryStream stream;
-  KeyFold fold{Options()};
+  KeyFold fold{Options(), 0};
 
   void Add(const KeyEntry& entry, WallMilliseconds time_ms = kIssued) {
     this->stream.Add(entry, time_ms);
@@ -133,7 +133,7 @@
 TEST(KeyFold, LateStartedFoldAdmitsWhatItDoesNotKnow) {
   KeyFoldOptions options = Options();
   options.covered_since_ms = kIssued - 1'000;
-  KeyFold late(options);
+  KeyFold late(options, 5);
   CHECK_TRUE(late.Decide(slot_key, kIssued, "request", kIssued).action ==
              KeyAction::kExpiredUnknown);
   CHECK_TRUE(late.Decide(slot_key, kIssued + 1, "request", kIssued).action ==
--- a/Tests/LibLedger/ledger_fixture.h
+++ b/Tests/LibLedger/ledger_fixture.h
@@ -63,7 +63,8 @@
 
 inline AcceptEntry MakeAccept(std::string request_id,
                               std::uint32_t groups = 2,
-                              std::uint32_t samples = 2) {
+                              std::uint32_t samples = 2,
+                              AcceptBasis basis = {0, 1000}) {
   AcceptEntry entry;
   entry.request_id = std::move(request_id);
   entry.step = "step-1";
@@ -71,6 +72,7 @@
   entry.named_version = 7;
   entry.max_age_versions = 1;
   entry.request_digest = "digest";
+  entry.basis = basis;
   for (std::uint32_t group = 0; group < groups; ++group) {
     entry.groups.push_back(
         {"g" + std::to_string(group), "sea state?", samples, 64});
--- a/Tests/LibLedger/rollout_fold_test.cc
+++ b/Tests/LibLedger/rollout_fold_test.cc
@@ -22,7 +22,7 @@
 
 TEST_GROUP(RolloutFold) {
   MemoryStream stream;
-  RolloutFold fold{Options()};
+  RolloutFold fold{Options(), 0};
   StepName step{"r1", {0, 0}};
 
   void Accepted() {
@@ -43,11 +43,32 @@
   CHECK_TRUE(state != nullptr);
   LONGS_EQUAL(4, state->accept.ExpectedSamples());
   CHECK_TRUE((state->accepted_at == LogPosition{0, 0}));
-  CHECK_TRUE(fold.DecideAccept("r1", "digest", 1002) ==
+  CHECK_TRUE(fold.DecideAccept("r1", "digest", 1002).decision ==
              AcceptDecision::kRepeat);
-  CHECK_TRUE(fold.DecideAccept("r1", "other", 1002) == AcceptDecision::kClash);
-  CHECK_TRUE(fold.DecideAccept("r2", "digest", 1002) == AcceptDecision::kNew);
-  CHECK_TRUE(fold.DecideAccept("r1", "digest", 11001) == AcceptDecision::kNew);
+  CHECK_TRUE(fold.DecideAccept("r1", "other", 1002).decision ==
+             AcceptDecision::kClash);
+  CHECK_TRUE(fold.DecideAccept("r2", "digest", 1002).decision ==
+             AcceptDecision::kNew);
+  CHECK_TRUE(fold.DecideAccept("r1", "digest", 11001).decision ==
+             AcceptDecision::kNew);
+}
+
+TEST(RolloutFold, AcceptThatWasHeldUpTooLongIsVoid) {
+  stream.Add(MakeAccept("late", 2, 2, {0, 1000}), 6001);
+  stream.Add(MakeAccept("in time", 2, 2, {0, 1001}), 6001);
+  Feed();
+  CHECK_TRUE(fold.Find("late") == nullptr);
+  CHECK_TRUE(fold.Find("in time") != nullptr);
+}
+
+TEST(RolloutFold, LateFoldPassesOverAcceptsItCannotJudge) {
+  Accepted();
+  stream.Add(MakeAccept("r2", 2, 2, {0, 1000}), 1001);
+  stream.Add(MakeAccept("r3", 2, 2, {1, 1001}), 1002);
+  RolloutFold late(Options(), 1);
+  stream.FeedTo(late);
+  CHECK_TRUE(late.Find("r2") == nullptr);
+  CHECK_TRUE(late.Find("r3") != nullptr);
 }
 
 TEST(RolloutFold, FirstResultOfASampleCounts) {
@@ -209,10 +230,10 @@
 
 TEST(RolloutFold, StepIsDroppedAfterItsLifetime) {
   Accepted();
-  stream.Add(MakeAccept("r2"), 11000);
+  stream.Add(MakeAccept("r2", 2, 2, {1, 11000}), 11000);
   Feed();
   CHECK_TRUE(fold.Find("r1") != nullptr);
-  stream.Add(MakeAccept("r1", 3), 11001);
+  stream.Add(MakeAccept("r1", 3, 2, {2, 11001}), 11001);
   Feed();
   CHECK_TRUE((fold.Find("r1")->accepted_at == LogPosition{2, 0}));
   const auto page = Capture([&] {
--- /dev/null
+++ b/Tests/LibLedger/rollout_property_test.cc
@@ -0,0 +1,307 @@
+// Properties of rollouts over whole histories: a fold that starts late agrees
+// with one that read everything, and a trainer gets each sample once through
+// any entry instance.
+
+#include "LibLedger/ledger.h"
+
+#include "LibLedger/ledger_fixture.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kLifetime{1000};
+constexpr Milliseconds kLongestStep{150};
+
+RolloutFoldOptions Options() {
+  RolloutFoldOptions options;
+  options.service = "gulf";
+  options.step_lifetime = kLifetime;
+  return options;
+}
+
+// A history of one stream, driven by numbers: accepts and repeats, commits by
+// competing owners, late entries of expired steps, ends and copies.
+class History {
+ public:
+  MemoryStream stream;
+  RolloutFold reference{Options(), 0};
+  WallMilliseconds now_ms = 1'000'000;
+
+  void Play(std::uint32_t event) {
+    this->now_ms += event / 64 % kLongestStep.count();
+    const std::string request_id = "r" + std::to_string(event / 16 % 2);
+    const StepState* step = this->reference.Find(request_id);
+    const std::uint32_t action = event % 16;
+    if (step == nullptr || action == 0) {
+      this->Accept(request_id, event);
+    } else if (action == 1) {
+      this->Write(TakeEntry{request_id, step->accepted_at,
+                            "entry-" + std::to_string(event % 3),
+                            step->owner.term + event % 2});
+    } else if (action == 2 && event % 5 == 0) {
+      this->Write(EndEntry{request_id, step->accepted_at, "cancelled"});
+    } else if (action == 3) {
+      this->Write(
+          FailEntry{request_id, step->accepted_at, this->Sample(event), "x"});
+    } else if (action <= 8) {
+      this->Carry(*step, event);
+    } else {
+      this->Commit(*step, event);
+    }
+    this->stream.FeedTo(this->reference);
+  }
+
+  // The log keeps records for two step lifetimes.
+  std::uint64_t OldestKept() const {
+    return this->stream.FirstSince(this->now_ms - 2 * kLifetime.count() + 1);
+  }
+
+  // The fold of an entry instance that starts now at the oldest kept record.
+  RolloutFold LateFold() const {
+    RolloutFold fold(Options(), this->OldestKept());
+    this->stream.FeedTo(fold);
+    return fold;
+  }
+
+ private:
+  void Write(const RolloutEntry& entry) {
+    this->stream.Add(entry, this->now_ms);
+  }
+
+  // Accepts are decided on what was read a few records ago, when there was no
+  // such step, and may be held up further on their way to the log.
+  void Accept(const std::string& request_id, std::uint32_t event) {
+    RolloutFold writer(Options(), 0);
+    const std::uint64_t lag = event / 256 % 3;
+    WallMilliseconds decided_ms = this->now_ms;
+    while (writer.NextOffset() + lag < this->stream.End()) {
+      writer.Apply(this->stream.At(writer.NextOffset()));
+    }
+    if (writer.NextOffset() < this->stream.End()) {
+      decided_ms = this->stream.At(writer.NextOffset()).time_ms;
+    }
+    const AcceptVerdict verdict =
+        writer.DecideAccept(request_id, "digest", decided_ms);
+    if (event / 64 % 4 == 0) {
+      this->now_ms += kLifetime.count() / 3;
+    }
+    if (verdict.decision == AcceptDecision::kNew) {
+      this->Write(MakeAccept(request_id, 2, 2, verdict.basis));
+    }
+  }
+
+  std::string Sample(std::uint32_t event) const {
+    return SampleId("g" + std::to_string(event / 32 % 2), event / 128 % 2);
+  }
+
+  void Commit(const StepState& step, std::uint32_t event) {
+    StepName name{step.accept.request_id, step.accepted_at};
+    if (event % 11 == 0) {
+      // An owner that slept through the step's expiry.
+      name.accepted_at = this->former;
+    }
+    this->former = step.accepted_at;
+    const std::string attempt = std::to_string(this->stream.End());
+    this->Write(
+        MakeCommit(name, this->Sample(event), attempt, event % 7 == 0 ? 5 : 7));
+  }
+
+  // Copies written from the present state, at once or with other records
+  // between, whole or cut off.
+  void Carry(const StepState& step, std::uint32_t event) {
+    std::vector<RolloutEntry> parts = this->reference.BuildCarry(
+        step, "copy-" + std::to_string(this->stream.End()), 600);
+    if (event % 3 == 0) {
+      this->Commit(step, event * 31);
+    }
+    if (event % 13 == 0) {
+      parts.pop_back();
+    }
+    for (const RolloutEntry& part : parts) {
+      this->Write(part);
+      this->now_ms += event % 5;
+    }
+  }
+
+  LogPosition former;
+};
+
+std::string Describe(const StepState& step) {
+  return step.accept.request_id + "@" + step.accepted_at.Text() + " " +
+         step.owner.owner + "/" + std::to_string(step.owner.term) + " " +
+         step.end_reason + ": " + Summary(step.results);
+}
+
+std::vector<std::string> Living(const RolloutFold& fold,
+                                WallMilliseconds now_ms) {
+  std::vector<std::string> living;
+  for (const StepState* step : fold.Steps()) {
+    if (step->lives_until_ms >= now_ms) {
+      living.push_back(Describe(*step));
+    }
+  }
+  return living;
+}
+
+rc::Gen<std::vector<std::uint32_t>> Events() {
+  return rc::gen::resize(150,
+                         rc::gen::container<std::vector<std::uint32_t>>(
+                             rc::gen::inRange<std::uint32_t>(0, 1U << 20)));
+}
+
+// A trainer that polls through whichever entry instance answers.
+class Trainer {
+ public:
+  Cursor cursor;
+  std::vector<std::string> received;
+
+  void Take(const Outcome<DeliveryPage>& page) {
+    if (!page.Ok()) {
+      return;
+    }
+    for (const SampleResult* result : page.Value().results) {
+      this->received.push_back(
+          std::visit([](const auto& item) { return item.sample_id; }, *result));
+    }
+    this->cursor = page.Value().next;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(RolloutProperties){};
+
+TEST(RolloutProperties, LateFoldAgreesOnEveryLivingStep) {
+  CHECK_TRUE(rc::check("late start changes nothing", [] {
+    const std::vector<std::uint32_t> events = *Events();
+    History history;
+    for (std::uint32_t event : events) {
+      history.Play(event);
+    }
+    const RolloutFold late = history.LateFold();
+    const auto expected = Living(history.reference, history.now_ms);
+    RC_CLASSIFY(!expected.empty() && late.Find("r0") != nullptr &&
+                    late.Find("r0")->accepted_at.offset < history.OldestKept(),
+                "rebuilt from a copy");
+    RC_ASSERT(Living(late, history.now_ms) == expected);
+  }));
+}
+
+TEST(RolloutProperties, TrainerGetsEachSampleOnceThroughAnyEntry) {
+  CHECK_TRUE(rc::check("delivery is the reference's order", [] {
+    const std::vector<std::uint32_t> events = *Events();
+    History history;
+    history.Play(0);
+    const StepState first = *history.reference.Find("r0");
+    Trainer trainer;
+    trainer.cursor = history.reference.FirstCursor(first);
+    std::vector<SampleResult> truth;
+    for (std::uint32_t event : events) {
+      history.Play(event);
+      const StepState* step = history.reference.Find("r0");
+      const bool same = step != nullptr &&
+                        step->accepted_at == first.accepted_at &&
+                        step->lives_until_ms >= history.now_ms;
+      if (!same) {
+        break;
+      }
+      truth = step->results;
+      const std::size_t wanted = 1 + event % 3;
+      if (event % 4 == 0) {
+        trainer.Take(Capture([&] {
+          return ReadDelivery(history.reference, trainer.cursor, wanted);
+        }));
+      } else if (event % 4 == 1) {
+        const RolloutFold late = history.LateFold();
+        trainer.Take(Capture(
+            [&] { return ReadDelivery(late, trainer.cursor, wanted); }));
+      } else if (event % 4 == 2) {
+        DeliveryReader reader(trainer.cursor, kLifetime);
+        history.stream.FeedTo(reader);
+        const Outcome<DeliveryPage> page =
+            Capture([&] { return reader.Read(history.stream.End(), wanted); });
+        RC_ASSERT(page.Ok());
+        trainer.Take(page);
+      } else {
+        // The cursor's start was trimmed: the oldest kept record must serve.
+        DeliveryReader reader(trainer.cursor, kLifetime);
+        reader.Restart(history.OldestKept());
+        history.stream.FeedTo(reader);
+        const Outcome<DeliveryPage> page =
+            Capture([&] { return reader.Read(history.stream.End(), wanted); });
+        RC_ASSERT(page.Ok());
+        trainer.Take(page);
+      }
+    }
+    RC_ASSERT(trainer.received.size() <= truth.size());
+    for (std::size_t index = 0; index < trainer.received.size(); ++index) {
+      const std::string& expected = std::visit(
+          [](const auto& item) -> const std::string& { return item.sample_id; },
+          truth[index]);
+      RC_ASSERT(trainer.received[index] == expected);
+    }
+    const std::set<std::string> distinct(trainer.received.begin(),
+                                         trainer.received.end());
+    RC_ASSERT(distinct.size() == trainer.received.size());
+  }));
+}
+
+TEST(RolloutProperties, StepOutlivesRetentionByCopies) {
+  History history;
+  history.Play(0);
+  const StepName name{"r0", {0, 0}};
+  history.stream.Add(MakeCommit(name, "g0/0", "a"), history.now_ms);
+  history.stream.FeedTo(history.reference);
+  const Cursor cursor =
+      history.reference.FirstCursor(*history.reference.Find("r0"));
+  for (int round = 0; round < 8; ++round) {
+    history.now_ms += kLifetime.count() * 3 / 4;
+    // The stream has been quiet: a take moves its time on first.
+    history.stream.Add(TakeEntry{"r0", name.accepted_at, "e",
+                                 static_cast<std::uint64_t>(round + 1)},
+                       history.now_ms);
+    history.stream.FeedTo(history.reference);
+    for (const RolloutEntry& part :
+         history.reference.BuildCarry(*history.reference.Find("r0"),
+                                      "copy" + std::to_string(round), 100)) {
+      history.stream.Add(part, history.now_ms);
+    }
+    history.stream.FeedTo(history.reference);
+  }
+  history.stream.Add(MakeCommit(name, "g0/0", "again"), history.now_ms);
+  history.stream.Add(MakeCommit(name, "g1/1", "b"), history.now_ms);
+  const RolloutFold late = history.LateFold();
+  STRCMP_EQUAL("g0/0=a g1/1=b ", Summary(late.Find("r0")->results).c_str());
+  STRCMP_EQUAL("e", late.Find("r0")->owner.owner.c_str());
+  const auto page = Capture([&] { return ReadDelivery(late, cursor, 9); });
+  LONGS_EQUAL(2, page.Value().results.size());
+  // The new cursor starts at a record that is still kept.
+  CHECK_TRUE(page.Value().next.start_offset > cursor.start_offset);
+}
+
+TEST(RolloutProperties, ExpiredStepIsAClearError) {
+  History history;
+  history.Play(0);
+  const Cursor cursor =
+      history.reference.FirstCursor(*history.reference.Find("r0"));
+  history.now_ms += kLifetime.count() + 1;
+  history.stream.Add(EndEntry{"r1", {}, "x"}, history.now_ms);
+  DeliveryReader reader(cursor, kLifetime);
+  const auto unread = Capture([&] { return reader.Read(2, 9); });
+  CHECK_TRUE(unread.GetError().kind == ErrorKind::kNotFound);
+  history.stream.FeedTo(reader);
+  const auto expired = Capture([&] { return reader.Read(2, 9); });
+  CHECK_TRUE(expired.GetError().kind == ErrorKind::kExpired);
+}
+
+}  // namespace carobbank
