Entry: Dispatch the operators' verbs

The program carobbank is the entry and the operators' tool; its main knew only run. check, publish, status and timeline now go to LibOperator.

--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "LibOperator/operator.h"
 #include "entry.h"
 
 namespace carobbank {
@@ -87,6 +88,9 @@
   if (verb == "run") {
     return RunEntry(rest);
   }
+  if (IsOperatorVerb(verb)) {
+    return OperatorMain(verb, rest);
+  }
   return Usage();
 }
 
