--- a/Libraries/LibOperator/publish_verb.cc
+++ b/Libraries/LibOperator/publish_verb.cc
@@ -20,6 +20,8 @@
   std::string url;
   std::int64_t offset = kNoRevision;
   bool reached = false;
+  // Why it could not be asked, the last time.
+  std::string problem;
 };
 
 Checked<std::vector<PublishRequest>> LoadRequests(
@@ -126,7 +128,10 @@
               OperatorEnvironment& environment) {
   const auto status = FetchStatus(environment, entry.url, token);
   if (!status.Ok()) {
-    environment.Progress() << status.GetError().Text() << "\n";
+    if (entry.problem != status.GetError().Text()) {
+      entry.problem = status.GetError().Text();
+      environment.Progress() << entry.problem << "\n";
+    }
     return;
   }
   entry.offset = StatusOffset(status.Value());
@@ -141,8 +146,9 @@
       environment.GetClock().Now() + arguments.timeout;
   std::vector<EntryProgress> entries;
   for (const std::string& url : arguments.entries) {
-    entries.push_back({url});
+    entries.emplace_back().url = url;
   }
+  std::ptrdiff_t told = -1;
   while (true) {
     for (EntryProgress& entry : entries) {
       if (!entry.reached) {
@@ -155,8 +161,11 @@
     if (all || environment.GetClock().Now() >= deadline) {
       return entries;
     }
-    environment.Progress() << "in force at " << reached << " of "
-                           << entries.size() << " entries\n";
+    if (reached != told) {
+      environment.Progress() << "in force at " << reached << " of "
+                             << entries.size() << " entries\n";
+      told = reached;
+    }
     environment.Wait(kPollPause);
   }
 }
--- a/Libraries/LibOperator/publisher.cc
+++ b/Libraries/LibOperator/publisher.cc
@@ -42,6 +42,14 @@
   return *this->fold.State();
 }
 
+void Publisher::Tell(const std::string& progress) {
+  if (progress == this->last_told) {
+    return;
+  }
+  this->last_told = progress;
+  this->environment.Progress() << progress << "\n";
+}
+
 bool Publisher::TimeIsOver() const {
   return this->environment.GetClock().Now() >= this->deadline;
 }
@@ -186,8 +194,7 @@
         offset.Ok() || offset.GetError().kind == ErrorKind::kOutcomeUnknown;
     if (!offset.Ok()) {
       this->last_problem = offset.GetError().Text();
-      this->environment.Progress()
-          << "appending: " << this->last_problem << "\n";
+      this->Tell(this->last_problem);
     }
     // Once appended for certain, reading alone tells the rest.
     do {
--- a/Libraries/LibOperator/publisher.h
+++ b/Libraries/LibOperator/publisher.h
@@ -80,6 +80,8 @@
   void Settle(const Pending& pending) const;
   std::optional<Error> ReadOnce();
   bool TimeIsOver() const;
+  // Writes progress, but not the same line twice in a row.
+  void Tell(const std::string& progress);
 
   OperatorEnvironment& environment;
   PublishOptions options;
@@ -91,6 +93,7 @@
   // False only while every append has certainly left nothing behind.
   bool may_be_appended = false;
   std::string last_problem;
+  std::string last_told;
 };
 
 }  // namespace carobbank
