StandIns: Check numbers of the settings file and bound long polls

A negative number of threads or a port above 65535 was cast and then used; both are now typed errors. A long poll ends after a minute at the latest.

--- a/StandIns/engine_stand_in.cc
+++ b/StandIns/engine_stand_in.cc
@@ -40,7 +40,7 @@
 
 void EngineStandIn::Handle(const HttpRequest& request,
                            std::shared_ptr<HttpResponder> responder) {
-  this->started = true;
+  this->has_served = true;
   if (Matches(request, kCompletions)) {
     this->HandleCompletion(request, std::move(responder));
   } else if (Matches(request, kCancel)) {
@@ -71,7 +71,7 @@
   }
   BOOST_LEAF_CHECK(ApplySetting<EngineSettings>(EngineSettingFields(), name,
                                                 value, this->settings));
-  const bool sets_initial_version = name == "version" && !this->started;
+  const bool sets_initial_version = name == "version" && !this->has_served;
   if (sets_initial_version) {
     this->version_changes.clear();
     this->SetVersion(static_cast<std::uint64_t>(this->settings.version));
--- a/StandIns/engine_stand_in.h
+++ b/StandIns/engine_stand_in.h
@@ -87,7 +87,8 @@
   };
 
   EngineSettings settings;
-  bool started = false;
+  // Whether a request came; before, the setting `version` can still change.
+  bool has_served = false;
   std::uint64_t version = 0;
   std::uint64_t incarnation = 1;
   // The version that a restart comes back on; nothing keeps the present one.
--- a/StandIns/log_stand_in.cc
+++ b/StandIns/log_stand_in.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kPrefix = "/streams/";
 constexpr std::string_view kSuffix = "/records";
 constexpr std::uint64_t kDefaultMaxRecords = 1'000;
+constexpr std::uint64_t kMaxWaitMs = 60'000;
 constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
 // A page holds at least one record, however long it is.
 constexpr std::size_t kMaxPageBytes = 4 * 1024 * 1024;
@@ -160,7 +161,8 @@
   read.max_records = QueryNumber(request, "max", kDefaultMaxRecords);
   read.id = this->next_read_id++;
   read.responder = std::move(responder);
-  const std::uint64_t wait_ms = QueryNumber(request, "wait_ms", 0);
+  const std::uint64_t wait_ms =
+      std::min(QueryNumber(request, "wait_ms", 0), kMaxWaitMs);
   if (wait_ms == 0 || this->HasAnswer(read)) {
     this->AnswerRead(read);
     return;
--- a/StandIns/stand_in_set.cc
+++ b/StandIns/stand_in_set.cc
@@ -50,6 +50,26 @@
   return object;
 }
 
+// A whole number that may be left out.
+struct NumberField {
+  const char* name;
+  std::int64_t fallback;
+  std::int64_t minimum;
+  std::int64_t maximum;
+};
+
+Result<std::int64_t> ReadNumber(const Json::Value& object,
+                                const NumberField& field) {
+  const std::int64_t value = JsonInteger(object, field.name, field.fallback);
+  if (value < field.minimum || value > field.maximum) {
+    return Fail(ErrorKind::kInvalidArgument,
+                std::string(field.name) + " is out of range",
+                "give a number from " + std::to_string(field.minimum) + " to " +
+                    std::to_string(field.maximum));
+  }
+  return value;
+}
+
 Result<Json::Value> LoadYaml(const std::string& file) {
   try {
     return YamlToJson(YAML::LoadFile(file));
@@ -69,23 +89,23 @@
                 "see StandIns/stand_in_set.h for the form");
   }
   StandInSetDescription result;
-  result.threads =
-      static_cast<std::size_t>(JsonInteger(document, "threads", 1));
+  BOOST_LEAF_AUTO(threads, ReadNumber(document, {"threads", 1, 1, 64}));
+  result.threads = static_cast<std::size_t>(threads);
   auto seed = static_cast<std::uint64_t>(JsonInteger(document, "seed", 1));
   for (const Json::Value& entry : document["stand_ins"]) {
-    const std::int64_t count = JsonInteger(entry, "count", 1);
+    StandInDescription description;
+    description.role = JsonString(entry, "role");
+    description.options.address =
+        JsonString(document, "address", description.options.address);
+    if (entry.isObject() && entry["options"].isObject()) {
+      description.control = entry["options"];
+    }
+    BOOST_LEAF_AUTO(port, ReadNumber(entry, {"port", 0, 0, 65'535}));
+    BOOST_LEAF_AUTO(count, ReadNumber(entry, {"count", 1, 1, 65'535}));
     for (std::int64_t index = 0; index < count; ++index) {
-      StandInDescription description;
-      description.role = JsonString(entry, "role");
-      description.options.address =
-          JsonString(document, "address", description.options.address);
-      description.options.port =
-          static_cast<std::uint16_t>(JsonInteger(entry, "port") + index);
+      description.options.port = static_cast<std::uint16_t>(port + index);
       description.options.seed = seed++;
-      if (entry["options"].isObject()) {
-        description.control = entry["options"];
-      }
-      result.stand_ins.push_back(std::move(description));
+      result.stand_ins.push_back(description);
     }
   }
   return result;
--- a/Tests/StandIns/stand_in_set_test.cc
+++ b/Tests/StandIns/stand_in_set_test.cc
@@ -61,6 +61,11 @@
 TEST(StandInSet, WrongDescriptionsAreTypedErrors) {
   CheckError(ErrorKind::kInvalidArgument, Load("stand_ins: 3"));
   CheckError(ErrorKind::kInvalidArgument, Load("a: [1"));
+  CheckError(ErrorKind::kInvalidArgument, Load("{threads: -1, stand_ins: []}"));
+  CheckError(ErrorKind::kInvalidArgument,
+             Load("stand_ins: [{role: log, port: 65536}]"));
+  CheckError(ErrorKind::kInvalidArgument,
+             Load("stand_ins: [{role: log, count: 0}]"));
   for (const char* yaml :
        {"stand_ins: [{role: unknown}]",
         "stand_ins: [{role: log, options: {no_such_setting: 1}}]"}) {
