LibContract: Lengthen the default lease of orders

Cause: engines that ignore fencing numbers make each sidecar renew its lease in the log; every 3 s that is 2,000 appends a second at 6,000 servers, several times the log's whole budget. Change: 120 s, renewed every 80 s, margin 5 s: 75 appends a second. The price is that a sidecar that follows a killed one waits up to 120 s before its first order to such an engine; the server answers from the version it has meanwhile.

--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -135,10 +135,10 @@
 
 // The right to issue orders to the engine.
 struct LeaseSettings {
-  std::int64_t duration_ms = 10'000;
-  std::int64_t renew_ms = 3'000;
+  std::int64_t duration_ms = 120'000;
+  std::int64_t renew_ms = 80'000;
   // Orders stop this long before the lease ends, for pauses of the process.
-  std::int64_t margin_ms = 2'000;
+  std::int64_t margin_ms = 5'000;
 };
 
 struct SidecarSettings {
