Sidecar: Stamp messages, and record first tokens and cut answers

Cause: a time line over all processes needs the sidecar's stamp on its answers and calls, and the moment of an attempt's first token; docs/OPERATORS.md lists cut answers and discarded tokens, which the sidecar did not count yet.

--- a/Services/Sidecar/gate_recorder.cc
+++ b/Services/Sidecar/gate_recorder.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A sample past its bound is run again from its beginning.
+constexpr std::string_view kDiscardingCode = "version_out_of_bound";
+
 std::string_view ExecutionName(Execution execution) {
   return execution == Execution::kNotRun ? "not_run" : "may_have_run";
 }
@@ -35,6 +38,10 @@
       .Add(tokens);
 }
 
+void GateRecorder::OnFirstToken(const WorkRequest& work, bool quiet) {
+  this->Record(EventKind::kFirstToken, work, quiet, "");
+}
+
 void GateRecorder::OnVersionChange(const WorkRequest& work,
                                    bool quiet,
                                    std::uint64_t version) {
@@ -73,6 +80,19 @@
                static_cast<std::int64_t>(tokens));
 }
 
+void GateRecorder::OnCut(const WorkRequest& work,
+                         std::string_view code,
+                         std::uint64_t tokens) {
+  this->registry.GetCounter(metrics::kCutAnswers, {{"service", work.service}})
+      .Add();
+  if (code == kDiscardingCode) {
+    this->registry
+        .GetCounter(metrics::kDiscardedTokens,
+                    {{"service", work.service}, {"reason", std::string(code)}})
+        .Add(tokens);
+  }
+}
+
 void GateRecorder::OnDrain(std::string_view detail) {
   Event event;
   event.kind = EventKind::kDrain;
--- a/Services/Sidecar/gate_recorder.h
+++ b/Services/Sidecar/gate_recorder.h
@@ -21,6 +21,8 @@
   void OnQueued(const WorkRequest& work, bool quiet);
   void OnStarted(const WorkRequest& work, bool quiet, MonotonicTime now);
   void OnTokens(const WorkRequest& work, std::uint32_t tokens);
+  // The first token of an attempt was passed on.
+  void OnFirstToken(const WorkRequest& work, bool quiet);
   void OnVersionChange(const WorkRequest& work,
                        bool quiet,
                        std::uint64_t version);
@@ -31,9 +33,17 @@
                bool quiet,
                std::string_view outcome,
                std::uint64_t tokens);
+  // An answer ended in an error after its beginning. Of the tokens that were
+  // passed on, those of a broken rule reach nobody.
+  void OnCut(const WorkRequest& work,
+             std::string_view code,
+             std::uint64_t tokens);
   void OnDrain(std::string_view detail);
   void SetQueueLength(std::string_view service, std::size_t length);
 
+  // The stamp for a message to an entry.
+  std::string Stamp() { return this->timeline.Stamp().Text(); }
+
  private:
   void Record(EventKind kind,
               const WorkRequest& work,
--- a/Services/Sidecar/http_peer_caller.cc
+++ b/Services/Sidecar/http_peer_caller.cc
@@ -42,6 +42,7 @@
   request.timeout = timeout;
   request.connect_timeout = kConnectTimeout;
   SetHeader(request.headers, "Content-Type", "application/json");
+  SetHeader(request.headers, "X-Carobbank-Time", this->timeline.Stamp().Text());
   SetHeader(request.headers, kPeerProofHeader,
             this->signer.Sign({request.method, kRpcPath, request.body},
                               this->clock.WallNow()));
--- a/Services/Sidecar/http_peer_caller.h
+++ b/Services/Sidecar/http_peer_caller.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "LibTimeline/timeline.h"
 #include "Sidecar/peer_caller.h"
 
 namespace carobbank {
@@ -10,8 +11,9 @@
  public:
   HttpPeerCaller(HttpClient& client,
                  const Clock& clock,
-                 const PeerProofSigner& signer)
-      : client(client), clock(clock), signer(signer) {}
+                 const PeerProofSigner& signer,
+                 EventTimeline& timeline)
+      : client(client), clock(clock), signer(signer), timeline(timeline) {}
 
   void Call(std::string_view address,
             std::string_view method,
@@ -23,6 +25,7 @@
   HttpClient& client;
   const Clock& clock;
   const PeerProofSigner& signer;
+  EventTimeline& timeline;
 };
 
 }  // namespace carobbank
--- a/Services/Sidecar/sidecar_process.cc
+++ b/Services/Sidecar/sidecar_process.cc
@@ -98,7 +98,7 @@
       control_timers(this->control_loop),
       control_client(HttpClient::Create(this->control_loop,
                                         ClientOptions(this->settings))),
-      peers(*this->control_client, this->clock, this->signer) {}
+      peers(*this->control_client, this->clock, this->signer, this->timeline) {}
 
 SidecarProcess::~SidecarProcess() = default;
 
--- a/Services/Sidecar/work_gate.cc
+++ b/Services/Sidecar/work_gate.cc
@@ -70,10 +70,12 @@
 
 std::shared_ptr<WorkReply> WorkGate::MakeReply(
     const WorkRequest& work,
-    std::shared_ptr<HttpResponder> responder) const {
-  HttpHeaders labels = {{"X-Carobbank-Instance", this->options.instance},
-                        {"X-Carobbank-Load", this->Load().Text()},
-                        {"X-Carobbank-Attempt", work.attempt_id}};
+    std::shared_ptr<HttpResponder> responder) {
+  HttpHeaders labels = {
+      {"X-Carobbank-Instance", this->options.instance},
+      {"X-Carobbank-Time", this->environment.recorder.Stamp()},
+      {"X-Carobbank-Load", this->Load().Text()},
+      {"X-Carobbank-Attempt", work.attempt_id}};
   return std::make_shared<WorkReply>(std::move(responder), std::move(labels),
                                      work.streamed);
 }
--- a/Services/Sidecar/work_gate.h
+++ b/Services/Sidecar/work_gate.h
@@ -99,7 +99,7 @@
 
   std::shared_ptr<WorkReply> MakeReply(
       const WorkRequest& work,
-      std::shared_ptr<HttpResponder> responder) const;
+      std::shared_ptr<HttpResponder> responder);
   std::optional<Problem> Judge(const WorkRequest& work) const;
   Milliseconds RetryAfter(std::string_view service) const;
   bool IsQuiet(std::string_view service) const;
--- a/Services/Sidecar/work_gate_run.cc
+++ b/Services/Sidecar/work_gate_run.cc
@@ -13,6 +13,8 @@
 // The engine needs this long at most to free a preempted place.
 constexpr Milliseconds kPreemptedRetry{50};
 
+constexpr std::string_view kWholeOutcome = "whole";
+
 }  // namespace
 
 WorkGate::GatedWork* WorkGate::Find(WorkHandle handle) {
@@ -181,6 +183,9 @@
   }
   this->scheduler.Generated(handle, tokens, this->environment.clock.Now());
   this->environment.recorder.OnTokens(*work->request, tokens);
+  if (work->tokens == 0) {
+    this->environment.recorder.OnFirstToken(*work->request, work->quiet);
+  }
   work->tokens += tokens;
   if (version && version != work->version) {
     work->version = version;
@@ -197,7 +202,8 @@
     return;
   }
   if (end != StreamEnd::kBroken) {
-    this->Forget(handle, problem ? problem->code : "whole");
+    this->Forget(handle,
+                 problem ? std::string_view(problem->code) : kWholeOutcome);
     this->Pump();
     return;
   }
@@ -258,6 +264,9 @@
   this->scheduler.Finish(handle, now);
   this->environment.recorder.OnEnded(*work->request, work->quiet, outcome,
                                      work->tokens);
+  if (outcome != kWholeOutcome && work->reply->Started()) {
+    this->environment.recorder.OnCut(*work->request, outcome, work->tokens);
+  }
   if (this->alone == handle) {
     this->alone.reset();
   }
