LibOperator: Tell of an outage once

The loop that reads the log still printed each failed attempt (150 equal lines in a 30 s outage). A test states the two lines that are left.

--- a/Libraries/LibOperator/publisher.cc
+++ b/Libraries/LibOperator/publisher.cc
@@ -90,8 +90,7 @@
     if (this->TimeIsOver()) {
       return Fail(*problem);
     }
-    this->environment.Progress()
-        << "reading the log: " << problem->Text() << "\n";
+    this->Tell(problem->Text());
     this->environment.Wait(kPause);
   }
   if (static_cast<std::uint64_t>(this->fold.NextOffset()) != this->next ||
--- a/Tests/LibOperator/publish_test.cc
+++ b/Tests/LibOperator/publish_test.cc
@@ -206,6 +206,16 @@
   LONGS_EQUAL(8, Folded().State()->Find("s")->document.share);
 }
 
+TEST(Publish, TellsOfAnOutageOnce) {
+  Write(DocumentText("s", "t"));
+  environment.log.faults.read_outage = true;
+  CHECK_TRUE(Run() == ExitCode::kFailed);
+  STRCMP_EQUAL(
+      "the fake log is down; read again later\n"
+      "nothing was published: the fake log is down; read again later\n",
+      environment.progress.str().c_str());
+}
+
 TEST(Publish, WaitsForTheNamedEntries) {
   Write(DocumentText("s", "t"));
   environment.pages["http://a/status"] = {StatusAt(-1), StatusAt(0)};
