--- a/Libraries/LibHTTP/curl_multi.cc
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "LibHTTP/socket_options.h"
@@ -51,7 +52,7 @@
                      HttpClientOptions options,
                      DoneHandler done)
     : context(context),
-      options(options),
+      options(std::move(options)),
       done(std::move(done)),
       timer(context) {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -83,6 +84,10 @@
       this->options.max_idle_time);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                    std::max<long>(idle_seconds.count(), 1));
+  if (!this->options.certificate_authority_file.empty()) {
+    curl_easy_setopt(easy, CURLOPT_CAINFO,
+                     this->options.certificate_authority_file.c_str());
+  }
 }
 
 void CurlMulti::Add(CURL* easy) {
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -72,6 +72,9 @@
   // A pooled connection idle for longer is not used again. Keep it below the
   // servers' keep-alive timeout.
   Milliseconds max_idle_time{30'000};
+  // PEM file of the authorities that may sign servers' certificates; empty
+  // takes the system's.
+  std::string certificate_authority_file;
 };
 
 class HttpClient {
--- a/Libraries/LibHTTP/http_server.cc
+++ b/Libraries/LibHTTP/http_server.cc
@@ -196,9 +196,14 @@
 
 Result<std::shared_ptr<asio::ssl::context>> MakeTlsContext(
     const HttpServerOptions& options) {
-  if (options.certificate_file.empty() || options.private_key_file.empty()) {
+  if (options.certificate_file.empty() && options.private_key_file.empty()) {
     return std::shared_ptr<asio::ssl::context>();
   }
+  if (options.certificate_file.empty() || options.private_key_file.empty()) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "only one of certificate and private key is set",
+                "set both for TLS, or neither for plain text");
+  }
   auto context =
       std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
   asio::error_code error;
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -54,7 +54,7 @@
   // TCP_USER_TIMEOUT of accepted connections: unacknowledged data for longer
   // means that the connection is silent.
   Milliseconds silent_timeout{10'000};
-  // PEM files; TLS when both are set.
+  // PEM files; TLS when both are set, an error when only one is.
   std::string certificate_file;
   std::string private_key_file;
 };
