Tests: Search the slow reader's answer once

Cause: the test searched 64 MB at every turn; 44 s under the tsan preset.

Change: it waits for the end of the connection and looks at the last bytes, which is as strict.

--- a/Tests/LibHTTP/http_server_test.cc
+++ b/Tests/LibHTTP/http_server_test.cc
@@ -142,7 +142,7 @@
   constexpr std::size_t kChunks = 1'000;
   CHECK_TRUE(this->fixture.Serve({}, this->Recorder()));
   RawConnection reader = this->fixture.Connect();
-  CHECK_TRUE(reader.Send(kGet));
+  CHECK_TRUE(reader.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
   CHECK_TRUE(this->Arrived(1));
   std::size_t written = 0;
   std::function<void(bool)> next = [&](bool ok) {
@@ -158,7 +158,8 @@
   // What the two kernels buffer is far less than the whole answer.
   this->fixture.runner.RunFor(Milliseconds(200));
   CHECK_TRUE(written < kChunks / 2);
-  CHECK_TRUE(this->Gets(reader, "\r\n0\r\n\r\n"));
+  CHECK_TRUE(this->Ends(reader));
+  CHECK_TRUE(reader.Received().ends_with("\r\n0\r\n\r\n"));
   CHECK_EQUAL(kChunks, written);
   CHECK_TRUE(reader.Received().size() > kChunks * kChunkBytes);
 }
