Sidecar: End silent engine streams, and bound what runs by the engine's memory

Cause: the comment lines that keep a waiting answer alive also kept one alive whose connection to the engine had gone silent, so that no timeout of the entry could end it. Change: a stream without bytes for 30 s after a token, 120 s before its first, ends as backend_failed unless the entry holds it back. Headroom needs a live service in the pool. Prompt and expected tokens of what runs stay within the engine's reported cache.

--- a/Services/Sidecar/work_gate.cc
+++ b/Services/Sidecar/work_gate.cc
@@ -155,10 +155,14 @@
       next->pool_size != this->snapshot->pool_size;
   this->snapshot = std::move(next);
   if (reconfigured && this->snapshot->configuration) {
-    this->scheduler.Configure(
+    const std::vector<ServicePolicy> policies =
         PoliciesOf(*this->snapshot->configuration, this->options.pool,
-                   this->snapshot->pool_size),
-        this->environment.clock.Now());
+                   this->snapshot->pool_size);
+    this->has_live_service =
+        std::any_of(policies.begin(), policies.end(), [](const auto& policy) {
+          return policy.priority_class == PriorityClass::kLive;
+        });
+    this->scheduler.Configure(policies, this->environment.clock.Now());
   }
   this->ApplyLimits();
   if (this->Draining()) {
@@ -196,6 +200,12 @@
     limits.places =
         load && load->max_batch > 0 ? load->max_batch : kDefaultPlaces;
   }
+  if (!this->has_live_service) {
+    limits.live_headroom = 0;
+  }
+  if (this->snapshot->load) {
+    limits.memory_tokens = this->snapshot->load->cache_tokens_total;
+  }
   this->scheduler.SetLimits(limits);
   if (this->snapshot->load && this->snapshot->load->token_interval_us > 0) {
     this->scheduler.SetTokenInterval(
--- a/Services/Sidecar/work_gate.h
+++ b/Services/Sidecar/work_gate.h
@@ -144,6 +144,8 @@
   std::set<std::string, std::less<>> barred;
   // A work that must run with nothing else at risk.
   std::optional<WorkHandle> alone;
+  // Headroom is kept only for services that there are.
+  bool has_live_service = false;
   bool terminating = false;
   bool was_draining = false;
   bool pumping = false;
--- a/Services/Sidecar/work_gate_run.cc
+++ b/Services/Sidecar/work_gate_run.cc
@@ -78,9 +78,17 @@
 
 void WorkGate::Tick() {
   const MonotonicTime now = this->environment.clock.Now();
+  // Ending one changes `works`, so that both are copied first.
   std::vector<std::shared_ptr<WorkReply>> replies;
+  std::vector<std::shared_ptr<WorkStream>> streams;
   for (const auto& [slot, work] : this->works) {
     replies.push_back(work.reply);
+    if (work.stream != nullptr) {
+      streams.push_back(work.stream);
+    }
+  }
+  for (const auto& stream : streams) {
+    stream->CheckSilence(now);
   }
   for (const auto& reply : replies) {
     reply->KeepAlive(now);
--- a/Services/Sidecar/work_stream.cc
+++ b/Services/Sidecar/work_stream.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+// An engine that generates leaves no such pause between two tokens.
+constexpr Milliseconds kSilenceAfterToken{30'000};
+// Before its first token a generation may wait for a change of weights.
+constexpr Milliseconds kSilenceBeforeToken{120'000};
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -80,6 +84,22 @@
   this->End(StreamEnd::kStopped, problem);
 }
 
+void WorkStream::CheckSilence(MonotonicTime now) {
+  if (!this->work->streamed || this->ended) {
+    return;
+  }
+  if (this->progressed || this->paused) {
+    this->progressed = false;
+    this->last_progress = now;
+    return;
+  }
+  const Milliseconds limit =
+      this->has_token ? kSilenceAfterToken : kSilenceBeforeToken;
+  if (now - this->last_progress >= limit) {
+    this->Stop(BackendFailedProblem("the connection has gone silent"));
+  }
+}
+
 void WorkStream::OnHeaders(int status, const HttpHeaders& headers) {
   this->status = status;
   std::copy_if(
@@ -105,6 +125,7 @@
 }
 
 void WorkStream::OnBody(std::string_view bytes) {
+  this->progressed = true;
   if (this->bodiless) {
     return;
   }
@@ -121,6 +142,7 @@
     this->PassBytes(inspected.pass);
   }
   if (inspected.tokens > 0) {
+    this->has_token = true;
     this->handlers.on_tokens(inspected.tokens, inspected.version);
   }
   if (inspected.problem) {
--- a/Services/Sidecar/work_stream.h
+++ b/Services/Sidecar/work_stream.h
@@ -49,6 +49,10 @@
   // Ends the work at the backend server, and the answer with `problem`.
   void Stop(const Problem& problem);
 
+  // Call now and then: ends a model's stream whose connection has gone silent,
+  // so that comments don't keep a dead answer alive for ever.
+  void CheckSilence(MonotonicTime now);
+
   const WorkRequest& Work() const { return *this->work; }
 
  private:
@@ -73,6 +77,11 @@
   bool bodiless = false;
   bool paused = false;
   bool ended = false;
+  // Bytes came, or the entry held them back, since the last CheckSilence().
+  bool progressed = true;
+  bool has_token = false;
+  // As CheckSilence() saw it.
+  MonotonicTime last_progress;
 };
 
 }  // namespace carobbank
--- a/Tests/Sidecar/work_gate_test.cc
+++ b/Tests/Sidecar/work_gate_test.cc
@@ -331,6 +331,33 @@
   CHECK_TRUE(queued->NotRun());
 }
 
+TEST(WorkGate, ASilentStreamIsEndedAndASlowEntryIsNot) {
+  for (const bool slow_entry : {false, true}) {
+    GateHarness harness;
+    const auto answer = harness.Send({});
+    answer->slow = slow_entry;
+    harness.Head(0);
+    harness.Chunk(0, "a1", 0);
+    for (int second = 0; second < 32; ++second) {
+      harness.gate.Tick();
+      harness.clock.Advance(Milliseconds(1'000));
+    }
+    CHECK_EQUAL(!slow_entry, harness.gate.Idle());
+    STRCMP_EQUAL(slow_entry ? "" : "backend_failed", answer->Code().c_str());
+  }
+}
+
+TEST(WorkGate, TheEnginesMemoryBoundsWhatRuns) {
+  GateHarness harness(4);
+  harness.snapshot.load.emplace();
+  harness.snapshot.load->cache_tokens_total = 150;
+  harness.Apply();
+  for (const char* attempt : {"a1", "a2", "a3"}) {
+    harness.Send({.attempt = attempt});
+  }
+  LONGS_EQUAL(2, harness.client.exchanges.size());
+}
+
 TEST(WorkGate, PlainAnswersPassAsTheyAre) {
   struct Case {
     int status;
