--- /dev/null
+++ b/Tests/LibLedger/key_property_test.cc
@@ -0,0 +1,227 @@
+// Properties of the keys' fold and of group commit over random histories.
+
+#include "LibLedger/ledger.h"
+
+#include "LibLedger/ledger_fixture.h"
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr Milliseconds kRetention{10'000};
+constexpr Milliseconds kSkew{500};
+constexpr Milliseconds kWindow{8'000};
+
+KeyFoldOptions Options(WallMilliseconds covered_since_ms) {
+  KeyFoldOptions options;
+  options.window = kWindow;
+  options.skew = kSkew;
+  options.memory = kRetention - kSkew;
+  options.covered_since_ms = covered_since_ms;
+  return options;
+}
+
+rc::Gen<std::vector<std::uint32_t>> Events() {
+  return rc::gen::resize(150,
+                         rc::gen::container<std::vector<std::uint32_t>>(
+                             rc::gen::inRange<std::uint32_t>(0, 1U << 20)));
+}
+
+// A key that a caller made at one time; every attempt states that time.
+struct CallersKey {
+  KeyName name;
+  WallMilliseconds issued_ms = 0;
+};
+
+// Writes what attempts on a few keys may append, in any order: copies of old
+// claims, releases and outcomes of anyone.
+class KeyHistory {
+ public:
+  MemoryStream stream;
+  std::vector<CallersKey> keys;
+  WallMilliseconds now_ms = 1'000'000;
+
+  void Play(std::uint32_t event) {
+    this->now_ms += event / 16 % 300;
+    if (this->keys.empty() || event % 16 == 0) {
+      const std::string key = "k" + std::to_string(this->keys.size());
+      this->keys.push_back({{"dispatch-app", key}, this->now_ms});
+    }
+    const std::size_t recent = std::min<std::size_t>(this->keys.size(), 4);
+    const CallersKey& key =
+        this->keys[this->keys.size() - 1 - event / 64 % recent];
+    const std::string attempt = "a" + std::to_string(event / 256 % 4);
+    this->stream.Add(this->Entry(key, attempt, event), this->now_ms);
+  }
+
+ private:
+  static KeyEntry Entry(const CallersKey& key,
+                        const std::string& attempt,
+                        std::uint32_t event) {
+    switch (event % 16) {
+      case 1:
+      case 2:
+      case 3:
+      case 4:
+        return ReleaseEntry{key.name, attempt};
+      case 5:
+      case 6:
+        return DoneEntry{key.name, attempt, MakeStoredOutcome(200, "", "ok")};
+      default:
+        return ClaimEntry{key.name, attempt, key.issued_ms,
+                          key.issued_ms + 1000, "request"};
+    }
+  }
+};
+
+// What an entry instance would answer for a key now.
+std::string AnswerOf(const KeyFold& fold,
+                     const CallersKey& key,
+                     WallMilliseconds now_ms) {
+  const KeyDecision decision =
+      fold.Decide(key.name, key.issued_ms, "request", now_ms);
+  return key.name.key + ":" +
+         std::to_string(static_cast<int>(decision.action)) + " ";
+}
+
+}  // namespace
+
+TEST_GROUP(KeyProperties){};
+
+TEST(KeyProperties, LateFoldAgreesOnEveryAcceptableKey) {
+  CHECK_TRUE(rc::check("late start changes no decision", [] {
+    const std::vector<std::uint32_t> events = *Events();
+    KeyHistory history;
+    for (std::uint32_t event : events) {
+      history.Play(event);
+    }
+    const WallMilliseconds covered_since_ms =
+        history.now_ms - kRetention.count();
+    KeyFold reference(Options(kCoversEverything), 0);
+    KeyFold late(Options(covered_since_ms),
+                 history.stream.FirstSince(covered_since_ms + 1));
+    history.stream.FeedTo(reference);
+    history.stream.FeedTo(late);
+    std::string expected;
+    std::string actual;
+    for (const CallersKey& key : history.keys) {
+      if (key.issued_ms + kWindow.count() < history.now_ms) {
+        // An old key: the late fold may know less, but never says that it may
+        // run, nor that it did not when it might have.
+        const KeyAction action =
+            late.Decide(key.name, key.issued_ms, "request", history.now_ms)
+                .action;
+        const bool held = reference.PhaseOf(key.name) == KeyPhase::kClaimed ||
+                          reference.PhaseOf(key.name) == KeyPhase::kDone;
+        RC_ASSERT(action != KeyAction::kClaim);
+        RC_ASSERT(!held || action != KeyAction::kExpiredNotRun);
+        continue;
+      }
+      expected += AnswerOf(reference, key, history.now_ms);
+      actual += AnswerOf(late, key, history.now_ms);
+    }
+    RC_ASSERT(actual == expected);
+  }));
+}
+
+TEST(KeyProperties, HolderChangesOnlyThroughItsOwnRelease) {
+  CHECK_TRUE(rc::check("a claim is never taken over", [] {
+    const std::vector<std::uint32_t> events = *Events();
+    KeyHistory history;
+    KeyFold fold(Options(kCoversEverything), 0);
+    std::map<KeyName, std::string> holders;
+    std::map<KeyName, std::set<std::string>> over;
+    for (std::uint32_t event : events) {
+      history.Play(event);
+      const DecodedRecord<KeyEntry> record =
+          DecodeKeyRecord(history.stream.At(history.stream.End() - 1));
+      history.stream.FeedTo(fold);
+      std::map<KeyName, std::string> now;
+      for (const OpenClaim& claim : fold.OpenClaims()) {
+        now[claim.name] = claim.attempt;
+        RC_ASSERT(!over[claim.name].contains(claim.attempt));
+      }
+      for (const auto& [name, attempt] : holders) {
+        if (!now.contains(name)) {
+          over[name].insert(attempt);
+          continue;
+        }
+        RC_ASSERT(now[name] == attempt);
+      }
+      holders = now;
+      RC_ASSERT(record.skipped == 0U);
+    }
+  }));
+}
+
+TEST_GROUP(GroupCommitterProperties){};
+
+TEST(GroupCommitterProperties, EveryEntryIsReportedWhereItStands) {
+  CHECK_TRUE(rc::check("nothing lost, nothing misplaced", [] {
+    const std::vector<std::uint32_t> events = *Events();
+    GroupCommitterOptions options;
+    options.max_record_bytes = 60;
+    GroupCommitter committer(options);
+    Random random(3);
+    MonotonicTime now = MonotonicTime() + std::chrono::hours(1);
+    // The log: the entries of each record.
+    std::vector<std::string> records;
+    std::map<EntryTicket, std::string> open;
+    std::optional<AppendRequest> in_flight;
+    const auto commit = [&](std::uint64_t number, std::uint64_t offset) {
+      for (const CommittedEntry& done : committer.OnAppended(number, offset)) {
+        const auto entries = DecodeRecordEntries(records[done.position.offset]);
+        RC_ASSERT(WriteJson((*entries)[done.position.index]) ==
+                  open[done.ticket]);
+        RC_ASSERT(open.erase(done.ticket) == 1U);
+      }
+    };
+    const auto step = [&](std::uint32_t event) {
+      now += Milliseconds(event / 8 % 200);
+      if (!in_flight) {
+        in_flight = committer.NextAppend(now);
+        return;
+      }
+      const bool lands = event % 4 != 0;
+      if (lands) {
+        records.push_back(in_flight->payload);
+      }
+      if (event % 4 <= 1) {
+        const ErrorKind kind = lands || event % 8 == 0
+                                   ? ErrorKind::kOutcomeUnknown
+                                   : ErrorKind::kUnavailable;
+        committer.OnFailed(in_flight->number, kind, now, random);
+      } else {
+        commit(in_flight->number, records.size() - 1);
+      }
+      in_flight.reset();
+    };
+    int number = 0;
+    for (std::uint32_t event : events) {
+      if (event % 3 == 0) {
+        const std::string entry = std::to_string(number++);
+        open[Capture([&] { return committer.Add(entry); }).Value()] = entry;
+      } else {
+        step(event / 3);
+      }
+    }
+    // Once the log works again, everything gets there.
+    for (int round = 0; round < 400 && !open.empty(); ++round) {
+      now += std::chrono::seconds(6);
+      step(2);
+    }
+    RC_ASSERT(open.empty());
+    RC_ASSERT(committer.BufferedBytes() == 0U);
+  }));
+}
+
+}  // namespace carobbank
