LibLedger: Let copies of steps prolong life in a quiet stream

Cause: a copy prolonged a step's life from the time of the stream's last record. In a stream that had been quiet since the accept, a copy changed nothing and the step expired unfetched in the end.

Change: BuildCarry takes the writer's clock, which must have read to the stream's end; folds count a copy at most from the moment it is whole, so that a clock that runs ahead can't prolong a life. This is safe, because a record after as_of_offset that a late fold misses is older than two lifetimes, and the copy's life ends within one of it. Services/Entry passes its clock.

--- a/Libraries/LibLedger/rollout_carry.cc
+++ b/Libraries/LibLedger/rollout_carry.cc
@@ -42,13 +42,14 @@
 std::vector<RolloutEntry> RolloutFold::BuildCarry(
     const StepState& step,
     std::string_view carry_id,
-    std::size_t max_part_bytes) const {
+    std::size_t max_part_bytes,
+    WallMilliseconds now_ms) const {
   CarryEntry blank;
   blank.request_id = step.accept.request_id;
   blank.accepted_at = step.accepted_at;
   blank.carry_id = carry_id;
   blank.as_of_offset = this->next_offset - 1;
-  blank.as_of_ms = this->log_time_ms;
+  blank.as_of_ms = std::max(this->log_time_ms, now_ms);
   blank.lives_until_ms = step.lives_until_ms;
 
   std::vector<CarryEntry> parts{blank};
@@ -96,6 +97,13 @@
   this->CompleteCarry(std::move(complete));
 }
 
+WallMilliseconds RolloutFold::LifeAfter(const CarryEntry& head) const {
+  // The writer's clock may be ahead of the log's; a copy never counts for later
+  // than the moment it was whole.
+  return std::min(head.as_of_ms, this->log_time_ms) +
+         this->options.step_lifetime.count();
+}
+
 void RolloutFold::CompleteCarry(CarryParts copy) {
   const CarryEntry& head = copy.parts.begin()->second;
   // A copy of a step that had expired before the copy was whole is void, by
@@ -108,8 +116,7 @@
   const StepName name{head.request_id, head.accepted_at};
   if (StepState* step = this->FindNamed(name)) {
     step->lives_until_ms =
-        std::max(step->lives_until_ms,
-                 head.as_of_ms + this->options.step_lifetime.count());
+        std::max(step->lives_until_ms, this->LifeAfter(head));
     step->start_offset = std::max(step->start_offset, head.as_of_offset + 1);
     return;
   }
@@ -127,7 +134,7 @@
   step.accept = std::move(*head.accept);
   step.accepted_at = head.accepted_at;
   step.start_offset = head.as_of_offset + 1;
-  step.lives_until_ms = head.as_of_ms + this->options.step_lifetime.count();
+  step.lives_until_ms = this->LifeAfter(head);
   step.owner = {head.owner, head.term};
   for (auto& [part, entry] : copy.parts) {
     for (SampleResult& result : entry.results) {
--- a/Libraries/LibLedger/rollout_entries.h
+++ b/Libraries/LibLedger/rollout_entries.h
@@ -118,7 +118,7 @@
   std::uint32_t part = 0;
   std::uint32_t parts = 1;
   std::uint64_t as_of_offset = 0;
-  // Log time of the record at `as_of_offset`.
+  // The writer's wall clock when no later record was there.
   WallMilliseconds as_of_ms = 0;
   // Until when the writer knew the step to live, in log time.
   WallMilliseconds lives_until_ms = 0;
--- a/Libraries/LibLedger/rollout_fold.h
+++ b/Libraries/LibLedger/rollout_fold.h
@@ -141,11 +141,12 @@
 
   // The entries that copy the step forward, each at most about
   // `max_part_bytes`, stated as of the last folded record. The copy extends
-  // the step's life from that record's time: when the stream has been quiet,
-  // append a take first and fold it.
+  // the step's life from `now_ms`, so the fold must have been read to the
+  // stream's end within the last minutes.
   std::vector<RolloutEntry> BuildCarry(const StepState& step,
                                        std::string_view carry_id,
-                                       std::size_t max_part_bytes) const;
+                                       std::size_t max_part_bytes,
+                                       WallMilliseconds now_ms) const;
 
   const RolloutFoldCounters& Counters() const { return this->counters; }
 
@@ -183,6 +184,7 @@
   void OnCarry(WallMilliseconds time_ms, CarryEntry entry);
   void CompleteCarry(CarryParts copy);
   void Restore(CarryParts copy);
+  WallMilliseconds LifeAfter(const CarryEntry& head) const;
   void MergeOrphan(StepState& step, std::uint64_t as_of_offset);
   void AddResult(StepState& step, SampleResult result);
   bool Wants(const RolloutEntry& entry) const;
--- a/Services/Entry/step_service.cc
+++ b/Services/Entry/step_service.cc
@@ -413,7 +413,8 @@
   this->memories[step.accept.request_id].carried_until_ms = step.lives_until_ms;
   const std::string carry_id = this->environment.generation.random.Identifier();
   for (const RolloutEntry& entry :
-       this->fold->BuildCarry(step, carry_id, kCarryPartBytes)) {
+       this->fold->BuildCarry(step, carry_id, kCarryPartBytes,
+                              this->environment.generation.clock.WallNow())) {
     const auto added = Capture([&]() -> Result<EntryTicket> {
       return this->writer.Append(EncodeRolloutEntry(entry), [](LogPosition) {});
     });
