StandIns: Say when all listen

The demo has to know when it may begin; the program now prints `ready` after the last listening line.

--- a/Libraries/LibPlatform/engine_control.h
+++ b/Libraries/LibPlatform/engine_control.h
@@ -96,6 +96,8 @@
   virtual void Cancel(std::string_view attempt_id) = 0;
 };
 
+// `base_url`: "http://127.0.0.1:7000". `client` outlives the adapter and every
+// call that it began.
 std::unique_ptr<EngineControl> CreateHttpEngineControl(
     HttpClient& client,
     std::string base_url,
--- a/Libraries/LibPlatform/instance_list.h
+++ b/Libraries/LibPlatform/instance_list.h
@@ -43,6 +43,8 @@
   virtual void Fetch(Callback callback) = 0;
 };
 
+// `base_url`: "http://127.0.0.1:7000". `client` outlives the adapter and every
+// call that it began.
 std::unique_ptr<InstanceListClient> CreateHttpInstanceListClient(
     HttpClient& client,
     std::string base_url,
--- a/Libraries/LibPlatform/log_client.h
+++ b/Libraries/LibPlatform/log_client.h
@@ -58,7 +58,8 @@
                     ReadCallback callback) = 0;
 };
 
-// `base_url`: "http://127.0.0.1:7000".
+// `base_url`: "http://127.0.0.1:7000". `client` outlives the adapter and every
+// call that it began.
 std::unique_ptr<LogClient> CreateHttpLogClient(
     HttpClient& client,
     std::string base_url,
--- a/Libraries/LibPlatform/weight_store.h
+++ b/Libraries/LibPlatform/weight_store.h
@@ -28,6 +28,8 @@
   virtual void Versions(std::string_view model, Callback callback) = 0;
 };
 
+// `base_url`: "http://127.0.0.1:7000". `client` outlives the adapter and every
+// call that it began.
 std::unique_ptr<WeightStoreClient> CreateHttpWeightStoreClient(
     HttpClient& client,
     std::string base_url,
--- a/StandIns/Program/main.cc
+++ b/StandIns/Program/main.cc
@@ -84,6 +84,7 @@
   for (const std::string& line : set->Listening()) {
     std::printf("listening: %s\n", line.c_str());
   }
+  std::printf("ready\n");
   std::fflush(stdout);
   EventLoop& loop = set->FirstLoop();
   loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
