LibContract: Return from YAML that begins no document

Cause: YAML::LoadAll never returns when a token can't begin a document (a text of commas): it sees empty documents without end and grows. One such record in the configuration stream would have stopped every reader. Change: two steps of the parser tell one document from none and from more. Added three such texts to the table of texts that are no map.

--- a/Libraries/LibContract/yaml_text.cc
+++ b/Libraries/LibContract/yaml_text.cc
@@ -2,8 +2,11 @@
 
 #include "LibContract/yaml_text.h"
 
+#include <yaml-cpp/eventhandler.h>
+
 #include <charconv>
 #include <cmath>
+#include <sstream>
 
 namespace carobbank {
 
@@ -43,6 +46,40 @@
   return number;
 }
 
+// Takes a document's events and keeps nothing.
+class IgnoringHandler final : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnScalar(const YAML::Mark&,
+                const std::string&,
+                YAML::anchor_t,
+                const std::string&) override {}
+  void OnSequenceStart(const YAML::Mark&,
+                       const std::string&,
+                       YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark&,
+                  const std::string&,
+                  YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+};
+
+// YAML::LoadAll never returns when a token can't begin a document, since it
+// then sees empty documents without end. Two steps of the parser are enough to
+// tell one document from none and from more.
+bool IsOneDocument(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  IgnoringHandler handler;
+  return parser.HandleNextDocument(handler) &&
+         !parser.HandleNextDocument(handler);
+}
+
 }  // namespace
 
 void YamlContext::Report(const YAML::Mark& mark,
@@ -83,20 +120,23 @@
         "keep it within " + std::to_string(kMaxYamlBytes) + " bytes");
     return std::nullopt;
   }
-  std::vector<YAML::Node> documents;
+  YAML::Node document;
   try {
-    documents = YAML::LoadAll(std::string(text));
+    const std::string copy(text);
+    if (IsOneDocument(copy)) {
+      document = YAML::Load(copy);
+    }
   } catch (const YAML::Exception& exception) {
     context.Report(exception.mark, "", "not valid YAML: " + exception.msg,
                    "mend the syntax at this place");
     return std::nullopt;
   }
-  if (documents.size() != 1 || !documents.front().IsMap()) {
+  if (!document.IsMap()) {
     context.Report(YAML::Mark(), "", "the text is not one map of keys",
                    "write one YAML document of the form `key: value`");
     return std::nullopt;
   }
-  return documents.front();
+  return document;
 }
 
 std::optional<std::int64_t> YamlInteger(const YAML::Node& node) {
--- a/Tests/LibContract/validation_test.cc
+++ b/Tests/LibContract/validation_test.cc
@@ -143,8 +143,10 @@
   const std::string huge(300 * 1024, 'a');
   for (const std::string& text :
        {std::string(), std::string("- a"), std::string("a: [1"),
-        std::string("a: 1\n---\nb: 2"), std::string("\xff\xfe\x01"),
-        std::string("&a [*a]"), std::string("? {a: 1}\n: b"), deep, huge}) {
+        std::string("a: 1\n---\nb: 2"), std::string(",,,"),
+        DocumentText("s", "t") + ",", DocumentText("s", "t") + "]",
+        std::string("\xff\xfe\x01"), std::string("&a [*a]"),
+        std::string("? {a: 1}\n: b"), deep, huge}) {
     const auto checked = ReadServiceDocument("f.yaml", text);
     CHECK_FALSE(checked.Ok());
   }
