Entry: Say 'starting' until the configuration is known; clear suspects

Change: services that are not found are refused with 503 `starting` until the configuration was read to its end or taken from a peer, and /readyz says so; a digest that finishes whole is no longer suspect. Ruled out: the sidecar's alone rule, which held.

--- a/Services/Entry/call_environment.cc
+++ b/Services/Entry/call_environment.cc
@@ -37,7 +37,8 @@
   const bool known = found != control.configuration->services.end() &&
                      !found->second->document.retired;
   if (!known) {
-    return UnknownService(service);
+    return control.configuration_known ? UnknownService(service)
+                                       : StartingProblem();
   }
   const std::string digest = TokenDigest(headers);
   AuthenticatedCall call;
--- a/Services/Entry/control_snapshot.h
+++ b/Services/Entry/control_snapshot.h
@@ -34,6 +34,9 @@
   std::vector<KnownEntry> entries;
   std::vector<ModelVersion> versions;
   std::vector<std::string> quarantined;
+  // False until the configuration was read to its end, or taken from a peer:
+  // until then a service that is not found may well be in force.
+  bool configuration_known = false;
   bool log_reachable = false;
   bool list_reachable = false;
 
--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -87,11 +87,7 @@
                             this->OnConfigurationRecord(record);
                           },
                           [](std::uint64_t, std::uint64_t) {},
-                          [this] {
-                            this->NoteReachability(
-                                "log", this->log_reachable,
-                                this->configuration_tail.Reachable());
-                          }}),
+                          [this] { this->OnConfigurationPage(); }}),
       server_tail(
           loop,
           *this->log,
@@ -131,6 +127,16 @@
   this->Changed();
 }
 
+void ControlState::OnConfigurationPage() {
+  this->NoteReachability("log", this->log_reachable,
+                         this->configuration_tail.Reachable());
+  const bool complete =
+      this->configuration_tail.CaughtUp() && this->configuration.Complete();
+  if (complete && !std::exchange(this->configuration_known, true)) {
+    this->Changed();
+  }
+}
+
 void ControlState::OnServerRecord(const LogRecord& record) {
   for (const auto& positioned :
        DecodeServerRecord({record.offset, record.time_ms, record.payload})
@@ -180,6 +186,10 @@
   this->Changed();
 }
 
+void ControlState::ReportFinished(std::string_view digest) {
+  this->quarantine.OnFinished(digest);
+}
+
 void ControlState::CatchUpFromPeers() {
   this->peer_timer = this->loop.CallAfter(kPeerCatchUpInterval,
                                           [this] { this->CatchUpFromPeers(); });
@@ -209,6 +219,7 @@
     return this->configuration.Import(peer_state);
   });
   if (imported.Ok() && imported.Value()) {
+    this->configuration_known = true;
     this->Changed();
   }
   const Json::Value& barred = exported["quarantine"];
@@ -340,6 +351,7 @@
     snapshot->versions.push_back({model, newest});
   }
   snapshot->quarantined = this->quarantine.Quarantined();
+  snapshot->configuration_known = this->configuration_known;
   snapshot->log_reachable = this->log_reachable;
   snapshot->list_reachable = this->list_reachable;
   const std::int64_t offset = snapshot->configuration->offset;
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -41,9 +41,11 @@
 
   // On the control loop, by way of Post.
   void ReportCrash(const ServerCrash& crash);
+  void ReportFinished(std::string_view digest);
 
  private:
   void OnConfigurationRecord(const LogRecord& record);
+  void OnConfigurationPage();
   void OnServerRecord(const LogRecord& record);
   void OnVersionRecord(const LogRecord& record);
   void CatchUpFromPeers();
@@ -84,6 +86,7 @@
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
   DataCenterMap data_centers;
 
+  bool configuration_known = false;
   bool log_reachable = false;
   bool list_reachable = false;
   std::int64_t published_offset = kNoRevision;
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -167,6 +167,11 @@
     this->control_loop.Post(
         [this, crash] { this->control_state->ReportCrash(crash); });
   });
+  this->pools.SetClearedListener([this](std::string_view digest) {
+    this->control_loop.Post([this, digest = std::string(digest)] {
+      this->control_state->ReportFinished(digest);
+    });
+  });
   this->control_state = std::make_unique<ControlState>(
       this->control_loop, this->clock, this->settings, this->signer,
       this->timeline, this->metrics,
--- a/Services/Entry/entry_routes.cc
+++ b/Services/Entry/entry_routes.cc
@@ -156,8 +156,7 @@
 }
 
 void Entry::HandleReady(HttpRequest, std::shared_ptr<HttpResponder> responder) {
-  const bool ready =
-      !this->draining && this->control->configuration->offset != kNoRevision;
+  const bool ready = !this->draining && this->control->configuration_known;
   HttpResponse response =
       TextResponse("text/plain", ready ? "ready\n" : "not ready\n");
   response.status = ready ? 200 : 503;
--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -327,6 +327,7 @@
     return;
   }
   this->EndAttempt(AttemptEnd::kWhole);
+  this->environment.selector.OnFinished(this->digest);
   this->finished = true;
   this->handlers.on_done(this->answer);
 }
--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -349,6 +349,7 @@
     return;
   }
   this->EndAttempt(AttemptEnd::kWhole);
+  this->environment.pools.OnFinished(this->digest);
   if (this->key) {
     this->FinishKeyed();
     return;
--- a/Services/Entry/problems.cc
+++ b/Services/Entry/problems.cc
@@ -44,6 +44,13 @@
                  "check the name, or publish the service's document");
 }
 
+Problem StartingProblem() {
+  Problem problem = Refusal(503, "starting", "this instance is starting",
+                            "send the request again; another entry answers");
+  problem.retry_after = kRetryAfterDraining;
+  return problem;
+}
+
 Problem UnknownPath(std::string_view path) {
   return Refusal(404, "unknown_path", "nothing at " + std::string(path),
                  "see docs/CALLERS.md for the endpoints");
--- a/Services/Entry/problems.h
+++ b/Services/Entry/problems.h
@@ -11,6 +11,8 @@
 Problem BadRequest(std::string detail, std::string remedy);
 Problem Unauthenticated();
 Problem UnknownService(std::string_view service);
+// The configuration is not known here yet.
+Problem StartingProblem();
 Problem UnknownPath(std::string_view path);
 Problem BodyTooLarge(std::uint64_t limit_bytes);
 Problem RequestIdReused();
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -206,6 +206,16 @@
   }
 }
 
+void RoutedPools::OnFinished(std::string_view digest) {
+  if (this->quarantine.StandingOf(digest) != DigestStanding::kAlone) {
+    return;
+  }
+  this->quarantine.OnFinished(digest);
+  if (this->cleared_listener) {
+    this->cleared_listener(digest);
+  }
+}
+
 std::size_t RoutedPools::Crashes(std::string_view digest) const {
   switch (this->quarantine.StandingOf(digest)) {
     case DigestStanding::kClear:
--- a/Services/Entry/routed_pools.h
+++ b/Services/Entry/routed_pools.h
@@ -65,6 +65,7 @@
   void OnCrash(std::string_view instance,
                std::string_view digest,
                bool alone) override;
+  void OnFinished(std::string_view digest) override;
   std::size_t Crashes(std::string_view digest) const override;
 
   // Requests that the pool's servers run at once, as far as is known.
@@ -75,6 +76,10 @@
   void SetCrashListener(std::function<void(const ServerCrash&)> listener) {
     this->crash_listener = std::move(listener);
   }
+  // Called with each suspect digest that was finished after all.
+  void SetClearedListener(std::function<void(std::string_view)> listener) {
+    this->cleared_listener = std::move(listener);
+  }
 
  private:
   struct Pool {
@@ -104,6 +109,7 @@
   std::map<std::string, Server, std::less<>> servers;
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
   std::function<void(const ServerCrash&)> crash_listener;
+  std::function<void(std::string_view)> cleared_listener;
 };
 
 }  // namespace carobbank
--- a/Services/Entry/server_selector.h
+++ b/Services/Entry/server_selector.h
@@ -59,6 +59,8 @@
   virtual void OnCrash(std::string_view instance,
                        std::string_view digest,
                        bool alone) = 0;
+  // The work with this digest was finished: it is no longer suspect.
+  virtual void OnFinished(std::string_view digest) = 0;
   // How many distinct servers `digest` is known to have crashed.
   virtual std::size_t Crashes(std::string_view digest) const = 0;
 };
