--- a/Benchmarks/Lab/deployment.py
+++ b/Benchmarks/Lab/deployment.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -31,11 +32,23 @@
 
 
 def free_ports(count):
-    """Ports that were free a moment ago, all distinct."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
+    """Ports that were free a moment ago, all distinct.
+
+    Below the range from which the system takes ports for outgoing connections,
+    so that none is taken between this look and its use.
+    """
+    candidates = list(range(10_000, 32_000))
+    random.SystemRandom().shuffle(candidates)
+    sockets, ports = [], []
+    while len(ports) < count:
+        each = socket.socket()
+        try:
+            each.bind(("127.0.0.1", candidates[-1]))
+            ports.append(candidates[-1])
+            sockets.append(each)
+        except OSError:
+            each.close()
+        candidates.pop()
     for each in sockets:
         each.close()
     return ports
@@ -337,6 +350,13 @@
         if status != 200:
             raise RuntimeError(f"publish {document}: {status} {answer}")
 
+    def document_text(self, service):
+        """The document of a service as the topology names it."""
+        for document in self.topology.documents:
+            if Path(document).stem == service:
+                return Path(document).read_text()
+        raise KeyError(service)
+
     def announce(self, service, model, version, entry=0):
         """Stores a weight version and announces it, as a trainer does."""
         self.put_version(model, version)
--- a/Benchmarks/Lab/topologies.py
+++ b/Benchmarks/Lab/topologies.py
@@ -38,3 +38,21 @@
             Pool("dispatch-app", "plain", dispatch_apps, data_centers),
         ],
         documents=documents("gulf-reach"), **changes)
+
+
+def fault_topology(poison, seed):
+    """Small and fast: training and live calls on the same engines, dispatch beside them."""
+    data_centers = ["mvd-a", "mvd-b", "canelones-c"]
+    engine_options = {"time_scale": 0.1, "version": 1, "crash_marker": poison,
+                      "crash_down_ms": 800, "load_ms": 500}
+    return Topology(
+        name=f"faults-{seed}", region="uy-sur", data_centers=data_centers, latency_ms=1,
+        pools=[
+            Pool("scorer-lm", "engine", 5, data_centers, model="scorer",
+                 checks_fencing=seed % 2 == 0, options=engine_options),
+            Pool("dispatch-app", "plain", 4, data_centers,
+                 options={"work_ms": 20, "crash_down_ms": 500}),
+        ],
+        documents=[document for document in documents("ruta-clara") if document.stem != "records"]
+        + [document for document in documents("gulf-reach") if document.stem == "dispatch"],
+        entries=3, stand_in_seed=seed, list_options={"lag_ms": 500})
