--- /dev/null
+++ b/Tests/Sidecar/parser_property_test.cc
@@ -0,0 +1,132 @@
+// Properties of what reads outside input: however a stream is cut or damaged,
+// tokens pass once and in order, and nothing crashes.
+
+#include "Sidecar/answer_inspector.h"
+#include "Sidecar/work_request.h"
+#include "Support/manual_clock.h"
+#include "gate_harness.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+std::string WholeAnswer(std::uint64_t tokens) {
+  std::string text;
+  for (std::uint64_t token = 0; token < tokens; ++token) {
+    text += GateHarness::ChunkText("a1", token, 7);
+  }
+  return text + GateHarness::LastChunkText("a1", tokens) + "data: [DONE]\n\n";
+}
+
+struct Inspection {
+  std::string passed;
+  std::uint64_t tokens = 0;
+  bool failed = false;
+};
+
+// Feeds the text in pieces of random length, up to the first problem.
+Inspection InspectInPieces(std::string_view text, Random& random) {
+  AnswerInspector inspector("a1", {6, 7}, 0);
+  Inspection result;
+  while (!text.empty() && !result.failed) {
+    const std::size_t piece =
+        std::min<std::size_t>(text.size(), 1 + random.Below(60));
+    const InspectedBytes inspected = inspector.Feed(text.substr(0, piece));
+    text.remove_prefix(piece);
+    result.passed += inspected.pass;
+    result.tokens += inspected.tokens;
+    result.failed = inspected.problem.has_value();
+  }
+  result.failed = result.failed || inspector.End().has_value();
+  return result;
+}
+
+}  // namespace
+
+TEST_GROUP(ParserProperty){};
+
+TEST(ParserProperty, HoweverCutAWholeAnswerPassesAsItIs) {
+  CHECK_TRUE(rc::check("cuts change nothing", [] {
+    Random random(*rc::gen::arbitrary<std::uint64_t>());
+    const std::uint64_t tokens = random.Below(20);
+    const std::string text = WholeAnswer(tokens);
+    const Inspection result = InspectInPieces(text, random);
+    RC_ASSERT(!result.failed);
+    RC_ASSERT(result.passed == text);
+    RC_ASSERT(result.tokens == tokens);
+  }));
+}
+
+TEST(ParserProperty, ATruncatedAnswerNeverPassesAsWhole) {
+  CHECK_TRUE(rc::check("a prefix is not whole", [] {
+    Random random(*rc::gen::arbitrary<std::uint64_t>());
+    const std::string text = WholeAnswer(random.Below(20));
+    const std::size_t kept = random.Below(text.size() - 1);
+    const Inspection result =
+        InspectInPieces(std::string_view(text).substr(0, kept), random);
+    RC_ASSERT(result.failed);
+  }));
+}
+
+TEST(ParserProperty, DamageNeverRepeatsOrSkipsATokenThatPasses) {
+  CHECK_TRUE(rc::check("what passes is a run of whole events", [] {
+    Random random(*rc::gen::arbitrary<std::uint64_t>());
+    const std::string whole = WholeAnswer(10);
+    std::string text = whole;
+    for (std::uint64_t damage = random.Below(4); damage > 0; --damage) {
+      const std::size_t place = random.Below(text.size());
+      switch (random.Below(3)) {
+        case 0:
+          text.erase(place, random.Below(200));
+          break;
+        case 1:
+          text.insert(place, text.substr(random.Below(text.size()), 200));
+          break;
+        default:
+          text[place] = static_cast<char>(random.Below(256));
+          break;
+      }
+    }
+    AnswerInspector checker("a1", {6, 7}, 0);
+    const Inspection result = InspectInPieces(text, random);
+    // What passed is itself accepted: its tokens are contiguous from 0.
+    const InspectedBytes again = checker.Feed(result.passed);
+    RC_ASSERT(!again.problem.has_value());
+    RC_ASSERT(again.tokens == result.tokens);
+  }));
+}
+
+TEST(ParserProperty, HeadersOfAnyContentGiveWorkOrATypedError) {
+  CHECK_TRUE(rc::check("headers never crash", [] {
+    ManualClock clock;
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/completions";
+    request.body = *rc::gen::arbitrary<std::string>();
+    for (const char* name :
+         {"X-Carobbank-Service", "X-Carobbank-Attempt", "X-Carobbank-Versions",
+          "X-Carobbank-Budget", "X-Carobbank-Deadline", "X-Carobbank-Slack",
+          "X-Carobbank-Expected-Tokens", "X-Carobbank-Config"}) {
+      const auto text = *rc::gen::oneOf(
+          rc::gen::arbitrary<std::string>(),
+          rc::gen::map(
+              rc::gen::arbitrary<std::int64_t>(),
+              [](std::int64_t number) { return std::to_string(number); }));
+      request.headers.push_back({name, text});
+    }
+    const auto parsed =
+        Capture([&] { return ParseWorkRequest(request, clock, true); });
+    // RC_ASSERT evaluates both sides of an ||.
+    const bool typed =
+        parsed.Ok() || parsed.GetError().kind == ErrorKind::kInvalidArgument;
+    RC_ASSERT(typed);
+  }));
+}
+
+}  // namespace carobbank
