LibRouting: Judge duplicates by pace, not by silence alone

Progress is reported in steps of 32 tokens, so nearly every healthy attempt of the tail looked slow, and a duplicate that begins anew can't overtake it.

Change: the plan learns the token time from the progress of all attempts and weighs the duplicate's whole time against the original's rest at its own pace. Only a silence of 128 token times counts as a stall; then as much again is expected. The setting duplicates_resume says whether a duplicate goes on from the original's text.

--- a/Libraries/LibRouting/step_plan.cc
+++ b/Libraries/LibRouting/step_plan.cc
@@ -18,6 +18,15 @@
 constexpr std::uint64_t kOutgrownDivisor = 4;
 constexpr std::uint64_t kProbeFirst = std::numeric_limits<std::uint64_t>::max();
 
+// A silence of this many token times counts as a stall.
+constexpr double kStallTokens = 128;
+// Weight of the newest observation in the moving mean of token times.
+constexpr double kLearningRate = 0.05;
+
+double MicrosecondsBetween(MonotonicTime from, MonotonicTime to) {
+  return std::chrono::duration<double, std::micro>(to - from).count();
+}
+
 }  // namespace
 
 Result<StepPlan> StepPlan::Create(StragglerOptions options,
@@ -174,23 +183,38 @@
   return dispatch;
 }
 
+double StepPlan::TokenTime() const {
+  return this->learned_token_time > 0
+             ? this->learned_token_time
+             : static_cast<double>(this->token_time.count());
+}
+
+double StepPlan::RestTime(const Sample& sample, MonotonicTime now) const {
+  const Attempt& original = sample.attempts.front();
+  const std::uint64_t made = original.tokens - original.resumed_tokens;
+  const double pace = made == 0 ? this->TokenTime()
+                                : MicrosecondsBetween(original.started,
+                                                      original.last_progress) /
+                                      static_cast<double>(made);
+  const auto rest = static_cast<double>(this->ExpectedRest(sample));
+  const double silence = MicrosecondsBetween(original.last_progress, now);
+  // Progress comes in steps, so a short silence says nothing. After a long one
+  // as much again is to be expected.
+  const bool stalled = silence > kStallTokens * this->TokenTime();
+  return stalled ? std::max(rest * pace, silence) : rest * pace;
+}
+
 bool StepPlan::WorthDuplicating(const Sample& sample, MonotonicTime now) const {
   if (sample.state != SampleState::kRunning ||
       sample.attempts.size() >= this->options.max_attempts_per_sample) {
     return false;
   }
-  const Attempt& original = sample.attempts.front();
-  const std::uint64_t made = original.tokens - original.resumed_tokens;
-  const auto running = std::chrono::duration_cast<std::chrono::microseconds>(
-      now - original.started);
-  const auto silent = std::chrono::duration_cast<std::chrono::microseconds>(
-      now - original.last_progress);
-  // What the original takes for a token: so far, or since its last one.
-  const auto mean = running / static_cast<std::int64_t>(made + 1);
-  const auto observed = std::max(mean, silent);
-  const double needed =
-      static_cast<double>(observed.count()) * (1 - this->options.minimum_gain);
-  return static_cast<double>(this->token_time.count()) <= needed;
+  const std::uint64_t tokens = this->options.duplicates_resume
+                                   ? this->ExpectedRest(sample)
+                                   : this->Expected(sample);
+  const double needed = static_cast<double>(tokens) * this->TokenTime();
+  const double rest = this->RestTime(sample, now);
+  return needed <= (1 - this->options.minimum_gain) * rest;
 }
 
 std::optional<Dispatch> StepPlan::NextDuplicate(std::string attempt,
@@ -220,6 +244,22 @@
   return this->Start(*best, std::move(attempt), now, true);
 }
 
+void StepPlan::LearnTokenTime(const Attempt& attempt,
+                              std::uint64_t tokens,
+                              MonotonicTime now) {
+  if (attempt.tokens == attempt.resumed_tokens) {
+    // The time to the first token is not the time between two.
+    return;
+  }
+  const double observed = MicrosecondsBetween(attempt.last_progress, now) /
+                          static_cast<double>(tokens - attempt.tokens);
+  this->learned_token_time =
+      this->learned_token_time == 0
+          ? observed
+          : this->learned_token_time +
+                kLearningRate * (observed - this->learned_token_time);
+}
+
 void StepPlan::OnProgress(const AttemptProgress& progress, MonotonicTime now) {
   const auto found = this->by_attempt.find(progress.attempt);
   if (found == this->by_attempt.end()) {
@@ -227,6 +267,7 @@
   }
   for (Attempt& attempt : this->samples[found->second].attempts) {
     if (attempt.name == progress.attempt && progress.tokens > attempt.tokens) {
+      this->LearnTokenTime(attempt, progress.tokens, now);
       attempt.tokens = progress.tokens;
       attempt.last_progress = now;
     }
--- a/Libraries/LibRouting/step_plan.h
+++ b/Libraries/LibRouting/step_plan.h
@@ -28,6 +28,9 @@
   // A duplicate must promise to shorten the original's expected rest by this
   // share.
   double minimum_gain = 0.25;
+  // Duplicates go on from what the original has streamed so far; otherwise
+  // they begin anew.
+  bool duplicates_resume = false;
 };
 
 // Generated so far by an attempt that broke off; another attempt may go on
@@ -52,9 +55,8 @@
   std::uint64_t expected_tokens = 0;
   // Generated already by a broken attempt; this one goes on from it.
   PartialSample partial;
-  // A second attempt beside the running one `beside`: on an idle server only,
-  // going on from what that one has streamed so far, or else with its seed. A
-  // fresh seed would favour short samples.
+  // A second attempt beside the running one `beside`, on an idle server only.
+  // It must use the sample's own seed: a fresh one would favour short samples.
   bool duplicate = false;
   std::string beside;
   // Time until the sample would delay its step, from the expected rest of the
@@ -143,6 +145,13 @@
   // Larger starts earlier.
   std::uint64_t Urgency(const Sample& sample) const;
   std::optional<std::size_t> PickPending() const;
+  void LearnTokenTime(const Attempt& attempt,
+                      std::uint64_t tokens,
+                      MonotonicTime now);
+  // Microseconds between two tokens: as attempts have shown, or as stated.
+  double TokenTime() const;
+  // Microseconds that the original still needs, judged by its own pace.
+  double RestTime(const Sample& sample, MonotonicTime now) const;
   bool WorthDuplicating(const Sample& sample, MonotonicTime now) const;
   Dispatch Start(std::size_t index,
                  std::string attempt,
@@ -152,6 +161,9 @@
 
   StragglerOptions options;
   std::chrono::microseconds token_time{0};
+  // Moving mean over the progress of all attempts, in microseconds; 0 before
+  // the first.
+  double learned_token_time = 0;
   std::vector<Sample> samples;
   std::map<std::string, std::size_t, std::less<>> by_id;
   std::map<std::string, std::size_t, std::less<>> by_attempt;
