Sidecar: Ask again for the right to order after having yielded

Cause: a sidecar that saw a higher incarnation yielded for good. When the other is gone and its clock had been ahead, its server would never be ordered again. Change: only records of the last lease count, and the one that yielded appends anew after a lease. Ruled out: yielding by offsets, which an earlier sidecar's late renewal would turn round. Leases never overlap in 3,000 random interleavings, as before.

--- a/Libraries/LibVersions/order_authority.cc
+++ b/Libraries/LibVersions/order_authority.cc
@@ -29,10 +29,12 @@
     const AppendTimes& times,
     const LeaseTerms& terms,
     bool engine_checks_fencing) {
-  const bool yields = std::any_of(records.begin(), records.end(),
-                                  [&](const HolderRecord& record) {
-                                    return record.incarnation > own.incarnation;
-                                  });
+  const bool yields = std::any_of(
+      records.begin(), records.end(), [&](const HolderRecord& record) {
+        const bool recent =
+            record.time_ms + terms.duration.count() > own.time_ms;
+        return recent && record.incarnation > own.incarnation;
+      });
   if (yields) {
     return std::nullopt;
   }
--- a/Libraries/LibVersions/order_authority.h
+++ b/Libraries/LibVersions/order_authority.h
@@ -56,7 +56,7 @@
 
 // `records`: every record of this server in the log from one lease before
 // `own` up to it, in offset order. Nothing when a sidecar with a higher
-// incarnation number is among them.
+// incarnation number appended within that lease.
 std::optional<OrderAuthority> DeriveAuthority(
     std::span<const HolderRecord> records,
     const HolderRecord& own,
--- a/Services/Sidecar/lease_keeper.cc
+++ b/Services/Sidecar/lease_keeper.cc
@@ -156,7 +156,11 @@
   const auto authority =
       DeriveAuthority(this->records, own, this->times, this->options.terms,
                       this->options.engine_checks_fencing);
-  if (authority && !this->options.engine_checks_fencing) {
+  if (!authority) {
+    // The other sidecar may be gone, and its clock may have been ahead: without
+    // another try the server would get no orders any more.
+    this->AppendAfter(this->options.terms.duration);
+  } else if (!this->options.engine_checks_fencing) {
     this->AppendAfter(this->options.renew_interval);
   }
   this->changed(authority);
