Lab: Publish through the operators' verb

Cause: the lab appended documents by hand, so the verb was not exercised. Change: documents go through `carobbank publish`; the log tail asks for the oldest kept record by LibPlatform's name for it. Conclusion: the lab uses what operators use.

--- a/Benchmarks/Lab/deployment.py
+++ b/Benchmarks/Lab/deployment.py
@@ -339,16 +339,12 @@
         self.control(self.weights_url, {"put": {"model": model, "version": version}})
 
     def publish(self, document):
-        """Appends one document to the log, as `carobbank publish` does."""
-        text = Path(document).read_text()
-        service = next(line.split(":", 1)[1].strip() for line in text.splitlines()
-                       if line.startswith("name:"))
-        entry = {"kind": "document", "service": service, "base_revision": -1,
-                 "document": text, "publisher": "lab", "publish_id": f"lab-{service}"}
-        status, answer = call(f"{self.log_url}/streams/configuration/records", "POST",
-                              {"payload": json.dumps({"entries": [entry]})})
-        if status != 200:
-            raise RuntimeError(f"publish {document}: {status} {answer}")
+        """Puts one document in force through the operator's verb."""
+        arguments = [str(self.binaries / "carobbank"), "publish", "--log", self.log_url,
+                     str(document)]
+        done = subprocess.run(arguments, capture_output=True, text=True, timeout=60, check=False)
+        if done.returncode != 0:
+            raise RuntimeError(f"publish {document}: {done.stdout}{done.stderr}")
 
     def document_text(self, service):
         """The document of a service as the topology names it."""
--- a/Services/Entry/log_stream_tail.cc
+++ b/Services/Entry/log_stream_tail.cc
@@ -11,9 +11,6 @@
 constexpr Milliseconds kLongPoll{2'000};
 constexpr Milliseconds kPauseAfterFailure{200};
 constexpr std::size_t kRecordsPerRead = 500;
-// Past every real offset, so that the page holds no records but tells what is
-// kept.
-constexpr std::uint64_t kBeyondEnd = INT64_MAX;
 
 }  // namespace
 
@@ -78,7 +75,7 @@
 
 void LogStreamTail::FindFirstRetained() {
   this->log.Read(
-      this->stream, kBeyondEnd, 1, Milliseconds(0),
+      this->stream, kOldestRetained, 1, Milliseconds(0),
       [this, token = std::weak_ptr<bool>(this->alive)](Outcome<LogPage> page) {
         if (token.expired()) {
           return;
