--- a/Libraries/LibLedger/record_codec.cc
+++ b/Libraries/LibLedger/record_codec.cc
@@ -21,7 +21,9 @@
   if (!parsed.Ok() || !parsed.Value().isObject()) {
     return std::nullopt;
   }
-  Json::Value entries = parsed.Value()["entries"];
+  // Swapped out, because a copy of the array costs as much as parsing it.
+  Json::Value entries;
+  parsed.Value()["entries"].swap(entries);
   if (!entries.isArray()) {
     return std::nullopt;
   }
