--- a/Libraries/LibOperator/timeline_merge.cc
+++ b/Libraries/LibOperator/timeline_merge.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::int64_t kMicrosecondsPerMillisecond = 1'000;
+// Stamps beyond these (the year 33658) are drawn at the edge.
+constexpr WallMilliseconds kLatestDrawnMs = 1'000'000'000'000'000;
 
 bool Matches(const std::string& wanted, const std::string& found) {
   return wanted.empty() || wanted == found;
@@ -23,7 +25,9 @@
 std::int64_t TraceMicroseconds(const HybridTime& time) {
   const std::int64_t ticks =
       std::min<std::int64_t>(time.logical, kMicrosecondsPerMillisecond - 1);
-  return time.wall_ms * kMicrosecondsPerMillisecond + ticks;
+  const WallMilliseconds wall_ms =
+      std::clamp<WallMilliseconds>(time.wall_ms, 0, kLatestDrawnMs);
+  return wall_ms * kMicrosecondsPerMillisecond + ticks;
 }
 
 std::string RowName(const Event& event) {
--- /dev/null
+++ b/Tests/Fuzz/settings.cc
@@ -0,0 +1,14 @@
+// ReadEntrySettings and ReadSidecarSettings on the same text.
+
+#include "LibContract/contract.h"
+#include "fuzz_input.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* bytes,
+                                      std::size_t size) {
+  using namespace carobbank;
+  const std::string_view text = FuzzText(bytes, size);
+  const bool entry = ReadEntrySettings("f", text).Ok();
+  const bool sidecar = ReadSidecarSettings("f", text).Ok();
+  FuzzRequire(!entry || !sidecar, "no text is valid for both programs");
+  return 0;
+}
