Tests: Let two checks fail that could not

A malformed payload's skips and a removed server's fairness hint were checked by conditions that held in any case. Each is replaced by the exact outcome.

--- a/Libraries/LibLedger/retention.h
+++ b/Libraries/LibLedger/retention.h
@@ -18,9 +18,8 @@
 };
 
 // A step lives this long from its accept or from its last copy: half of the
-// retention. Whoever starts at the oldest record therefore sees a whole
-// lifetime before any step that still lives, and can tell a first accept from
-// a repeat of an expired one.
+// retention. What a fold that starts at the oldest record can't judge for lack
+// of older ones has therefore expired by the time that it starts.
 Milliseconds StepLifetime(const RetentionOptions& options);
 
 // Longest key window for which all claims of an acceptable key are kept.
--- a/Tests/LibLedger/parser_property_test.cc
+++ b/Tests/LibLedger/parser_property_test.cc
@@ -135,8 +135,8 @@
         "{\"entries\":[]} x", "\xff\xfe"}) {
     const Decoded decoded = DecodeAll(payload);
     CHECK_EQUAL(0, decoded.entries);
-    CHECK_TRUE(decoded.skipped == 4 || std::string(payload) == "{}" ||
-               decoded.skipped == 0);
+    // Once by each stream's decoder.
+    CHECK_EQUAL(4, decoded.skipped);
   }
   const DecodedRecord<KeyEntry> mixed = DecodeKeyRecord(
       {5, 0,
--- a/Tests/LibRouting/router_test.cc
+++ b/Tests/LibRouting/router_test.cc
@@ -275,13 +275,14 @@
   for (int round = 0; round < 20; ++round) {
     STRCMP_EQUAL("s1", IdOf(*router, router->Choose(request, random)).c_str());
   }
-  // The hint belongs to the server that was removed.
+  // The hint went with its server; the next one in its place is free of it.
   router->RemoveServer("s0");
-  AddServers(*router, 1);
+  const ServerIndex next = router->Servers().Upsert("s2", "near", kNear);
+  router->Servers().SetVersion(next, 7);
   Report(*router, "s1", 1, now);
-  request.service = "ruta";
-  CHECK_TRUE(IdOf(*router, router->Choose(request, random)) != "s0" ||
-             router->Servers().Size() == 2);
+  for (int round = 0; round < 20; ++round) {
+    STRCMP_EQUAL("s2", IdOf(*router, router->Choose(request, random)).c_str());
+  }
 }
 
 TEST(Router, PrefixIsFollowedWithinTheLoadBound) {
