LibHTTP: Set libcurl's timer only when it must fire earlier

Cause: libcurl wishes to be called at once several times in each transfer, and moves its timeout at each; every wish set the loop's timer, a system call.

Change: wishes to be called at once go through the loop's queue, and a timer that would fire later than armed is left alone and set again when it fires.

--- a/Libraries/LibHTTP/curl_multi.cc
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -3,6 +3,7 @@
 #include "LibHTTP/curl_multi.h"
 
 #include <asio/error.hpp>
+#include <asio/post.hpp>
 
 #include <unistd.h>
 
@@ -92,6 +93,7 @@
 
 void CurlMulti::Add(CURL* easy) {
   this->running = true;
+  this->call_is_near = true;
   curl_multi_add_handle(this->multi, easy);
   this->running = false;
   // Begins the transfer at once instead of at the next turn of the timer.
@@ -106,6 +108,7 @@
 
 void CurlMulti::Unpause(CURL* easy) {
   this->running = true;
+  this->call_is_near = true;
   curl_easy_pause(easy, CURLPAUSE_CONT);
   this->running = false;
   this->Act(CURL_SOCKET_TIMEOUT, 0);
@@ -114,6 +117,9 @@
 void CurlMulti::Act(curl_socket_t socket, int events) {
   int active = 0;
   this->running = true;
+  if (socket == CURL_SOCKET_TIMEOUT) {
+    this->call_is_near = false;
+  }
   curl_multi_socket_action(this->multi, socket, events, &active);
   this->running = false;
   this->Collect();
@@ -195,18 +201,51 @@
 
 int CurlMulti::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
   auto* const multi = static_cast<CurlMulti*>(self);
-  if (timeout_ms < 0) {
-    multi->timer.cancel();
+  if (timeout_ms == 0) {
+    multi->CallSoon();
     return 0;
   }
-  multi->timer.expires_after(Milliseconds(timeout_ms));
-  multi->timer.async_wait(
-      [multi, alive = multi->alive](const asio::error_code& error) {
+  multi->due = timeout_ms < 0 ? MonotonicTime::max()
+                              : std::chrono::steady_clock::now() +
+                                    Milliseconds(timeout_ms);
+  if (multi->due < multi->armed_for) {
+    multi->ArmTimer();
+  }
+  return 0;
+}
+
+void CurlMulti::CallSoon() {
+  this->due = MonotonicTime::max();
+  if (this->call_is_near) {
+    return;
+  }
+  this->call_is_near = true;
+  asio::post(this->context, [this, alive = this->alive] {
+    if (*alive && this->call_is_near) {
+      this->Act(CURL_SOCKET_TIMEOUT, 0);
+    }
+  });
+}
+
+void CurlMulti::ArmTimer() {
+  this->armed_for = this->due;
+  this->timer.expires_at(this->due);
+  this->timer.async_wait(
+      [this, alive = this->alive](const asio::error_code& error) {
         if (!error && *alive) {
-          multi->Act(CURL_SOCKET_TIMEOUT, 0);
+          this->TimerFired();
         }
       });
-  return 0;
+}
+
+void CurlMulti::TimerFired() {
+  this->armed_for = MonotonicTime::max();
+  if (this->due <= std::chrono::steady_clock::now()) {
+    this->due = MonotonicTime::max();
+    this->Act(CURL_SOCKET_TIMEOUT, 0);
+  } else if (this->due != MonotonicTime::max()) {
+    this->ArmTimer();
+  }
 }
 
 curl_socket_t CurlMulti::OnOpen(void* self,
--- a/Libraries/LibHTTP/curl_multi.h
+++ b/Libraries/LibHTTP/curl_multi.h
@@ -55,6 +55,9 @@
   static int OnClose(void* self, curl_socket_t socket);
 
   void Act(curl_socket_t socket, int events);
+  void CallSoon();
+  void ArmTimer();
+  void TimerFired();
   void Collect();
   void WaitRead(const std::shared_ptr<Watch>& watch);
   void WaitWrite(const std::shared_ptr<Watch>& watch);
@@ -62,10 +65,18 @@
   asio::io_context& context;
   HttpClientOptions options;
   DoneHandler done;
+  // When libcurl wants to be called later, and when the timer will fire. A
+  // timer that fires too early is set again, which is cheaper than moving it at
+  // each of libcurl's many wishes. Invariant: armed_for <= due.
+  MonotonicTime due = MonotonicTime::max();
+  MonotonicTime armed_for = MonotonicTime::max();
   asio::steady_timer timer;
   CURLM* multi = nullptr;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> watches;
   bool running = false;
+  // libcurl will be told of passed timeouts in this turn of the loop or the
+  // next, so that its wish for that needs no timer.
+  bool call_is_near = false;
   // Lets queued completions see that this object is gone.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
