LibHTTP: Accept no more connections than there are descriptors for

Cause: RESTinio's acceptor does not go on after an error of accept(), so that one moment without a free descriptor ends accepting until the process restarts.

Change: the soft limit on open files is raised to the hard one, and the limit on connections leaves room for as many onward connections and 64 other files.

--- /dev/null
+++ b/Libraries/LibHTTP/descriptor_limit.cc
@@ -0,0 +1,39 @@
+// RLIMIT_NOFILE and what it leaves for connections.
+
+#include "LibHTTP/descriptor_limit.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace carobbank {
+
+namespace {
+
+// Log files, timers, the listening socket and the like.
+constexpr std::size_t kOtherDescriptors = 64;
+// A passed-on request holds two connections.
+constexpr std::size_t kDescriptorsPerConnection = 2;
+
+}  // namespace
+
+std::size_t AcceptableConnections(std::size_t wanted) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return wanted;
+  }
+  if (limit.rlim_cur < limit.rlim_max) {
+    rlimit raised = limit;
+    raised.rlim_cur = limit.rlim_max;
+    if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) {
+      limit = raised;
+    }
+  }
+  const std::size_t usable = limit.rlim_cur > kOtherDescriptors
+                                 ? limit.rlim_cur - kOtherDescriptors
+                                 : 0;
+  return std::clamp<std::size_t>(usable / kDescriptorsPerConnection, 1,
+                                 std::max<std::size_t>(wanted, 1));
+}
+
+}  // namespace carobbank
--- a/Libraries/LibHTTP/http_server.cc
+++ b/Libraries/LibHTTP/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "LibHTTP/connection_registry.h"
+#include "LibHTTP/descriptor_limit.h"
 #include "LibHTTP/event_loop_implementation.h"
 #include "LibHTTP/parser_refusal.h"
 #include "LibHTTP/server_responder.h"
@@ -163,7 +164,9 @@
         .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
         .buffer_size(kReadBufferBytes)
         .max_pipelined_requests(kPipelinedRequests)
-        .max_parallel_connections(options.max_connections)
+        // RESTinio stops accepting for good when no descriptor is left.
+        .max_parallel_connections(
+            AcceptableConnections(options.max_connections))
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t()
                 .max_url_size(options.max_header_bytes)
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -45,6 +45,8 @@
   std::uint16_t port = 0;
   std::size_t max_header_bytes = 32 * 1024;
   std::size_t max_body_bytes = 8 * 1024 * 1024;
+  // Fewer when the process's limit on open files does not allow as many.
+  // Connections beyond it wait in the kernel's queue.
   std::size_t max_connections = 10'000;
   // A request's head and body must have arrived within this time.
   Milliseconds read_timeout{10'000};
--- a/Tests/LibHTTP/http_server_test.cc
+++ b/Tests/LibHTTP/http_server_test.cc
@@ -2,8 +2,13 @@
 
 #include "LibHTTP/http.h"
 
+#include <sys/resource.h>
+
+#include <limits>
 #include <vector>
 
+#include "LibHTTP/descriptor_limit.h"
+
 #include "http_fixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -277,6 +282,16 @@
   CHECK_TRUE(this->Gets(third, "ok"));
 }
 
+TEST(HttpServer, ConnectionLimitFollowsTheLimitOnOpenFiles) {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  CHECK_EQUAL(8U, AcceptableConnections(8));
+  CHECK_EQUAL(1U, AcceptableConnections(0));
+  const std::size_t most =
+      AcceptableConnections(std::numeric_limits<std::size_t>::max());
+  CHECK_TRUE(most * 2 < limit.rlim_max);
+}
+
 TEST(HttpServer, DrainFinishesWhatIsInProgress) {
   CHECK_TRUE(this->fixture.Serve({}, this->Recorder()));
   RawConnection caller = this->fixture.Connect();
