--- a/Benchmarks/Routing/choice_benchmark.cc
+++ b/Benchmarks/Routing/choice_benchmark.cc
@@ -2,6 +2,7 @@
 // the number of servers known.
 
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
 #include <memory>
 #include <string>
@@ -76,6 +77,26 @@
   }
 }
 
+// Memory of a router that knows the servers, and of its prefix index.
+void RouterMemory(benchmark::State& state) {
+  const int servers = static_cast<int>(state.range(0));
+  double per_server = 0;
+  double per_prefix = 0;
+  for (auto step : state) {
+    const auto before = static_cast<double>(mallinfo2().uordblks);
+    const auto router = MakeRouter("prefix_affinity", servers);
+    const auto built = static_cast<double>(mallinfo2().uordblks);
+    for (std::uint64_t prefix = 1; prefix <= kPrefixes; ++prefix) {
+      router->Prefixes().OnSent(0, prefix);
+    }
+    const auto filled = static_cast<double>(mallinfo2().uordblks);
+    per_server = (built - before) / servers;
+    per_prefix = (filled - built) / static_cast<double>(kPrefixes);
+  }
+  state.counters["bytes_per_server"] = per_server;
+  state.counters["bytes_per_prefix"] = per_prefix;
+}
+
 // Recomputing one entry's watched subset among 330 entries.
 void WatchedSubset(benchmark::State& state) {
   std::vector<std::string> ids;
@@ -108,6 +129,7 @@
 BENCHMARK_CAPTURE(Choice, least_connections, "least_connections")->Apply(Sizes);
 BENCHMARK_CAPTURE(Choice, two_choices, "two_choices")->Apply(Sizes);
 BENCHMARK_CAPTURE(Choice, prefix_affinity, "prefix_affinity")->Apply(Sizes);
+BENCHMARK(RouterMemory)->Apply(Sizes)->Unit(benchmark::kMillisecond);
 BENCHMARK(WatchedSubset)->Apply(Sizes)->Unit(benchmark::kMillisecond);
 
 }  // namespace
