LibScheduling, Sidecar: Bound how much training slows live tokens

Cause: live answers took 1.3 times as long while training filled the batch. Not the queue (headroom 4 instead of 1 changed nothing): each further work in the batch makes every token slower. Change: the sidecar learns that slope from the engine's reports, and while live work runs, or ran within 2 s, training and background start only as long as the batch stays within scheduling.live_slowdown (1.15) of live alone.

--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -131,6 +131,9 @@
   std::int64_t queue_length = 10'000;
   // Places at the backend server that training never takes.
   std::int64_t live_headroom = 1;
+  // While live work runs, training and background fill the engine's batch only
+  // so far that a live token takes at most this many times as long.
+  double live_slowdown = 1.15;
 };
 
 // The right to issue orders to the engine.
--- a/Libraries/LibContract/sidecar_settings.cc
+++ b/Libraries/LibContract/sidecar_settings.cc
@@ -56,6 +56,10 @@
       {"live_headroom", kOptional, "attempts",
        "places at the backend server that training never takes",
        Integer(&S::live_headroom, 0, 1'000)},
+      {"live_slowdown", kOptional, "",
+       "longest time of a live token in relation to one without training in "
+       "the batch; lower favours live, higher favours trainers",
+       Real(&S::live_slowdown, 1.0, 100.0)},
   };
   return fields;
 }
--- a/Libraries/LibScheduling/concurrency_limit.cc
+++ b/Libraries/LibScheduling/concurrency_limit.cc
@@ -27,8 +27,9 @@
       std::min(this->limits.live_headroom,
                this->limits.places == 0 ? 0 : this->limits.places - 1);
   const bool has_place = total < this->limits.places;
-  const bool others_allowed =
-      has_place && others < this->limits.places - headroom;
+  const bool others_allowed = has_place &&
+                              others < this->limits.places - headroom &&
+                              total < this->limits.shared_batch;
   return {{has_place, others_allowed, others_allowed}};
 }
 
--- a/Libraries/LibScheduling/concurrency_limit.h
+++ b/Libraries/LibScheduling/concurrency_limit.h
@@ -14,6 +14,9 @@
   std::uint32_t places = 16;
   // Places that training and background never take.
   std::uint32_t live_headroom = 1;
+  // Training and background start only while fewer works than this run in all,
+  // so that live work in the same batch isn't slowed too much.
+  std::uint32_t shared_batch = UINT32_MAX;
   // Prompt and generated tokens that running works may hold in the engine's
   // memory together; 0 means no limit.
   std::uint64_t memory_tokens = 0;
--- a/Libraries/LibScheduling/scheduler.h
+++ b/Libraries/LibScheduling/scheduler.h
@@ -84,6 +84,9 @@
 
   std::size_t Queued() const { return this->deadlines.Size(); }
   std::uint32_t Running() const { return this->limit.Running(); }
+  std::uint32_t Running(PriorityClass priority_class) const {
+    return this->limit.Running(priority_class);
+  }
   std::vector<ServiceReport> Report() const;
 
  private:
--- a/Libraries/LibScheduling/scheduling.h
+++ b/Libraries/LibScheduling/scheduling.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "LibScheduling/batch_slowdown.h"
 #include "LibScheduling/scheduler.h"
 #include "LibScheduling/token_bucket.h"
 #include "LibScheduling/work.h"
--- a/Services/Sidecar/sidecar_process.cc
+++ b/Services/Sidecar/sidecar_process.cc
@@ -54,6 +54,7 @@
           : QueueStrategy::kFairShare;
   options.scheduler.limits.live_headroom =
       static_cast<std::uint32_t>(settings.scheduling.live_headroom);
+  options.live_slowdown = settings.scheduling.live_slowdown;
   options.scheduler.max_queued =
       static_cast<std::size_t>(settings.scheduling.queue_length);
   return options;
--- a/Services/Sidecar/work_gate.cc
+++ b/Services/Sidecar/work_gate.cc
@@ -15,6 +15,9 @@
 // Until the engine has said how large its batch is.
 constexpr std::uint32_t kDefaultPlaces = 8;
 
+// Live calls come one after the other; the batch isn't filled in between.
+constexpr Milliseconds kLiveMemory{2'000};
+
 // Work of a plain service counts as one unit: requests are what is shared.
 constexpr std::uint32_t kPlainUnit = 1;
 
@@ -131,6 +134,7 @@
     return;
   }
   const WorkHandle handle = *outcome.handle;
+  this->NoteLive(request);
   this->environment.recorder.OnQueued(request, quiet);
   const bool must_be_alone =
       request.alone || this->suspects.Contains(request.digest);
@@ -203,6 +207,7 @@
   if (!this->has_live_service) {
     limits.live_headroom = 0;
   }
+  limits.shared_batch = this->SharedBatch();
   if (this->snapshot->load) {
     limits.memory_tokens = this->snapshot->load->cache_tokens_total;
   }
@@ -213,6 +218,31 @@
   }
 }
 
+std::uint32_t WorkGate::SharedBatch() {
+  const auto& load = this->snapshot->load;
+  if (load && load->as_of_ms != this->observed_ms) {
+    this->observed_ms = load->as_of_ms;
+    this->slowdown.Observe(load->running,
+                           static_cast<double>(load->token_interval_us));
+  }
+  const bool live_recently =
+      this->last_live &&
+      this->environment.clock.Now() - *this->last_live < kLiveMemory;
+  if (!live_recently) {
+    return UINT32_MAX;
+  }
+  // One place stays open to the others, or they would never run.
+  const std::uint32_t live = this->scheduler.Running(PriorityClass::kLive);
+  return std::max(
+      live + 1, this->slowdown.LargestBatch(live, this->options.live_slowdown));
+}
+
+void WorkGate::NoteLive(const WorkRequest& work) {
+  if (this->scheduler.ClassOf(work.service) == PriorityClass::kLive) {
+    this->last_live = this->environment.clock.Now();
+  }
+}
+
 void WorkGate::BeginDrain() {
   this->terminating = true;
   if (!this->was_draining) {
--- a/Services/Sidecar/work_gate.h
+++ b/Services/Sidecar/work_gate.h
@@ -27,6 +27,9 @@
   SchedulerOptions scheduler;
   // 0: as many as the engine reports for its batch.
   std::uint32_t places = 0;
+  // While live work runs, its tokens take at most this many times as long as
+  // without other classes in the batch.
+  double live_slowdown = 1.15;
 };
 
 struct GateEnvironment {
@@ -131,6 +134,9 @@
   void Forget(WorkHandle handle, std::string_view outcome);
   void OnCallerGone(WorkHandle handle);
   void ApplyLimits();
+  // How large a batch may be with live work in it; no limit without.
+  std::uint32_t SharedBatch();
+  void NoteLive(const WorkRequest& work);
   void RecordQueues();
 
   GateEnvironment environment;
@@ -144,6 +150,11 @@
   std::set<std::string, std::less<>> barred;
   // A work that must run with nothing else at risk.
   std::optional<WorkHandle> alone;
+  BatchSlowdown slowdown;
+  // The report that `slowdown` took in last.
+  WallMilliseconds observed_ms = 0;
+  // When live work last started or ended.
+  std::optional<MonotonicTime> last_live;
   // Headroom is kept only for services that there are.
   bool has_live_service = false;
   bool terminating = false;
--- a/Services/Sidecar/work_gate_run.cc
+++ b/Services/Sidecar/work_gate_run.cc
@@ -275,6 +275,7 @@
   if (outcome != kWholeOutcome && work->reply->Started()) {
     this->environment.recorder.OnCut(*work->request, outcome, work->tokens);
   }
+  this->NoteLive(*work->request);
   if (this->alone == handle) {
     this->alone.reset();
   }
