Entry: Tell other entries of crashes and of cleared suspects

The second entry that its caller tried did not know of the first crash, because the log was down and crashes travelled through it alone. Ruled out: the rule of running alone, which held at each entry by itself. A waiter for a record no longer makes the tail poll without pause. Conclusion: what one entry knows of a fatal request, all know at once.

--- a/Libraries/LibLedger/server_entries.cc
+++ b/Libraries/LibLedger/server_entries.cc
@@ -39,6 +39,13 @@
   return value;
 }
 
+Json::Value ToJson(const ClearEntry& entry) {
+  Json::Value value;
+  value["kind"] = "clear";
+  value["digest"] = entry.digest;
+  return value;
+}
+
 CrashEntry ReadCrash(EntryReader& reader) {
   CrashEntry entry;
   entry.instance = reader.Identifier("instance");
@@ -65,6 +72,8 @@
     entry = ReadCrash(reader);
   } else if (kind == "quarantine") {
     entry = QuarantineEntry{reader.Identifier("digest")};
+  } else if (kind == "clear") {
+    entry = ClearEntry{reader.Identifier("digest")};
   }
   if (!reader.Ok()) {
     return std::nullopt;
--- a/Libraries/LibLedger/server_entries.h
+++ b/Libraries/LibLedger/server_entries.h
@@ -36,7 +36,13 @@
   std::string digest;
 };
 
-using ServerEntry = std::variant<SidecarEntry, CrashEntry, QuarantineEntry>;
+// Work with this digest was finished after a crash: it is no longer suspect.
+struct ClearEntry {
+  std::string digest;
+};
+
+using ServerEntry =
+    std::variant<SidecarEntry, CrashEntry, QuarantineEntry, ClearEntry>;
 
 std::string EncodeServerEntry(const ServerEntry& entry);
 DecodedRecord<ServerEntry> DecodeServerRecord(const StreamRecord& record);
--- a/Services/Entry/control_snapshot.h
+++ b/Services/Entry/control_snapshot.h
@@ -34,6 +34,8 @@
   std::vector<KnownEntry> entries;
   std::vector<ModelVersion> versions;
   std::vector<std::string> quarantined;
+  // The latest crashes, of this entry and of those that told it.
+  std::vector<SharedCrash> crashes;
   // False until the configuration was read to its end, or taken from a peer:
   // until then a service that is not found may well be in force.
   bool configuration_known = false;
--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -14,6 +14,7 @@
 constexpr Milliseconds kPeerCatchUpInterval{2'000};
 constexpr Milliseconds kPeerTimeout{1'500};
 constexpr Milliseconds kSnapshotCheck{60'000};
+constexpr std::size_t kCrashesRemembered = 256;
 constexpr Milliseconds kPublishDelay{20};
 // Heartbeats' loads reach the traffic thread at least this often.
 constexpr Milliseconds kRefresh{500};
@@ -149,6 +150,9 @@
                    std::get_if<QuarantineEntry>(&positioned.entry)) {
       this->quarantine.OnQuarantined(barred->digest);
       this->Changed();
+    } else if (const auto* cleared =
+                   std::get_if<ClearEntry>(&positioned.entry)) {
+      this->TakeCleared(cleared->digest);
     }
   }
 }
@@ -163,31 +167,68 @@
   }
 }
 
+std::optional<std::string> ControlState::RememberCrash(
+    const ServerCrash& crash) {
+  this->crashes.push_back({++this->crash_number, crash});
+  if (this->crashes.size() > kCrashesRemembered) {
+    this->crashes.pop_front();
+  }
+  this->view.OnCrash(crash.instance, crash.incarnation);
+  this->Changed();
+  return this->quarantine.OnCrash(
+      {crash.instance, {crash.digest}, crash.alone});
+}
+
 void ControlState::ReportCrash(const ServerCrash& crash) {
-  const auto barred =
-      this->quarantine.OnCrash({crash.instance, {crash.digest}, crash.alone});
-  const auto write = [this](const ServerEntry& entry) {
-    // Lost when the buffer is full; other entries learn by their own crashes.
-    static_cast<void>(Capture([&]() -> Result<EntryTicket> {
-      return this->server_writer.Append(EncodeServerEntry(entry),
-                                        [](LogPosition) {});
-    }));
-  };
+  const auto barred = this->RememberCrash(crash);
+  // Peers are told directly too: the log may be down just now.
+  this->TellPeers("report_crash", ServerCrashToJson(crash));
   CrashEntry entry;
   entry.instance = crash.instance;
   entry.incarnation = crash.incarnation;
   entry.digests = {crash.digest};
   entry.complete = crash.alone;
-  write(entry);
+  this->WriteServerEntry(entry);
   if (barred) {
-    write(QuarantineEntry{*barred});
+    this->WriteServerEntry(QuarantineEntry{*barred});
   }
-  this->view.OnCrash(crash.instance, crash.incarnation);
-  this->Changed();
 }
 
 void ControlState::ReportFinished(std::string_view digest) {
+  this->TakeCleared(digest);
+  Json::Value parameters;
+  parameters["digest"] = std::string(digest);
+  this->TellPeers("report_cleared", parameters);
+  this->WriteServerEntry(ClearEntry{std::string(digest)});
+}
+
+void ControlState::WriteServerEntry(const ServerEntry& entry) {
+  // Lost when the buffer is full; the peers have been told.
+  static_cast<void>(Capture([&]() -> Result<EntryTicket> {
+    return this->server_writer.Append(EncodeServerEntry(entry),
+                                      [](LogPosition) {});
+  }));
+}
+
+void ControlState::TellPeers(std::string_view method,
+                             const Json::Value& parameters) {
+  for (const KnownEntry& entry : this->entries) {
+    if (entry.instance != this->settings.place.instance) {
+      this->peers.Call(entry.address, std::string(method), parameters,
+                       kPeerTimeout, [](const Outcome<Json::Value>&) {});
+    }
+  }
+}
+
+void ControlState::TakeCrash(const ServerCrash& crash) {
+  this->RememberCrash(crash);
+}
+
+void ControlState::TakeCleared(std::string_view digest) {
   this->quarantine.OnFinished(digest);
+  std::erase_if(this->crashes, [&](const SharedCrash& shared) {
+    return shared.crash.digest == digest;
+  });
 }
 
 void ControlState::CatchUpFromPeers() {
@@ -222,6 +263,9 @@
     this->configuration_known = true;
     this->Changed();
   }
+  for (const Json::Value& crash : exported["crashes"]) {
+    this->RememberCrash(ServerCrashFromJson(crash));
+  }
   const Json::Value& barred = exported["quarantine"];
   if (!barred.isArray()) {
     return;
@@ -352,6 +396,7 @@
   }
   snapshot->quarantined = this->quarantine.Quarantined();
   snapshot->configuration_known = this->configuration_known;
+  snapshot->crashes.assign(this->crashes.begin(), this->crashes.end());
   snapshot->log_reachable = this->log_reachable;
   snapshot->list_reachable = this->list_reachable;
   const std::int64_t offset = snapshot->configuration->offset;
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -42,12 +43,19 @@
   // On the control loop, by way of Post.
   void ReportCrash(const ServerCrash& crash);
   void ReportFinished(std::string_view digest);
+  // Another entry told of it.
+  void TakeCrash(const ServerCrash& crash);
+  void TakeCleared(std::string_view digest);
 
  private:
   void OnConfigurationRecord(const LogRecord& record);
   void OnConfigurationPage();
   void OnServerRecord(const LogRecord& record);
   void OnVersionRecord(const LogRecord& record);
+  // Returns the digest that it puts in quarantine, or nothing.
+  std::optional<std::string> RememberCrash(const ServerCrash& crash);
+  void TellPeers(std::string_view method, const Json::Value& parameters);
+  void WriteServerEntry(const ServerEntry& entry);
   void CatchUpFromPeers();
   void ImportFrom(const Json::Value& exported);
   void WriteSnapshotWhenDue();
@@ -84,6 +92,9 @@
   std::vector<KnownEntry> entries;
   std::map<std::string, std::uint64_t, std::less<>> versions;
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
+  // Oldest first; bounded.
+  std::deque<SharedCrash> crashes;
+  std::uint64_t crash_number = 0;
   DataCenterMap data_centers;
 
   bool configuration_known = false;
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -116,11 +116,21 @@
               return this->StepsOf(service);
             },
             this->control},
-      peer_methods(this->traffic_loop,
-                   this->control,
-                   [this](std::string_view service) -> StepService& {
-                     return this->StepsOf(service);
-                   }) {}
+      peer_methods(
+          this->traffic_loop,
+          this->control,
+          [this](std::string_view service) -> StepService& {
+            return this->StepsOf(service);
+          },
+          {[this](const ServerCrash& crash) {
+             this->control_loop.Post(
+                 [this, crash] { this->control_state->TakeCrash(crash); });
+           },
+           [this](std::string_view digest) {
+             this->control_loop.Post([this, digest = std::string(digest)] {
+               this->control_state->TakeCleared(digest);
+             });
+           }}) {}
 
 Entry::~Entry() = default;
 
@@ -209,6 +219,7 @@
              {{"error", applied.GetError().Text()}});
   }
   this->pools.ApplyQuarantine(this->control->quarantined);
+  this->pools.ApplyCrashes(this->control->crashes);
   this->peer_methods.OnSnapshot();
   if (first) {
     WriteLog(
--- a/Services/Entry/key_service.cc
+++ b/Services/Entry/key_service.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Milliseconds kLogPatience{5'000};
 // How long an answer waits for its outcome to reach the log.
 constexpr Milliseconds kOutcomePatience{2'000};
 
@@ -95,7 +94,7 @@
     then(true);
     return;
   }
-  this->tail.WhenCurrent(kLogPatience, std::move(then));
+  this->tail.WhenCurrent(this->environment.patience, std::move(then));
 }
 
 void KeyService::Claim(KeyedRequest request,
@@ -146,7 +145,7 @@
     }
     timer->reset();
     this->tail.WhenReached(
-        position.offset, kLogPatience,
+        position.offset, this->environment.patience,
         [this, request, attempt, position, done](bool reached) {
           if (!reached) {
             this->Release(request.name, attempt);
@@ -163,12 +162,13 @@
     done(OverloadedProblem(added.GetError()));
     return;
   }
-  *timer = this->environment.loop.CallAfter(kLogPatience, [decided, done] {
-    if (!std::exchange(*decided, true)) {
-      // This attempt was not sent and never will be.
-      done(LogUnavailable(Execution::kNotRun));
-    }
-  });
+  *timer = this->environment.loop.CallAfter(
+      this->environment.patience, [decided, done] {
+        if (!std::exchange(*decided, true)) {
+          // This attempt was not sent and never will be.
+          done(LogUnavailable(Execution::kNotRun));
+        }
+      });
 }
 
 void KeyService::AfterClaim(const KeyedRequest& request,
--- a/Services/Entry/key_service.h
+++ b/Services/Entry/key_service.h
@@ -40,6 +40,8 @@
   GroupCommitterOptions committer;
   RetentionOptions retention;
   Milliseconds key_window{0};
+  // How long a claim waits for the log.
+  Milliseconds patience{5'000};
 };
 
 class KeyService {
--- a/Services/Entry/log_stream_tail.cc
+++ b/Services/Entry/log_stream_tail.cc
@@ -32,9 +32,12 @@
 
 void LogStreamTail::Read() {
   ++this->reads_started;
-  // The first read, and one that somebody waits for, must not linger at the
-  // stream's end.
-  const bool hurry = !this->caught_up || !this->waiters.empty();
+  // The first read, and one whose end somebody waits for, must not linger at
+  // the stream's end. A waiter for a record is served by the long poll.
+  const bool hurry = !this->caught_up ||
+                     std::ranges::any_of(this->waiters, [](const auto& waiter) {
+                       return waiter->by_read;
+                     });
   const Milliseconds wait = hurry ? Milliseconds(0) : kLongPoll;
   this->log.Read(
       this->stream, this->next, kRecordsPerRead, wait,
--- a/Services/Entry/peer_methods.cc
+++ b/Services/Entry/peer_methods.cc
@@ -15,8 +15,14 @@
 
 PeerMethods::PeerMethods(EventLoop& loop,
                          std::shared_ptr<const ControlSnapshot>& control,
-                         std::function<StepService&(std::string_view)> steps)
+                         std::function<StepService&(std::string_view)> steps,
+                         CrashNews crash_news)
     : loop(loop), control(control), steps(std::move(steps)) {
+  this->dispatcher.Register(
+      "report_crash", [crash_news](const Json::Value& parameters) {
+        crash_news.on_crash(ServerCrashFromJson(parameters));
+        return RpcOutcome(Json::Value(Json::objectValue));
+      });
   this->dispatcher.RegisterDeferred(
       "configuration", [this](const Json::Value& parameters, RpcReply reply) {
         this->Configuration(parameters, std::move(reply));
@@ -56,6 +62,10 @@
   for (const std::string& digest : snapshot.quarantined) {
     value["quarantine"].append(digest);
   }
+  value["crashes"] = Json::arrayValue;
+  for (const SharedCrash& shared : snapshot.crashes) {
+    value["crashes"].append(ServerCrashToJson(shared.crash));
+  }
   value["versions"] = Json::objectValue;
   for (const ModelVersion& version : snapshot.versions) {
     value["versions"][version.model] = Json::UInt64(version.newest);
--- a/Services/Entry/peer_methods.h
+++ b/Services/Entry/peer_methods.h
@@ -14,11 +14,18 @@
 
 namespace carobbank {
 
+// Who hears of what other entries tell about crashes.
+struct CrashNews {
+  std::function<void(const ServerCrash& crash)> on_crash;
+  std::function<void(std::string_view digest)> on_cleared;
+};
+
 class PeerMethods {
  public:
   PeerMethods(EventLoop& loop,
               std::shared_ptr<const ControlSnapshot>& control,
-              std::function<StepService&(std::string_view)> steps);
+              std::function<StepService&(std::string_view)> steps,
+              CrashNews crash_news);
 
   // The proof has been checked. Answers now, or when a long poll ends.
   void Handle(const HttpRequest& request,
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -21,6 +21,25 @@
 
 }  // namespace
 
+Json::Value ServerCrashToJson(const ServerCrash& crash) {
+  Json::Value value;
+  value["instance"] = crash.instance;
+  value["incarnation"] = Json::UInt64(crash.incarnation);
+  value["digest"] = crash.digest;
+  value["alone"] = crash.alone;
+  return value;
+}
+
+ServerCrash ServerCrashFromJson(const Json::Value& value) {
+  ServerCrash crash;
+  crash.instance = JsonString(value, "instance");
+  crash.incarnation =
+      static_cast<std::uint64_t>(JsonInteger(value, "incarnation"));
+  crash.digest = JsonString(value, "digest");
+  crash.alone = JsonBoolean(value, "alone", false);
+  return crash;
+}
+
 Result<Router*> RoutedPools::RouterOf(const std::string& pool) {
   Pool& known = this->pools[pool];
   if (!known.router) {
@@ -77,6 +96,17 @@
   }
 }
 
+void RoutedPools::ApplyCrashes(std::span<const SharedCrash> crashes) {
+  for (const SharedCrash& shared : crashes) {
+    if (shared.number <= this->crashes_seen) {
+      continue;
+    }
+    this->crashes_seen = shared.number;
+    this->quarantine.OnCrash(
+        {shared.crash.instance, {shared.crash.digest}, shared.crash.alone});
+  }
+}
+
 std::variant<AttemptTarget, Problem> RoutedPools::Choose(
     const SelectionRequest& request) {
   const auto pool = this->pools.find(request.pool);
--- a/Services/Entry/routed_pools.h
+++ b/Services/Entry/routed_pools.h
@@ -39,6 +39,16 @@
   bool alone = false;
 };
 
+Json::Value ServerCrashToJson(const ServerCrash& crash);
+// Members that are missing stay empty.
+ServerCrash ServerCrashFromJson(const Json::Value& value);
+
+// A crash that other entries told of, numbered by the control thread.
+struct SharedCrash {
+  std::uint64_t number = 0;
+  ServerCrash crash;
+};
+
 class RoutedPools final : public ServerSelector {
  public:
   RoutedPools(const Clock& clock,
@@ -53,6 +63,8 @@
   // Fails when the router options are wrong; nothing changes then.
   Result<void> ApplyServers(std::span<const KnownServer> servers);
   void ApplyQuarantine(std::span<const std::string> digests);
+  // Takes in those that are newer than the ones seen before.
+  void ApplyCrashes(std::span<const SharedCrash> crashes);
 
   std::variant<AttemptTarget, Problem> Choose(
       const SelectionRequest& request) override;
@@ -108,6 +120,8 @@
   std::map<std::string, Pool, std::less<>> pools;
   std::map<std::string, Server, std::less<>> servers;
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
+  // Invariant: shared crashes up to this number are in `quarantine`.
+  std::uint64_t crashes_seen = 0;
   std::function<void(const ServerCrash&)> crash_listener;
   std::function<void(std::string_view)> cleared_listener;
 };
