--- a/Benchmarks/Lab/deployment.py
+++ b/Benchmarks/Lab/deployment.py
@@ -278,6 +278,11 @@
         path.write_text(json.dumps(value, indent=1))
         return path
 
+    def ended_by_themselves(self):
+        """Processes that nobody ended, with their exit status."""
+        return {name: process.poll() for name, process in self.processes.items()
+                if process.poll() is not None}
+
     def signal(self, name, number):
         self.processes[name].send_signal(number)
 
--- a/Benchmarks/Lab/faults.py
+++ b/Benchmarks/Lab/faults.py
@@ -41,6 +41,7 @@
         self.problems = []
         self.cut_allowed = []  # (entry instance, from, to): an ungraceful end
         self.version = 1
+        self.crashed = False
         self.restorers = []
         self.lock = threading.Lock()
         faults = [
@@ -184,6 +185,11 @@
         return server.instance
 
     def crash_engine(self):
+        # A crash that no request causes, once a run. Two within seconds, under
+        # the same prompt run alone, look exactly like a fatal request.
+        if self.crashed:
+            return "once is enough"
+        self.crashed = True
         return self._control_some(self._engines(), {"crash": True})
 
     def truncate_answers(self):
@@ -403,6 +409,8 @@
 
     def _judge(self, watch):
         self.problems += self.schedule.problems
+        for name, status in self.deployment.ended_by_themselves().items():
+            self.problems.append(f"{name} ended by itself with status {status}")
         for reverted in watch.reverted:
             self.problems.append(f"configuration reverted: {reverted}")
         self._judge_steps()
@@ -467,9 +475,12 @@
         digests = set()
         deadline = time.monotonic() + 20
         while time.monotonic() < deadline:
-            digests = {call(f"{entry.url}/status")[1]["digest"]
-                       for entry in self.deployment.entries}
-            if len(digests) == 1:
+            try:
+                digests = {call(f"{entry.url}/status")[1]["digest"]
+                           for entry in self.deployment.entries}
+            except OSError as error:
+                digests = {repr(error)}
+            if len(digests) == 1 and "error" not in str(digests):
                 return
             time.sleep(0.5)
         self.problems.append(f"entries disagree on the configuration: {digests}")
--- /dev/null
+++ b/Tests/Entry/generation_test.cc
@@ -0,0 +1,263 @@
+// Tests of Generation: however attempts end, the caller gets each token once,
+// in order, from allowed versions, or an explicit failure.
+
+#include "fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr WallMilliseconds kMinuteMs = 60'000;
+
+// One event of the sidecar's answer. "$" stands for the attempt's own id.
+std::string Chunk(std::uint64_t from,
+                  std::uint64_t to,
+                  std::int64_t version,
+                  std::string_view finish = "",
+                  std::string_view id = "$") {
+  std::string text;
+  for (std::uint64_t token = from; token < to; ++token) {
+    text += " " + std::to_string(token);
+  }
+  Json::Value choice;
+  choice["text"] = text;
+  choice["finish_reason"] =
+      finish.empty() ? Json::Value() : Json::Value(std::string(finish));
+  Json::Value value;
+  value["id"] = std::string(id);
+  value["choices"].append(choice);
+  value["token_from"] = Json::UInt64(from);
+  value["token_to"] = Json::UInt64(to);
+  if (version > 0) {
+    value["weight_version"] = Json::Int64(version);
+  }
+  return "data: " + WriteJson(value) + "\n\n";
+}
+
+constexpr const char* kDone = "data: [DONE]\n\n";
+
+std::string ErrorEvent(std::string_view code) {
+  Problem problem;
+  problem.code = std::string(code);
+  problem.execution = Execution::kMayHaveRun;
+  return "event: error\ndata: " + WriteJson(problem.ToJson()) + "\n\n";
+}
+
+ScriptedAnswer Refusal(std::string_view code) {
+  Problem problem;
+  problem.status = 503;
+  problem.code = std::string(code);
+  ScriptedAnswer answer;
+  answer.status = 503;
+  answer.headers = {{"X-Carobbank-Refusal", std::string(code)}};
+  answer.body = problem.ToResponse().body;
+  return answer;
+}
+
+std::string WithAttempt(std::string body, const HttpClientRequest& request) {
+  const std::string id(*FindHeader(request.headers, "X-Carobbank-Attempt"));
+  for (std::size_t at = body.find("\"$\""); at != std::string::npos;
+       at = body.find("\"$\"")) {
+    body.replace(at + 1, 1, id);
+  }
+  return body;
+}
+
+using Ending = ScriptedAnswer::Ending;
+
+// What the first attempts answer; later ones finish the answer properly.
+struct FaultCase {
+  const char* name;
+  ScriptedAnswer first;
+  // Tokens that the second attempt must be asked to go on from.
+  std::uint64_t resumed_from;
+  AttemptEnd first_end;
+};
+
+}  // namespace
+
+TEST_GROUP(Generation) {
+  LoopRunner runner;
+  ManualClock clock;
+  Random random{7};
+  EventTimeline timeline{clock, {}};
+  PeerProofSigner signer{"a secret"};
+  FakeHttpClient client{runner.loop};
+  AttemptSender sender{client, clock, signer, timeline};
+  FakeSelector selector;
+  FakeRetryGate retries;
+  GenerationEnvironment environment{runner.loop, clock,    random,
+                                    sender,      selector, retries};
+  std::string received;
+  std::optional<PartialAnswer> done;
+  std::optional<Problem> failed;
+
+  std::unique_ptr<Generation> Start(VersionRange versions = {}) {
+    GenerationRequest request;
+    request.service = "scorer";
+    request.model = "scorer";
+    request.prompt = "a prompt";
+    request.max_tokens = 10;
+    request.versions = versions;
+    request.deadline_ms = this->clock.WallNow() + kMinuteMs;
+    GenerationHandlers handlers;
+    handlers.on_chunk = [this](const GenerationChunk& chunk) {
+      this->received += chunk.text;
+    };
+    handlers.on_done = [this](const PartialAnswer& answer) {
+      this->done = answer;
+    };
+    handlers.on_failure = [this](const Problem& problem) {
+      this->failed = problem;
+    };
+    auto generation = std::make_unique<Generation>(
+        this->environment, std::move(request), std::move(handlers));
+    generation->Start();
+    CHECK_TRUE(this->runner.RunUntil(
+        [this] { return this->done.has_value() || this->failed.has_value(); }));
+    return generation;
+  }
+
+  // The first answer as scripted; after it whatever completes four tokens.
+  void AnswerFirst(ScriptedAnswer first) {
+    this->client.answer = [this, first](const HttpClientRequest& request) {
+      ScriptedAnswer answer;
+      if (this->client.seen.size() == 1) {
+        answer = first;
+        answer.body = WithAttempt(answer.body, request);
+        return answer;
+      }
+      const auto body = Capture([&] { return ParseJson(request.body); });
+      const auto from = static_cast<std::uint64_t>(
+          JsonInteger(body.Value()["resume"], "tokens"));
+      answer.body = WithAttempt(Chunk(from, 4, 3, "stop"), request) + kDone;
+      return answer;
+    };
+  }
+};
+
+TEST(Generation, EveryFaultIsResumedWithoutLosingOrRepeatingAToken) {
+  const FaultCase cases[] = {
+      {"cut",
+       {200, {}, Chunk(0, 2, 3), Ending::kCut},
+       2,
+       AttemptEnd::kLinkFailed},
+      {"not sent", {200, {}, "", Ending::kNotSent}, 0, AttemptEnd::kLinkFailed},
+      {"no end mark",
+       {200, {}, Chunk(0, 4, 3, "stop"), Ending::kWhole},
+       4,
+       AttemptEnd::kRefused},
+      {"end mark without finish",
+       {200, {}, Chunk(0, 1, 3) + kDone, Ending::kWhole},
+       1,
+       AttemptEnd::kRefused},
+      {"crossed",
+       {200, {}, Chunk(0, 2, 3) + Chunk(2, 3, 3, "", "other"), Ending::kWhole},
+       2,
+       AttemptEnd::kRefused},
+      {"repeated tokens",
+       {200, {}, Chunk(0, 2, 3) + Chunk(1, 3, 3), Ending::kWhole},
+       2,
+       AttemptEnd::kRefused},
+      {"missing tokens",
+       {200, {}, Chunk(0, 1, 3) + Chunk(2, 3, 3), Ending::kWhole},
+       1,
+       AttemptEnd::kRefused},
+      {"no version",
+       {200, {}, Chunk(0, 1, 3) + Chunk(1, 2, 0), Ending::kWhole},
+       1,
+       AttemptEnd::kRefused},
+      {"older than allowed",
+       {200, {}, Chunk(0, 1, 3) + Chunk(1, 2, 1), Ending::kWhole},
+       1,
+       AttemptEnd::kRefused},
+      {"not an event",
+       {200, {}, "data: nonsense\n\n", Ending::kWhole},
+       0,
+       AttemptEnd::kRefused},
+      {"preempted",
+       {200, {}, Chunk(0, 3, 3) + ErrorEvent("preempted"), Ending::kWhole},
+       3,
+       AttemptEnd::kRefused},
+      {"crash",
+       {200,
+        {},
+        Chunk(0, 1, 3) + ErrorEvent("backend_crashed"),
+        Ending::kWhole},
+       1,
+       AttemptEnd::kBackendCrashed},
+      {"draining", Refusal("draining"), 0, AttemptEnd::kDraining},
+  };
+  for (const FaultCase& fault : cases) {
+    this->client.seen.clear();
+    this->selector = FakeSelector();
+    this->retries = FakeRetryGate();
+    this->received.clear();
+    this->done.reset();
+    this->AnswerFirst(fault.first);
+    const auto generation = this->Start({2, UINT64_MAX});
+    CHECK_TEXT(this->done.has_value(), fault.name);
+    STRCMP_EQUAL_TEXT(" 0 1 2 3", this->done->text.c_str(), fault.name);
+    STRCMP_EQUAL_TEXT(" 0 1 2 3", this->received.c_str(), fault.name);
+    CHECK_TEXT(this->selector.ends.front() == fault.first_end, fault.name);
+    LONGS_EQUAL_TEXT(0, this->selector.open, fault.name);
+    const auto second =
+        Capture([&] { return ParseJson(this->client.seen.at(1).body); });
+    LONGS_EQUAL_TEXT(fault.resumed_from,
+                     JsonInteger(second.Value()["resume"], "tokens"),
+                     fault.name);
+  }
+}
+
+TEST(Generation, SpansCoverAllTokensOverAVersionChange) {
+  this->client.answer = [](const HttpClientRequest& request) {
+    ScriptedAnswer answer;
+    answer.body = WithAttempt(
+        Chunk(0, 2, 3) + Chunk(2, 3, 3) + Chunk(3, 4, 4, "stop"), request);
+    answer.body += kDone;
+    return answer;
+  };
+  const auto generation = this->Start();
+  CHECK_TRUE(this->done.has_value());
+  LONGS_EQUAL(2, this->done->spans.size());
+  CHECK_TRUE((this->done->spans[0] == TokenSpan{0, 3, 3}));
+  CHECK_TRUE((this->done->spans[1] == TokenSpan{3, 4, 4}));
+}
+
+TEST(Generation, ADigestThatCrashedTwoServersIsNotSentToAThird) {
+  this->client.answer = [](const HttpClientRequest&) {
+    ScriptedAnswer answer;
+    answer.body = ErrorEvent("backend_crashed");
+    return answer;
+  };
+  const auto generation = this->Start();
+  CHECK_TRUE(this->failed.has_value());
+  STRCMP_EQUAL("quarantined", this->failed->code.c_str());
+  LONGS_EQUAL(2, this->client.seen.size());
+  CHECK_TRUE(this->selector.requests.at(1).alone);
+}
+
+TEST(Generation, TheLastFailureIsFinalAtOnce) {
+  this->retries.allowed = 0;
+  this->AnswerFirst(Refusal("queue_full"));
+  const auto generation = this->Start();
+  CHECK_TRUE(this->failed.has_value());
+  STRCMP_EQUAL("queue_full", this->failed->code.c_str());
+  CHECK_TRUE(this->failed->execution == Execution::kNotRun);
+  LONGS_EQUAL(1, this->client.seen.size());
+}
+
+TEST(Generation, NoAttemptBeginsAfterTheDeadline) {
+  this->client.answer = [this](const HttpClientRequest&) {
+    this->clock.Advance(Milliseconds(2 * kMinuteMs));
+    return ScriptedAnswer{200, {}, "", Ending::kCut};
+  };
+  const auto generation = this->Start();
+  CHECK_TRUE(this->failed.has_value());
+  STRCMP_EQUAL("deadline_exceeded", this->failed->code.c_str());
+  LONGS_EQUAL(1, this->client.seen.size());
+}
+
+}  // namespace carobbank
