Entry: Answer known keys while the log is down

Cause: a repeated key was refused as log_unavailable, not_run, although this entry already knew that it had run. Change: what the fold knows of a key is answered whatever the log does; only a key that is free as far as is known is refused. Conclusion: `not_run` is not said of a key that is known to have run.

--- a/Services/Entry/key_service.cc
+++ b/Services/Entry/key_service.cc
@@ -101,7 +101,10 @@
                        std::function<void(ClaimAnswer)> done) {
   this->WhenCaughtUp([this, request = std::move(request),
                       done = std::move(done)](bool caught_up) {
-    if (!caught_up || !this->writer.Reachable()) {
+    const bool usable = caught_up && this->writer.Reachable();
+    const bool claimable = this->DecideNow(request).action == KeyAction::kClaim;
+    // What the fold knows of a key stays true while the log is down.
+    if (!usable && claimable) {
       done(LogUnavailable(Execution::kNotRun));
       return;
     }
@@ -109,11 +112,15 @@
   });
 }
 
+KeyDecision KeyService::DecideNow(const KeyedRequest& request) const {
+  return this->fold->Decide(request.name, request.issued_ms,
+                            request.request_digest,
+                            this->environment.clock.WallNow());
+}
+
 void KeyService::Decide(const KeyedRequest& request,
                         const std::function<void(ClaimAnswer)>& done) {
-  const KeyDecision decision = this->fold->Decide(
-      request.name, request.issued_ms, request.request_digest,
-      this->environment.clock.WallNow());
+  const KeyDecision decision = this->DecideNow(request);
   if (decision.action == KeyAction::kDone) {
     done(decision.outcome);
     return;
@@ -182,9 +189,7 @@
     return;
   }
   this->Record(request.name, attempt, "lost");
-  const KeyDecision decision = this->fold->Decide(
-      request.name, request.issued_ms, request.request_digest,
-      this->environment.clock.WallNow());
+  const KeyDecision decision = this->DecideNow(request);
   if (decision.action == KeyAction::kDone) {
     done(decision.outcome);
     return;
--- a/Services/Entry/key_service.h
+++ b/Services/Entry/key_service.h
@@ -66,6 +66,7 @@
  private:
   void ResetFold(std::uint64_t first_retained);
   void WhenCaughtUp(std::function<void(bool)> then);
+  KeyDecision DecideNow(const KeyedRequest& request) const;
   void Decide(const KeyedRequest& request,
               const std::function<void(ClaimAnswer)>& done);
   void AppendClaim(const KeyedRequest& request,
