LibProcess: Share log lines, peer calls and server options

Cause: logger, peer caller and the reading of HTTP options stood twice, in the entry and in the sidecar, line for line. Change: one package that both programs link; the entry's calls to peers now carry its hybrid time stamp like the sidecar's. Conclusion: a change to either lands in both.

--- /dev/null
+++ b/Libraries/LibProcess/http_options.cc
@@ -0,0 +1,27 @@
+// Settings to HTTP options, field by field.
+
+#include "LibProcess/http_options.h"
+
+namespace carobbank {
+
+HttpServerOptions ServerOptionsOf(const PlaceSettings& place,
+                                  const TrafficLimits& limits) {
+  HttpServerOptions options;
+  options.address = place.address;
+  options.port = static_cast<std::uint16_t>(place.port);
+  options.max_header_bytes = static_cast<std::size_t>(limits.header_bytes);
+  options.max_body_bytes = static_cast<std::size_t>(limits.body_bytes);
+  options.max_connections = static_cast<std::size_t>(limits.connections);
+  options.read_timeout = Milliseconds(limits.read_timeout_ms);
+  options.write_timeout = Milliseconds(limits.write_timeout_ms);
+  options.silent_timeout = Milliseconds(limits.silent_timeout_ms);
+  return options;
+}
+
+HttpClientOptions ClientOptionsOf(const TrafficLimits& limits) {
+  HttpClientOptions options;
+  options.silent_timeout = Milliseconds(limits.silent_timeout_ms);
+  return options;
+}
+
+}  // namespace carobbank
--- a/Services/Sidecar/http_peer_caller.cc
+++ b/Libraries/LibProcess/http_peer_caller.cc
@@ -1,6 +1,6 @@
-// Composes, signs and judges calls to entries.
+// Composes, signs and judges calls to peers.
 
-#include "Sidecar/http_peer_caller.h"
+#include "LibProcess/http_peer_caller.h"
 
 #include <utility>
 
@@ -17,7 +17,7 @@
 Outcome<Json::Value> Judge(const HttpResponse& response) {
   if (response.status != kStatusOk) {
     return Error{ErrorKind::kUnavailable,
-                 "the entry answered " + std::to_string(response.status),
+                 "the peer answered " + std::to_string(response.status),
                  "check that both sides share the peer secret"};
   }
   const RpcOutcome outcome = ParseRpcAnswer(response.body);
--- a/Services/Sidecar/http_peer_caller.h
+++ b/Libraries/LibProcess/http_peer_caller.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
+#include "LibProcess/peer_caller.h"
 #include "LibTimeline/timeline.h"
-#include "Sidecar/peer_caller.h"
 
 namespace carobbank {
 
--- a/Services/Entry/logger.cc
+++ b/Libraries/LibProcess/logger.cc
@@ -1,6 +1,6 @@
 // spdlog set up for key=value or JSON lines on standard error.
 
-#include "logger.h"
+#include "LibProcess/logger.h"
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
--- a/Services/Sidecar/peer_caller.h
+++ b/Libraries/LibProcess/peer_caller.h
@@ -1,4 +1,4 @@
-// Calls of JSON-RPC methods at entries.
+// Calls of JSON-RPC methods at other processes of the system.
 
 #pragma once
 
--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -80,7 +80,7 @@
       instance_list(
           CreateHttpInstanceListClient(*this->client,
                                        settings.platform.instance_list_url)),
-      peers(*this->client, clock, signer),
+      peers(*this->client, clock, signer, timeline),
       configuration_tail(loop,
                          *this->log,
                          std::string(kConfigurationStream),
@@ -214,8 +214,8 @@
                              const Json::Value& parameters) {
   for (const KnownEntry& entry : this->entries) {
     if (entry.instance != this->settings.place.instance) {
-      this->peers.Call(entry.address, std::string(method), parameters,
-                       kPeerTimeout, [](const Outcome<Json::Value>&) {});
+      this->peers.Call(entry.address, method, parameters, kPeerTimeout,
+                       [](const Outcome<Json::Value>&) {});
     }
   }
 }
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -15,11 +15,11 @@
 #include "LibLedger/ledger.h"
 #include "LibMembership/membership.h"
 #include "LibPlatform/platform.h"
+#include "LibProcess/process.h"
 #include "LibTimeline/timeline.h"
 #include "control_snapshot.h"
 #include "log_stream_tail.h"
 #include "log_writer.h"
-#include "peer_caller.h"
 #include "server_watch.h"
 
 namespace carobbank {
@@ -78,7 +78,7 @@
   std::unique_ptr<HttpClient> client;
   std::unique_ptr<LogClient> log;
   std::unique_ptr<InstanceListClient> instance_list;
-  PeerCaller peers;
+  HttpPeerCaller peers;
 
   ConfigurationFold configuration;
   LogStreamTail configuration_tail;
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -22,24 +22,9 @@
   return options;
 }
 
-HttpClientOptions ClientOptionsOf(const EntrySettings& settings) {
-  HttpClientOptions options;
-  options.silent_timeout = Milliseconds(settings.limits.silent_timeout_ms);
-  return options;
-}
-
-HttpServerOptions ServerOptionsOf(const EntrySettings& settings) {
-  HttpServerOptions options;
-  options.address = settings.place.address;
-  options.port = static_cast<std::uint16_t>(settings.place.port);
-  options.max_header_bytes =
-      static_cast<std::size_t>(settings.limits.header_bytes);
-  options.max_body_bytes = static_cast<std::size_t>(settings.limits.body_bytes);
-  options.max_connections =
-      static_cast<std::size_t>(settings.limits.connections);
-  options.read_timeout = Milliseconds(settings.limits.read_timeout_ms);
-  options.write_timeout = Milliseconds(settings.limits.write_timeout_ms);
-  options.silent_timeout = Milliseconds(settings.limits.silent_timeout_ms);
+// Callers may come over TLS; peers never do.
+HttpServerOptions CallerServerOptionsOf(const EntrySettings& settings) {
+  HttpServerOptions options = ServerOptionsOf(settings.place, settings.limits);
   options.certificate_file = settings.tls.certificate_file;
   options.private_key_file = settings.tls.private_key_file;
   return options;
@@ -63,10 +48,10 @@
       verifier(std::move(verifier)),
       control(std::make_shared<const ControlSnapshot>()),
       client(HttpClient::Create(this->traffic_loop,
-                                ClientOptionsOf(this->settings))),
+                                ClientOptionsOf(this->settings.limits))),
       log(CreateHttpLogClient(*this->client, this->settings.platform.log_url)),
       sender(*this->client, this->clock, this->signer, this->timeline),
-      peers(*this->client, this->clock, this->signer),
+      peers(*this->client, this->clock, this->signer, this->timeline),
       pools(this->clock,
             this->random,
             this->timeline,
@@ -163,12 +148,12 @@
 Result<void> Entry::Listen() {
   BOOST_LEAF_ASSIGN(
       this->server,
-      HttpServer::Create(this->traffic_loop, ServerOptionsOf(this->settings),
-                         [this](HttpRequest request,
-                                std::shared_ptr<HttpResponder> responder) {
-                           this->Handle(std::move(request),
-                                        std::move(responder));
-                         }));
+      HttpServer::Create(
+          this->traffic_loop, CallerServerOptionsOf(this->settings),
+          [this](HttpRequest request,
+                 std::shared_ptr<HttpResponder> responder) {
+            this->Handle(std::move(request), std::move(responder));
+          }));
   return {};
 }
 
--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -11,10 +11,10 @@
 
 #include "LibContract/contract.h"
 #include "LibHTTP/http.h"
+#include "LibProcess/process.h"
 #include "LibTimeline/timeline.h"
 #include "call_environment.h"
 #include "control_state.h"
-#include "logger.h"
 #include "peer_methods.h"
 
 namespace carobbank {
@@ -85,7 +85,7 @@
   std::unique_ptr<HttpClient> client;
   std::unique_ptr<LogClient> log;
   AttemptSender sender;
-  PeerCaller peers;
+  HttpPeerCaller peers;
   RoutedPools pools;
   ServiceMeters meters;
   GenerationEnvironment generation;
--- a/Services/Entry/server_watch.h
+++ b/Services/Entry/server_watch.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "LibMembership/membership.h"
-#include "peer_caller.h"
+#include "LibProcess/process.h"
 #include "routed_pools.h"
 
 namespace carobbank {
--- a/Services/Sidecar/configuration_poll.h
+++ b/Services/Sidecar/configuration_poll.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "LibContract/contract.h"
+#include "LibProcess/process.h"
 #include "Sidecar/control_timer.h"
-#include "Sidecar/peer_caller.h"
 
 namespace carobbank {
 
--- a/Services/Sidecar/main.cc
+++ b/Services/Sidecar/main.cc
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <string>
 
-#include "Sidecar/logger.h"
+#include "LibProcess/process.h"
 #include "Sidecar/sidecar_process.h"
 
 namespace carobbank {
--- a/Services/Sidecar/sidecar_process.cc
+++ b/Services/Sidecar/sidecar_process.cc
@@ -5,7 +5,7 @@
 #include <csignal>
 #include <utility>
 
-#include "Sidecar/logger.h"
+#include "LibProcess/process.h"
 
 namespace carobbank {
 
@@ -17,27 +17,6 @@
 constexpr Milliseconds kDrainFlush{1'000};
 constexpr std::int64_t kMillisecondsPerSecond = 1'000;
 
-HttpClientOptions ClientOptions(const SidecarSettings& settings) {
-  HttpClientOptions options;
-  options.silent_timeout = Milliseconds(settings.limits.silent_timeout_ms);
-  return options;
-}
-
-HttpServerOptions ServerOptions(const SidecarSettings& settings) {
-  HttpServerOptions options;
-  options.address = settings.place.address;
-  options.port = static_cast<std::uint16_t>(settings.place.port);
-  options.max_header_bytes =
-      static_cast<std::size_t>(settings.limits.header_bytes);
-  options.max_body_bytes = static_cast<std::size_t>(settings.limits.body_bytes);
-  options.max_connections =
-      static_cast<std::size_t>(settings.limits.connections);
-  options.read_timeout = Milliseconds(settings.limits.read_timeout_ms);
-  options.write_timeout = Milliseconds(settings.limits.write_timeout_ms);
-  options.silent_timeout = Milliseconds(settings.limits.silent_timeout_ms);
-  return options;
-}
-
 TimelineOptions TimelineOptionsOf(const SidecarSettings& settings) {
   return {settings.place.instance, settings.place.data_center,
           static_cast<std::size_t>(settings.log.timeline_events)};
@@ -78,8 +57,9 @@
       registry(this->clock),
       signer(this->settings.peer.secret),
       verifier(std::move(verifier)),
-      traffic_client(HttpClient::Create(this->traffic_loop,
-                                        ClientOptions(this->settings))),
+      traffic_client(
+          HttpClient::Create(this->traffic_loop,
+                             ClientOptionsOf(this->settings.limits))),
       traffic_engine(EngineOf(this->settings, *this->traffic_client)),
       backend(*this->traffic_client,
               this->traffic_engine.get(),
@@ -97,8 +77,9 @@
       traffic({this->settings, this->clock, this->timeline, this->registry,
                this->verifier, this->gate, this->incarnation}),
       control_timers(this->control_loop),
-      control_client(HttpClient::Create(this->control_loop,
-                                        ClientOptions(this->settings))),
+      control_client(
+          HttpClient::Create(this->control_loop,
+                             ClientOptionsOf(this->settings.limits))),
       peers(*this->control_client, this->clock, this->signer, this->timeline) {}
 
 SidecarProcess::~SidecarProcess() = default;
@@ -117,12 +98,13 @@
 Result<void> SidecarProcess::Listen() {
   BOOST_LEAF_ASSIGN(
       this->server,
-      HttpServer::Create(this->traffic_loop, ServerOptions(this->settings),
-                         [this](HttpRequest request,
-                                std::shared_ptr<HttpResponder> responder) {
-                           this->traffic.Handle(std::move(request),
-                                                std::move(responder));
-                         }));
+      HttpServer::Create(
+          this->traffic_loop,
+          ServerOptionsOf(this->settings.place, this->settings.limits),
+          [this](HttpRequest request,
+                 std::shared_ptr<HttpResponder> responder) {
+            this->traffic.Handle(std::move(request), std::move(responder));
+          }));
   return {};
 }
 
--- a/Services/Sidecar/sidecar_process.h
+++ b/Services/Sidecar/sidecar_process.h
@@ -9,9 +9,9 @@
 #include "LibContract/contract.h"
 #include "LibHTTP/http.h"
 #include "LibPlatform/platform.h"
+#include "LibProcess/process.h"
 #include "LibTimeline/timeline.h"
 #include "Sidecar/control_state.h"
-#include "Sidecar/http_peer_caller.h"
 #include "Sidecar/traffic_server.h"
 #include "Sidecar/work_gate.h"
 
--- a/Tests/Sidecar/fakes.h
+++ b/Tests/Sidecar/fakes.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "LibHTTP/http.h"
+#include "LibProcess/process.h"
 #include "Sidecar/control_timer.h"
-#include "Sidecar/peer_caller.h"
 
 namespace carobbank {
 
