Entry: Take crashes from the log into routing

The entry that sent it had been restarted after the first crash and read of it in the log, but the control thread kept what it read to itself; only crashes that peers told directly reached the traffic thread. Change: crash entries of the log are remembered like those that peers tell. Ruled out: the message between entries, which arrived before the restart. Conclusion: a restarted entry routes a suspect alone as soon as it has read the log.

--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -143,9 +143,7 @@
        DecodeServerRecord({record.offset, record.time_ms, record.payload})
            .entries) {
     if (const auto* crash = std::get_if<CrashEntry>(&positioned.entry)) {
-      this->quarantine.OnCrash(
-          {crash->instance, crash->digests, crash->complete});
-      this->Changed();
+      this->OnCrashEntry(*crash);
     } else if (const auto* barred =
                    std::get_if<QuarantineEntry>(&positioned.entry)) {
       this->quarantine.OnQuarantined(barred->digest);
@@ -157,6 +155,13 @@
   }
 }
 
+void ControlState::OnCrashEntry(const CrashEntry& entry) {
+  const bool alone = entry.complete && entry.digests.size() == 1;
+  for (const std::string& digest : entry.digests) {
+    this->RememberCrash({entry.instance, entry.incarnation, digest, alone});
+  }
+}
+
 void ControlState::OnVersionRecord(const LogRecord& record) {
   for (const auto& positioned :
        DecodeVersionRecord({record.offset, record.time_ms, record.payload})
@@ -173,7 +178,6 @@
   if (this->crashes.size() > kCrashesRemembered) {
     this->crashes.pop_front();
   }
-  this->view.OnCrash(crash.instance, crash.incarnation);
   this->Changed();
   return this->quarantine.OnCrash(
       {crash.instance, {crash.digest}, crash.alone});
@@ -181,6 +185,7 @@
 
 void ControlState::ReportCrash(const ServerCrash& crash) {
   const auto barred = this->RememberCrash(crash);
+  this->view.OnCrash(crash.instance, crash.incarnation);
   // Peers are told directly too: the log may be down just now.
   this->TellPeers("report_crash", ServerCrashToJson(crash));
   CrashEntry entry;
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -51,6 +51,7 @@
   void OnConfigurationRecord(const LogRecord& record);
   void OnConfigurationPage();
   void OnServerRecord(const LogRecord& record);
+  void OnCrashEntry(const CrashEntry& entry);
   void OnVersionRecord(const LogRecord& record);
   // Returns the digest that it puts in quarantine, or nothing.
   std::optional<std::string> RememberCrash(const ServerCrash& crash);
