Entry: Open every call in one place

Cause: reading the body, authentication, the check of the kind and of the body's size stood three times, in completions, plain calls and rollouts. Change: ReadObject and OpenCall in call_environment. Conclusion: a new endpoint starts with one call.

--- a/Services/Entry/call_environment.cc
+++ b/Services/Entry/call_environment.cc
@@ -57,6 +57,56 @@
   return call;
 }
 
+std::variant<Json::Value, Problem> ReadObject(const HttpRequest& request) {
+  auto body = Capture([&] { return ParseJson(request.body); });
+  if (body.Ok() && body.Value().isObject()) {
+    return std::move(body.Value());
+  }
+  return BadRequest(
+      body.Ok() ? "the body is no JSON object" : body.GetError().message,
+      "send one JSON object");
+}
+
+namespace {
+
+// Nothing when the endpoint serves the request.
+std::optional<Problem> CheckAgainstDocument(const ServiceDocument& document,
+                                            ServiceKind kind,
+                                            const HttpRequest& request) {
+  if (document.kind != kind) {
+    return document.kind == ServiceKind::kPlain
+               ? BadRequest("'" + document.name + "' is a plain service",
+                            "call it below /plain/" + document.name)
+               : BadRequest("'" + document.name + "' is a model service",
+                            "call POST /v1/completions or POST /v1/rollouts");
+  }
+  const auto limit = static_cast<std::uint64_t>(document.limits.body_bytes);
+  if (request.body.size() > limit) {
+    return BodyTooLarge(limit);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::variant<AuthenticatedCall, Problem> OpenCall(CallEnvironment& environment,
+                                                  std::string_view service,
+                                                  ServiceKind kind,
+                                                  const HttpRequest& request) {
+  auto opened =
+      AuthenticateCall(*environment.control, service, request.headers);
+  const auto* call = std::get_if<AuthenticatedCall>(&opened);
+  if (!call) {
+    return opened;
+  }
+  const ServiceDocument& document = call->service->document;
+  if (auto refusal = CheckAgainstDocument(document, kind, request); refusal) {
+    environment.meters.Of(document).CountRefusal(*refusal);
+    return std::move(*refusal);
+  }
+  return opened;
+}
+
 VersionRange VersionsOf(const ServiceDocument& document) {
   VersionRange range;
   if (document.versions.pinned > 0) {
--- a/Services/Entry/call_environment.h
+++ b/Services/Entry/call_environment.h
@@ -51,6 +51,17 @@
     std::string_view service,
     const HttpHeaders& headers);
 
+// The request's body as a JSON object.
+std::variant<Json::Value, Problem> ReadObject(const HttpRequest& request);
+
+// Authenticates, and checks that the service is of the kind that the endpoint
+// serves and that the body is within the document's limit. A refusal of a known
+// service is counted.
+std::variant<AuthenticatedCall, Problem> OpenCall(CallEnvironment& environment,
+                                                  std::string_view service,
+                                                  ServiceKind kind,
+                                                  const HttpRequest& request);
+
 // The versions that a live or background call may be answered from.
 VersionRange VersionsOf(const ServiceDocument& document);
 
--- a/Services/Entry/completion_call.cc
+++ b/Services/Entry/completion_call.cc
@@ -63,42 +63,27 @@
 void CompletionCall::Begin(CallEnvironment& environment,
                            const HttpRequest& request,
                            std::shared_ptr<HttpResponder> responder) {
-  const auto body = Capture([&] { return ParseJson(request.body); });
-  if (!body.Ok() || !body.Value().isObject()) {
-    const std::string detail =
-        body.Ok() ? "the body is no JSON object" : body.GetError().message;
-    responder->Send(BadRequest(detail, "send one JSON object").ToResponse());
+  const auto body = ReadObject(request);
+  if (const auto* problem = std::get_if<Problem>(&body)) {
+    responder->Send(problem->ToResponse());
     return;
   }
-  std::string service = JsonString(body.Value(), "service");
-  if (service.empty()) {
-    service = JsonString(body.Value(), "model");
-  }
-  auto authenticated =
-      AuthenticateCall(*environment.control, service, request.headers);
-  if (const auto* problem = std::get_if<Problem>(&authenticated)) {
+  const auto& object = std::get<Json::Value>(body);
+  const std::string service =
+      JsonString(object, "service", JsonString(object, "model"));
+  auto opened = OpenCall(environment, service, ServiceKind::kModel, request);
+  if (const auto* problem = std::get_if<Problem>(&opened)) {
     responder->Send(problem->ToResponse());
     return;
   }
-  auto& call = std::get<AuthenticatedCall>(authenticated);
+  auto& call = std::get<AuthenticatedCall>(opened);
   const ServiceDocument& document = call.service->document;
   ServiceMeter& meter = environment.meters.Of(document);
   const auto refuse = [&](const Problem& problem) {
     meter.CountRefusal(problem);
     responder->Send(problem.ToResponse());
   };
-  if (document.kind != ServiceKind::kModel) {
-    refuse(BadRequest("'" + document.name + "' is a plain service",
-                      "call it below /plain/" + document.name));
-    return;
-  }
-  const auto body_limit =
-      static_cast<std::uint64_t>(document.limits.body_bytes);
-  if (request.body.size() > body_limit) {
-    refuse(BodyTooLarge(body_limit));
-    return;
-  }
-  auto read = ReadRequest(body.Value(), document);
+  auto read = ReadRequest(object, document);
   if (const auto* problem = std::get_if<Problem>(&read)) {
     refuse(*problem);
     return;
@@ -116,7 +101,7 @@
   auto self = std::make_shared<CompletionCall>(environment, std::move(call),
                                                std::move(responder));
   self->Start(std::move(generation_request),
-              JsonBoolean(body.Value(), "stream", false));
+              JsonBoolean(object, "stream", false));
 }
 
 void CompletionCall::Start(GenerationRequest request, bool stream) {
--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -79,32 +79,17 @@
                       std::string_view service,
                       std::string_view path,
                       std::shared_ptr<HttpResponder> responder) {
-  auto authenticated =
-      AuthenticateCall(*environment.control, service, request.headers);
-  if (const auto* problem = std::get_if<Problem>(&authenticated)) {
+  auto opened = OpenCall(environment, service, ServiceKind::kPlain, request);
+  if (const auto* problem = std::get_if<Problem>(&opened)) {
     responder->Send(problem->ToResponse());
     return;
   }
-  auto& call = std::get<AuthenticatedCall>(authenticated);
-  const ServiceDocument& document = call.service->document;
-  ServiceMeter& meter = environment.meters.Of(document);
-  const auto refuse = [&](const Problem& problem) {
-    meter.CountRefusal(problem);
-    responder->Send(problem.ToResponse());
-  };
-  if (document.kind != ServiceKind::kPlain) {
-    refuse(BadRequest("'" + document.name + "' is a model service",
-                      "call POST /v1/completions or POST /v1/rollouts"));
-    return;
-  }
-  const auto body_limit =
-      static_cast<std::uint64_t>(document.limits.body_bytes);
-  if (request.body.size() > body_limit) {
-    refuse(BodyTooLarge(body_limit));
-    return;
-  }
+  auto& call = std::get<AuthenticatedCall>(opened);
+  ServiceMeter& meter = environment.meters.Of(call.service->document);
   if (const auto wait = meter.Begin(call.caller); wait) {
-    refuse(RateLimited(*wait));
+    const Problem refusal = RateLimited(*wait);
+    meter.CountRefusal(refusal);
+    responder->Send(refusal.ToResponse());
     return;
   }
   request.target = path.empty() ? "/" : std::string(path);
--- a/Services/Entry/rollout_calls.cc
+++ b/Services/Entry/rollout_calls.cc
@@ -205,42 +205,26 @@
 void SubmitStep(CallEnvironment& environment,
                 const HttpRequest& request,
                 std::shared_ptr<HttpResponder> responder) {
-  const auto body = Capture([&] { return ParseJson(request.body); });
-  if (!body.Ok() || !body.Value().isObject()) {
-    const std::string detail =
-        body.Ok() ? "the body is no JSON object" : body.GetError().message;
-    responder->Send(BadRequest(detail, "send one JSON object").ToResponse());
+  const auto body = ReadObject(request);
+  if (const auto* problem = std::get_if<Problem>(&body)) {
+    responder->Send(problem->ToResponse());
     return;
   }
-  const std::string service = JsonString(body.Value(), "service");
-  auto authenticated =
-      AuthenticateCall(*environment.control, service, request.headers);
-  if (const auto* problem = std::get_if<Problem>(&authenticated)) {
+  const auto& object = std::get<Json::Value>(body);
+  const auto opened = OpenCall(environment, JsonString(object, "service"),
+                               ServiceKind::kModel, request);
+  if (const auto* problem = std::get_if<Problem>(&opened)) {
     responder->Send(problem->ToResponse());
     return;
   }
   const ServiceDocument& document =
-      std::get<AuthenticatedCall>(authenticated).service->document;
+      std::get<AuthenticatedCall>(opened).service->document;
   ServiceMeter& meter = environment.meters.Of(document);
-  const auto refuse = [&](const Problem& problem) {
-    meter.CountRefusal(problem);
-    responder->Send(problem.ToResponse());
-  };
-  if (document.kind != ServiceKind::kModel) {
-    refuse(BadRequest("'" + document.name + "' is a plain service",
-                      "submit steps to a model service"));
-    return;
-  }
-  const auto body_limit =
-      static_cast<std::uint64_t>(document.limits.body_bytes);
-  if (request.body.size() > body_limit) {
-    refuse(BodyTooLarge(body_limit));
-    return;
-  }
-  auto read = ReadStep(body.Value(), document,
+  auto read = ReadStep(object, document,
                        environment.control->NewestVersion(document.model));
   if (const auto* problem = std::get_if<Problem>(&read)) {
-    refuse(*problem);
+    meter.CountRefusal(*problem);
+    responder->Send(problem->ToResponse());
     return;
   }
   auto& accept = std::get<AcceptEntry>(read);
