--- a/Benchmarks/Load/load_run.cc
+++ b/Benchmarks/Load/load_run.cc
@@ -130,6 +130,7 @@
   request.timeout = this->plan.request_timeout;
   request.headers.push_back({"Content-Type", "application/json"});
   if (this->plan.direct) {
+    body["model"] = this->plan.model;
     body["attempt_id"] =
         std::to_string(this->plan.seed) + "-" + std::to_string(number);
   } else {
--- a/Benchmarks/Load/load_run.h
+++ b/Benchmarks/Load/load_run.h
@@ -20,6 +20,8 @@
   std::vector<std::string> urls;
   // The addresses are engines, not entries: no service, no token.
   bool direct = false;
+  // Of the engines called directly.
+  std::string model;
   std::string service;
   std::string token;
   // Taken in turn.
--- a/Benchmarks/Load/main.cc
+++ b/Benchmarks/Load/main.cc
@@ -74,6 +74,8 @@
   TCLAP::SwitchArg direct("d", "direct", "the addresses are engines", line);
   TCLAP::ValueArg<std::string> service("s", "service", "service to call", false,
                                        "", "NAME", line);
+  TCLAP::ValueArg<std::string> model("m", "model", "model of the engines",
+                                     false, "", "NAME", line);
   TCLAP::ValueArg<std::string> token("", "token", "bearer token", false, "",
                                      "TOKEN", line);
   TCLAP::ValueArg<std::string> prompts("p", "prompts", "one prompt a line",
@@ -99,6 +101,7 @@
   plan.urls = url.getValue();
   plan.direct = direct.getValue();
   plan.service = service.getValue();
+  plan.model = model.getValue();
   plan.token = token.getValue();
   plan.prompts = ReadPrompts(prompts.getValue());
   if (plan.prompts.empty()) {
