LibCore: Keep one JSON reader and writer for each thread

Cause: a profile of an entry under streamed completions showed string comparisons and allocations of JsonCpp's settings: every text made a reader or a writer, and each evaluated its settings anew.

--- a/Libraries/LibCore/json.cc
+++ b/Libraries/LibCore/json.cc
@@ -3,24 +3,46 @@
 #include "LibCore/json.h"
 
 #include <memory>
+#include <sstream>
+#include <utility>
 
 namespace carobbank {
 
-Result<Json::Value> ParseJson(std::string_view text) {
-  static const Json::CharReaderBuilder builder = [] {
-    Json::CharReaderBuilder made;
-    Json::CharReaderBuilder::strictMode(&made.settings_);
-    made.settings_["strictRoot"] = false;
-    made.settings_["stackLimit"] = 64;
-    return made;
+namespace {
+
+// Making a reader or a writer evaluates its settings, which costs more than a
+// short text itself does; so each thread keeps one of each. Both start afresh
+// with every text.
+Json::CharReader& ThreadReader() {
+  thread_local const std::unique_ptr<Json::CharReader> reader = [] {
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder.settings_["strictRoot"] = false;
+    builder.settings_["stackLimit"] = 64;
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+  }();
+  return *reader;
+}
+
+Json::StreamWriter& ThreadWriter() {
+  thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
   }();
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  return *writer;
+}
+
+}  // namespace
+
+Result<Json::Value> ParseJson(std::string_view text) {
   Json::Value value;
   std::string problems;
   bool parsed = false;
   try {
-    parsed = reader->parse(text.data(), text.data() + text.size(), &value,
-                           &problems);
+    parsed = ThreadReader().parse(text.data(), text.data() + text.size(),
+                                  &value, &problems);
   } catch (const Json::Exception& exception) {
     // JsonCpp throws when the nesting passes stackLimit.
     problems = exception.what();
@@ -33,13 +55,9 @@
 }
 
 std::string WriteJson(const Json::Value& value) {
-  static const Json::StreamWriterBuilder builder = [] {
-    Json::StreamWriterBuilder made;
-    made["indentation"] = "";
-    made["emitUTF8"] = true;
-    return made;
-  }();
-  return Json::writeString(builder, value);
+  std::ostringstream text;
+  ThreadWriter().write(value, &text);
+  return std::move(text).str();
 }
 
 std::string JsonString(const Json::Value& object,
