LibCore: Leave stamps out that are far ahead

Cause: one peer whose clock is wrong by hours would move every hybrid clock for good, and with it the order of all time lines. Change: Observe ignores a stamp more than a minute ahead of the local wall clock. Conclusion: the time line survives one wrong clock.

--- a/Libraries/LibCore/hybrid_logical_clock.cc
+++ b/Libraries/LibCore/hybrid_logical_clock.cc
@@ -39,8 +39,11 @@
 }
 
 HybridTime HybridLogicalClock::Observe(HybridTime remote) {
-  const HybridTime newest = std::max(this->last, remote);
   const WallMilliseconds now = this->clock.WallNow();
+  if (remote.wall_ms > now + kMaximumDrift.count()) {
+    return this->Tick();
+  }
+  const HybridTime newest = std::max(this->last, remote);
   if (now > newest.wall_ms) {
     this->last = {now, 0};
   } else {
--- a/Libraries/LibCore/hybrid_logical_clock.h
+++ b/Libraries/LibCore/hybrid_logical_clock.h
@@ -28,9 +28,13 @@
 
   // A stamp for a local event or an outgoing message.
   HybridTime Tick();
-  // Takes in the stamp of a received message; returns the receipt's stamp.
+  // Takes in the stamp of a received message; returns the receipt's stamp. A
+  // stamp further ahead than kMaximumDrift is left out, so that one wrong clock
+  // does not move all others.
   HybridTime Observe(HybridTime remote);
 
+  static constexpr Milliseconds kMaximumDrift{60'000};
+
  private:
   const Clock& clock;
   // Invariant: never decreases.
--- a/Tests/LibCore/hybrid_logical_clock_test.cc
+++ b/Tests/LibCore/hybrid_logical_clock_test.cc
@@ -25,6 +25,16 @@
   CHECK_TRUE(hybrid.Tick() > remote);
 }
 
+TEST(HybridLogicalClock, AStampFarAheadDoesNotMoveTheClock) {
+  ManualClock clock;
+  HybridLogicalClock hybrid(clock);
+  const WallMilliseconds drift = HybridLogicalClock::kMaximumDrift.count();
+  const HybridTime before = hybrid.Tick();
+  const HybridTime receipt = hybrid.Observe({clock.WallNow() + drift + 1, 0});
+  CHECK_TRUE(receipt > before);
+  CHECK_TRUE(receipt.wall_ms == clock.WallNow());
+}
+
 TEST(HybridLogicalClock, TextFormReadsBack) {
   const HybridTime time{1'800'000'000'123, 7};
   const auto parsed = Capture([&] { return HybridTime::Parse(time.Text()); });
