--- a/Services/Entry/attempt.cc
+++ b/Services/Entry/attempt.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kConnectTimeout{1'000};
 // Sidecars send a comment line at least every 5 s while work waits or runs.
 constexpr Milliseconds kIdleTimeout{15'000};
+// For an answer that the sidecar gives just at the deadline.
+constexpr Milliseconds kDeadlineGrace{500};
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
@@ -113,7 +115,11 @@
   sent.headers = request.headers;
   sent.body = request.body;
   sent.connect_timeout = kConnectTimeout;
-  sent.idle_timeout = kIdleTimeout;
+  if (labels.kept_alive) {
+    sent.idle_timeout = kIdleTimeout;
+  } else {
+    sent.timeout = Milliseconds(labels.deadline_ms - now) + kDeadlineGrace;
+  }
   sent.fresh_connection = !idempotent;
   AddWorkHeaders(sent.headers, labels);
   SetHeader(sent.headers, "X-Carobbank-Budget",
--- a/Services/Entry/attempt.h
+++ b/Services/Entry/attempt.h
@@ -30,6 +30,9 @@
   bool alone = false;
   // Starts only on an idle server: a second copy of a straggler.
   bool duplicate = false;
+  // The sidecar sends comment lines while the answer waits, so that silence
+  // means a broken link. Otherwise the deadline alone ends the exchange.
+  bool kept_alive = false;
   WallMilliseconds deadline_ms = 0;
   std::uint64_t configuration_offset = 0;
 };
--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -131,13 +131,22 @@
 void ControlState::OnConfigurationPage() {
   this->NoteReachability("log", this->log_reachable,
                          this->configuration_tail.Reachable());
-  const bool complete =
-      this->configuration_tail.CaughtUp() && this->configuration.Complete();
-  if (complete && !std::exchange(this->configuration_known, true)) {
+  if (this->ConfigurationCurrent() &&
+      !std::exchange(this->configuration_known, true)) {
     this->Changed();
   }
 }
 
+bool ControlState::ConfigurationCurrent() const {
+  // A fold that has not met the records before the tail's place, because they
+  // expired, needs a snapshot or a peer.
+  const auto folded =
+      static_cast<std::uint64_t>(this->configuration.NextOffset());
+  return this->configuration_tail.CaughtUp() &&
+         this->configuration.Complete() &&
+         folded >= this->configuration_tail.Next();
+}
+
 void ControlState::OnServerRecord(const LogRecord& record) {
   for (const auto& positioned :
        DecodeServerRecord({record.offset, record.time_ms, record.payload})
@@ -239,8 +248,7 @@
 void ControlState::CatchUpFromPeers() {
   this->peer_timer = this->loop.CallAfter(kPeerCatchUpInterval,
                                           [this] { this->CatchUpFromPeers(); });
-  if (this->configuration_tail.CaughtUp() &&
-      this->configuration_tail.Reachable() && this->configuration.Complete()) {
+  if (this->ConfigurationCurrent() && this->configuration_tail.Reachable()) {
     return;
   }
   for (const KnownEntry& entry : this->entries) {
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -50,6 +50,7 @@
  private:
   void OnConfigurationRecord(const LogRecord& record);
   void OnConfigurationPage();
+  bool ConfigurationCurrent() const;
   void OnServerRecord(const LogRecord& record);
   void OnCrashEntry(const CrashEntry& entry);
   void OnVersionRecord(const LogRecord& record);
--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -28,12 +28,13 @@
   return problem;
 }
 
-Problem QuarantinedProblem() {
+Problem QuarantinedProblem(bool has_run) {
   Problem problem;
   problem.status = kUnprocessable;
   problem.code = "quarantined";
   problem.detail = "this request crashed two backend servers";
   problem.remedy = "do not send it again; report its prompt to the operators";
+  problem.execution = has_run ? Execution::kMayHaveRun : Execution::kNotRun;
   return problem;
 }
 
@@ -125,7 +126,7 @@
   const std::size_t crashes = this->environment.selector.Crashes(this->digest);
   this->alone = crashes > 0;
   if (crashes >= kCrashesBeforeQuarantine) {
-    this->Fail(QuarantinedProblem());
+    this->Fail(QuarantinedProblem(this->attempts > 0));
     return;
   }
   SelectionRequest selection;
@@ -196,6 +197,7 @@
   labels.slack = this->request.slack;
   labels.alone = this->alone;
   labels.duplicate = this->request.duplicate;
+  labels.kept_alive = true;
   labels.deadline_ms = this->request.deadline_ms;
   labels.configuration_offset = this->request.configuration_offset;
   return labels;
--- a/Services/Entry/log_stream_tail.cc
+++ b/Services/Entry/log_stream_tail.cc
@@ -50,12 +50,7 @@
 
 void LogStreamTail::OnPage(const Outcome<LogPage>& page) {
   if (!page.Ok()) {
-    this->reachable = page.GetError().kind == ErrorKind::kExpired;
-    if (this->reachable) {
-      this->FindFirstRetained();
-    } else {
-      this->ScheduleRead(kPauseAfterFailure);
-    }
+    this->OnFailure(page.GetError());
     return;
   }
   this->reachable = true;
@@ -76,6 +71,18 @@
   }
 }
 
+void LogStreamTail::OnFailure(const Error& error) {
+  this->reachable = error.kind == ErrorKind::kExpired;
+  if (this->reachable) {
+    this->FindFirstRetained();
+    return;
+  }
+  this->ScheduleRead(kPauseAfterFailure);
+  if (this->handlers.on_page) {
+    this->handlers.on_page();
+  }
+}
+
 void LogStreamTail::FindFirstRetained() {
   this->log.Read(
       this->stream, kOldestRetained, 1, Milliseconds(0),
--- a/Services/Entry/log_stream_tail.h
+++ b/Services/Entry/log_stream_tail.h
@@ -19,7 +19,8 @@
   using GapHandler =
       std::function<void(std::uint64_t from, std::uint64_t first_retained)>;
 
-  // After each read, when its records have been handed on.
+  // After each read, when its records have been handed on, and after each that
+  // failed.
   using PageHandler = std::function<void()>;
 
   struct Handlers {
@@ -67,6 +68,7 @@
 
   void Read();
   void OnPage(const Outcome<LogPage>& page);
+  void OnFailure(const Error& error);
   void FindFirstRetained();
   void SkipTo(std::uint64_t first_retained);
   void HandOn(const LogPage& page);
--- a/Services/Entry/peer_methods.cc
+++ b/Services/Entry/peer_methods.cc
@@ -54,9 +54,12 @@
   return text;
 }
 
-Json::Value PeerMethods::ConfigurationJson() const {
+Json::Value PeerMethods::ConfigurationJson(std::int64_t after_offset) const {
   const ControlSnapshot& snapshot = *this->control;
   Json::Value value = snapshot.configuration_export;
+  if (after_offset >= snapshot.configuration->offset) {
+    value.removeMember("documents");
+  }
   value["fingerprint"] = this->Fingerprint();
   value["quarantine"] = Json::arrayValue;
   for (const std::string& digest : snapshot.quarantined) {
@@ -83,17 +86,18 @@
   const bool news = seen.empty() ? this->control->configuration->offset > after
                                  : seen != this->Fingerprint();
   if (news || wait == 0) {
-    reply(this->ConfigurationJson());
+    reply(this->ConfigurationJson(after));
     return;
   }
   auto poll = std::make_shared<LongPoll>();
   poll->seen = this->Fingerprint();
+  poll->after_offset = after;
   poll->reply = std::move(reply);
   poll->timer = this->loop.CallAfter(
       Milliseconds(wait), [this, weak = std::weak_ptr<LongPoll>(poll)] {
         if (const auto expired = weak.lock(); expired) {
           std::erase(this->polls, expired);
-          expired->reply(this->ConfigurationJson());
+          expired->reply(this->ConfigurationJson(expired->after_offset));
         }
       });
   this->polls.push_back(std::move(poll));
@@ -111,7 +115,7 @@
   });
   for (const std::shared_ptr<LongPoll>& poll : ready) {
     poll->timer->Cancel();
-    poll->reply(this->ConfigurationJson());
+    poll->reply(this->ConfigurationJson(poll->after_offset));
   }
 }
 
--- a/Services/Entry/peer_methods.h
+++ b/Services/Entry/peer_methods.h
@@ -42,10 +42,12 @@
 
   struct LongPoll {
     std::string seen;
+    std::int64_t after_offset = -1;
     RpcReply reply;
     std::unique_ptr<Timer> timer;
   };
-  Json::Value ConfigurationJson() const;
+  // Without the documents for a peer that has those of `after_offset`.
+  Json::Value ConfigurationJson(std::int64_t after_offset) const;
   // Changes whenever a poller should hear of something.
   std::string Fingerprint() const;
 
--- a/Services/Sidecar/work_stream.cc
+++ b/Services/Sidecar/work_stream.cc
@@ -14,10 +14,11 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-// An engine that generates leaves no such pause between two tokens.
-constexpr Milliseconds kSilenceAfterToken{30'000};
-// Before its first token a generation may wait for a change of weights.
-constexpr Milliseconds kSilenceBeforeToken{120'000};
+// An engine that generates leaves no such pause between two tokens, not even
+// for a change of weights. Ending a stream too early costs one resumption.
+constexpr Milliseconds kSilenceAfterToken{10'000};
+// Before its first token a generation may also wait in the engine's own queue.
+constexpr Milliseconds kSilenceBeforeToken{30'000};
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
