--- a/Services/Entry/control_snapshot.h
+++ b/Services/Entry/control_snapshot.h
@@ -30,7 +30,12 @@
       std::make_shared<const ConfigurationState>();
   // The configuration as peers and sidecars receive it.
   Json::Value configuration_export;
-  std::vector<KnownServer> servers;
+  // Never null. The same object as in the snapshot before while no server came,
+  // went or changed its standing; its versions and loads are as of then.
+  std::shared_ptr<const std::vector<KnownServer>> servers =
+      std::make_shared<const std::vector<KnownServer>>();
+  // The watched servers with what their latest heartbeats said.
+  std::vector<KnownServer> watched;
   std::vector<KnownEntry> entries;
   std::vector<ModelVersion> versions;
   std::vector<std::string> quarantined;
--- a/Services/Entry/control_state.cc
+++ b/Services/Entry/control_state.cc
@@ -10,12 +10,20 @@
 
 namespace {
 
-constexpr Milliseconds kListInterval{1'000};
+constexpr Milliseconds kShortestListInterval{1'000};
+constexpr Milliseconds kLongestListInterval{30'000};
+constexpr std::int64_t kBytesPerListedInstance = 170;
+// Of the 4 KB/s that a daemon may spend on control. FIXME: beyond about 260
+// instances the longest interval breaks it; the list needs a conditional read.
+constexpr std::int64_t kListBytesPerSecond = 1'500;
 constexpr Milliseconds kPeerCatchUpInterval{2'000};
 constexpr Milliseconds kPeerTimeout{1'500};
 constexpr Milliseconds kSnapshotCheck{60'000};
 constexpr std::size_t kCrashesRemembered = 256;
+// Changes that come together make one snapshot; a larger fleet waits longer,
+// because every change looks at all servers.
 constexpr Milliseconds kPublishDelay{20};
+constexpr std::chrono::microseconds kPublishDelayPerServer{50};
 // Heartbeats' loads reach the traffic thread at least this often.
 constexpr Milliseconds kRefresh{500};
 constexpr Milliseconds kMillisecondsPerSecond{1'000};
@@ -36,6 +44,13 @@
   return instance;
 }
 
+Milliseconds ListInterval(std::size_t instances) {
+  const Milliseconds within_budget(
+      static_cast<std::int64_t>(instances) * kBytesPerListedInstance *
+      kMillisecondsPerSecond.count() / kListBytesPerSecond);
+  return std::clamp(within_budget, kShortestListInterval, kLongestListInterval);
+}
+
 GroupCommitterOptions ControlCommitter() {
   GroupCommitterOptions options;
   options.max_buffered_entries = 1'024;
@@ -306,33 +321,44 @@
 
 void ControlState::PollInstanceList() {
   this->instance_list->Fetch([this](const Outcome<InstanceListing>& listing) {
+    Milliseconds pause = kShortestListInterval;
+    if (listing.Ok()) {
+      pause = ListInterval(listing.Value().instances.size());
+    }
     this->OnListing(listing);
-    this->list_timer = this->loop.CallAfter(
-        kListInterval, [this] { this->PollInstanceList(); });
+    this->list_timer =
+        this->loop.CallAfter(pause, [this] { this->PollInstanceList(); });
   });
 }
 
 void ControlState::OnListing(const Outcome<InstanceListing>& listing) {
   this->NoteReachability("instance list", this->list_reachable, listing.Ok());
-  if (!listing.Ok()) {
+  const bool news =
+      listing.Ok() &&
+      (!this->list_version || *this->list_version != listing.Value().version);
+  if (!news) {
     return;
   }
+  this->list_version = listing.Value().version;
   std::vector<Instance> servers;
+  std::vector<Placed> placed_entries;
   this->entries.clear();
   for (const ListedInstance& listed : listing.Value().instances) {
     if (listed.role == InstanceRole::kEntry) {
       this->entries.push_back(
           {listed.id, listed.address, listed.state == InstanceState::kLeaving});
+      placed_entries.push_back({listed.id, listed.data_center});
     } else {
       servers.push_back(ToInstance(listed));
     }
   }
   this->view.ApplyListing(listing.Value().version, servers);
+  this->WatchSubset(servers, placed_entries);
+  this->Changed();
+}
 
-  std::vector<Placed> placed_entries;
-  for (const KnownEntry& entry : this->entries) {
-    placed_entries.push_back({entry.instance, ""});
-  }
+void ControlState::WatchSubset(std::span<const Instance> servers,
+                               std::span<const Placed> placed_entries) {
   std::vector<Placed> placed_servers;
   for (const Instance& server : servers) {
     placed_servers.push_back({server.id, server.data_center});
@@ -347,7 +373,6 @@
     watched.push_back(servers[index]);
   }
   this->watch.Watch(watched);
-  this->Changed();
 }
 
 void ControlState::NoteReachability(std::string_view service,
@@ -367,7 +392,9 @@
 
 void ControlState::Changed() {
   if (!std::exchange(this->publish_pending, true)) {
-    this->PublishAfter(kPublishDelay);
+    const auto servers = this->known_servers ? this->known_servers->size() : 0;
+    this->PublishAfter(kPublishDelay + std::chrono::duration_cast<Milliseconds>(
+                                           servers * kPublishDelayPerServer));
   }
 }
 
@@ -376,23 +403,44 @@
       this->loop.CallAfter(delay, [this] { this->Publish(); });
 }
 
-std::vector<KnownServer> ControlState::KnownServers() const {
-  std::vector<KnownServer> servers;
+KnownServer ControlState::ToKnownServer(const Member& member) const {
+  KnownServer server;
+  server.instance = member.instance;
+  server.takes_new_work = member.TakesNewWork();
+  const auto latency = this->data_centers.Latency(
+      this->settings.place.data_center, member.instance.data_center);
+  server.latency_ms =
+      std::chrono::duration<double, std::milli>(latency).count();
+  if (const WatchedServer* watched = this->watch.Find(member.instance.id);
+      watched) {
+    server.version = watched->version;
+    server.load = watched->load;
+    server.load_time = watched->load_time;
+  }
+  return server;
+}
+
+std::shared_ptr<const std::vector<KnownServer>> ControlState::KnownServers() {
+  const bool current =
+      this->known_servers && this->known_generation == this->view.Generation();
+  if (current) {
+    return this->known_servers;
+  }
+  auto servers = std::make_shared<std::vector<KnownServer>>();
   for (const Member* member : this->view.All()) {
-    KnownServer server;
-    server.instance = member->instance;
-    server.takes_new_work = member->TakesNewWork();
-    const auto latency = this->data_centers.Latency(
-        this->settings.place.data_center, member->instance.data_center);
-    server.latency_ms =
-        std::chrono::duration<double, std::milli>(latency).count();
-    if (const WatchedServer* watched = this->watch.Find(member->instance.id);
-        watched) {
-      server.version = watched->version;
-      server.load = watched->load;
-      server.load_time = watched->load_time;
+    servers->push_back(this->ToKnownServer(*member));
+  }
+  this->known_servers = std::move(servers);
+  this->known_generation = this->view.Generation();
+  return this->known_servers;
+}
+
+std::vector<KnownServer> ControlState::WatchedServers() const {
+  std::vector<KnownServer> servers;
+  for (const std::string_view id : this->watch.Ids()) {
+    if (const Member* member = this->view.Find(id); member) {
+      servers.push_back(this->ToKnownServer(*member));
     }
-    servers.push_back(std::move(server));
   }
   return servers;
 }
@@ -400,9 +448,8 @@
 void ControlState::Publish() {
   auto snapshot = std::make_shared<ControlSnapshot>();
   snapshot->configuration = this->configuration.State();
-  snapshot->configuration_export =
-      ConfigurationExportToJson(this->configuration.Export());
   snapshot->servers = this->KnownServers();
+  snapshot->watched = this->WatchedServers();
   snapshot->entries = this->entries;
   for (const auto& [model, newest] : this->versions) {
     snapshot->versions.push_back({model, newest});
@@ -421,12 +468,15 @@
       .Set(static_cast<double>(snapshot->quarantined.size()));
   if (offset != this->published_offset) {
     this->published_offset = offset;
+    this->configuration_export =
+        ConfigurationExportToJson(this->configuration.Export());
     Event event;
     event.kind = EventKind::kConfiguration;
     event.number = offset;
     event.detail = snapshot->configuration->digest;
     this->timeline.Record(std::move(event));
   }
+  snapshot->configuration_export = this->configuration_export;
   this->listener(std::move(snapshot));
   // The next refresh carries the loads that heartbeats bring meanwhile.
   this->publish_pending = false;
--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,12 +64,17 @@
   void WriteSnapshotWhenDue();
   void PollInstanceList();
   void OnListing(const Outcome<InstanceListing>& listing);
+  void WatchSubset(std::span<const Instance> servers,
+                   std::span<const Placed> placed_entries);
   // Publishes soon; changes that come together make one snapshot.
   void Changed();
   void PublishAfter(Milliseconds delay);
   void Publish();
   void NoteReachability(std::string_view service, bool& known, bool reachable);
-  std::vector<KnownServer> KnownServers() const;
+  // Rebuilt only when the view has changed, because there may be thousands.
+  std::shared_ptr<const std::vector<KnownServer>> KnownServers();
+  std::vector<KnownServer> WatchedServers() const;
+  KnownServer ToKnownServer(const Member& member) const;
 
   EventLoop& loop;
   const Clock& clock;
@@ -90,7 +96,12 @@
   LogWriter server_writer;
 
   ServerView view;
+  std::shared_ptr<const std::vector<KnownServer>> known_servers;
+  // The generation of the view that `known_servers` shows.
+  std::uint64_t known_generation = 0;
   ServerWatch watch;
+  // Of the listing that was applied last.
+  std::optional<std::uint64_t> list_version;
   std::vector<KnownEntry> entries;
   std::map<std::string, std::uint64_t, std::less<>> versions;
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
@@ -103,6 +114,8 @@
   bool log_reachable = false;
   bool list_reachable = false;
   std::int64_t published_offset = kNoRevision;
+  // The export of the configuration at `published_offset`.
+  Json::Value configuration_export;
   std::unique_ptr<Timer> list_timer;
   std::unique_ptr<Timer> peer_timer;
   std::unique_ptr<Timer> snapshot_timer;
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -196,7 +196,8 @@
                      snapshot->configuration->offset != kNoRevision;
   this->control = std::move(snapshot);
   const auto applied = Capture([&]() -> Result<bool> {
-    BOOST_LEAF_CHECK(this->pools.ApplyServers(this->control->servers));
+    BOOST_LEAF_CHECK(this->pools.ApplyServers(this->control->servers,
+                                              this->control->watched));
     return true;
   });
   if (!applied.Ok()) {
@@ -274,6 +275,7 @@
   event.detail = "began";
   this->timeline.Record(std::move(event));
   WriteLog(LogLevel::kInfo, "entry draining");
+  this->peer_methods.Drain();
   this->metrics.GetGauge(metrics::kDraining).Set(1);
   this->drain_deadline = this->clock.Now() + this->settings.drain_deadline_s *
                                                  kMillisecondsPerSecond;
--- a/Services/Entry/entry_routes.cc
+++ b/Services/Entry/entry_routes.cc
@@ -34,6 +34,19 @@
   return path;
 }
 
+Json::Value ServerJson(const KnownServer& server) {
+  Json::Value row;
+  row["instance"] = server.instance.id;
+  row["address"] = server.instance.address;
+  row["pool"] = server.instance.pool;
+  row["data_center"] = server.instance.data_center;
+  row["takes_new_work"] = server.takes_new_work;
+  row["version"] = Json::UInt64(server.version);
+  row["running"] = server.load.running;
+  row["waiting"] = server.load.waiting;
+  return row;
+}
+
 HttpResponse TextResponse(std::string_view content_type, std::string body) {
   HttpResponse response;
   response.body = std::move(body);
@@ -229,17 +242,12 @@
     status["services"].append(std::move(row));
   }
   status["servers"] = Json::arrayValue;
-  for (const KnownServer& server : snapshot.servers) {
-    Json::Value row;
-    row["instance"] = server.instance.id;
-    row["address"] = server.instance.address;
-    row["pool"] = server.instance.pool;
-    row["data_center"] = server.instance.data_center;
-    row["takes_new_work"] = server.takes_new_work;
-    row["version"] = Json::UInt64(server.version);
-    row["running"] = server.load.running;
-    row["waiting"] = server.load.waiting;
-    status["servers"].append(std::move(row));
+  for (const KnownServer& server : *snapshot.servers) {
+    const auto watched = std::ranges::find(
+        snapshot.watched, server.instance.id,
+        [](const KnownServer& each) { return each.instance.id; });
+    status["servers"].append(
+        ServerJson(watched == snapshot.watched.end() ? server : *watched));
   }
   status["versions"] = Json::objectValue;
   for (const ModelVersion& version : snapshot.versions) {
--- a/Services/Entry/peer_methods.cc
+++ b/Services/Entry/peer_methods.cc
@@ -85,7 +85,7 @@
       JsonInteger(parameters, "wait_ms"), 0, kLongestWaitMs);
   const bool news = seen.empty() ? this->control->configuration->offset > after
                                  : seen != this->Fingerprint();
-  if (news || wait == 0) {
+  if (news || wait == 0 || this->draining) {
     reply(this->ConfigurationJson(after));
     return;
   }
@@ -103,11 +103,16 @@
   this->polls.push_back(std::move(poll));
 }
 
+void PeerMethods::Drain() {
+  this->draining = true;
+  this->OnSnapshot();
+}
+
 void PeerMethods::OnSnapshot() {
   const std::string fingerprint = this->Fingerprint();
   std::vector<std::shared_ptr<LongPoll>> ready;
   std::erase_if(this->polls, [&](const std::shared_ptr<LongPoll>& poll) {
-    if (poll->seen == fingerprint) {
+    if (poll->seen == fingerprint && !this->draining) {
       return false;
     }
     ready.push_back(poll);
--- a/Services/Entry/peer_methods.h
+++ b/Services/Entry/peer_methods.h
@@ -31,6 +31,10 @@
   void Handle(const HttpRequest& request,
               std::shared_ptr<HttpResponder> responder);
 
+  // Answers every long poll now and from now on at once, so that none keeps the
+  // process from ending.
+  void Drain();
+
   // A new snapshot is in place: answers the long polls that it concerns.
   void OnSnapshot();
 
@@ -55,6 +59,7 @@
   std::shared_ptr<const ControlSnapshot>& control;
   std::function<StepService&(std::string_view)> steps;
   RpcDispatcher dispatcher;
+  bool draining = false;
   std::vector<std::shared_ptr<LongPoll>> polls;
 };
 
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -48,48 +48,81 @@
   return known.router.get();
 }
 
-Result<void> RoutedPools::ApplyServers(std::span<const KnownServer> servers) {
-  std::map<std::string, std::set<std::string>, std::less<>> present;
-  const MonotonicTime now = this->clock.Now();
+Result<void> RoutedPools::ApplyServers(
+    std::shared_ptr<const std::vector<KnownServer>> servers,
+    std::span<const KnownServer> watched) {
+  if (servers != this->applied || this->any_shunned) {
+    this->applied = std::move(servers);
+    BOOST_LEAF_CHECK(this->ApplyAll(*this->applied));
+  }
+  for (const KnownServer& server : watched) {
+    this->ApplyReport(server);
+  }
+  return {};
+}
+
+Result<void> RoutedPools::ApplyAll(std::span<const KnownServer> servers) {
+  this->any_shunned = false;
+  std::set<std::string_view> listed;
   for (const KnownServer& server : servers) {
-    const Instance& instance = server.instance;
-    Server& known = this->servers[instance.id];
-    if (known.incarnation != instance.incarnation) {
-      known = Server();
-      known.incarnation = instance.incarnation;
-    }
-    known.pool = instance.pool;
-    known.address = instance.address;
-    const bool usable =
-        server.takes_new_work && !known.draining && now >= known.shunned_until;
-    if (!usable) {
-      continue;
-    }
-    BOOST_LEAF_AUTO(router, this->RouterOf(instance.pool));
-    ServerTable& table = router->Servers();
-    const ServerIndex index =
-        table.Upsert(instance.id, instance.data_center, server.latency_ms);
-    if (server.version > table.At(index).version) {
-      table.SetVersion(index, server.version);
-    }
-    if (server.load_time != MonotonicTime()) {
-      table.SetLoad(index, {server.load_time, server.load.running,
-                            server.load.waiting, 0, server.load.max_batch});
-    }
-    present[instance.pool].insert(instance.id);
+    listed.insert(server.instance.id);
+    BOOST_LEAF_CHECK(this->ApplyOne(server));
   }
-  for (auto& [name, pool] : this->pools) {
-    std::set<std::string>& now_present = present[name];
-    for (const std::string& id : pool.present) {
-      if (!now_present.contains(id)) {
-        pool.router->RemoveServer(id);
+  for (auto& item : this->pools) {
+    Pool& pool = item.second;
+    std::erase_if(pool.present, [&](const std::string& id) {
+      if (listed.contains(id)) {
+        return false;
       }
+      pool.router->RemoveServer(id);
+      return true;
+    });
+  }
+  return {};
+}
+
+Result<void> RoutedPools::ApplyOne(const KnownServer& server) {
+  const Instance& instance = server.instance;
+  Server& known = this->servers[instance.id];
+  if (known.incarnation != instance.incarnation) {
+    known = Server();
+    known.incarnation = instance.incarnation;
+  }
+  known.pool = instance.pool;
+  known.address = instance.address;
+  const bool shunned = this->clock.Now() < known.shunned_until;
+  this->any_shunned = this->any_shunned || shunned;
+  BOOST_LEAF_AUTO(router, this->RouterOf(instance.pool));
+  Pool& pool = this->pools[instance.pool];
+  const bool usable = server.takes_new_work && !known.draining && !shunned;
+  if (!usable) {
+    if (pool.present.erase(instance.id) > 0) {
+      router->RemoveServer(instance.id);
     }
-    pool.present = std::move(now_present);
+    return {};
   }
+  router->Servers().Upsert(instance.id, instance.data_center,
+                           server.latency_ms);
+  pool.present.insert(instance.id);
+  this->ApplyReport(server);
   return {};
 }
 
+void RoutedPools::ApplyReport(const KnownServer& server) {
+  ServerIndex index = kNoServer;
+  ServerTable* const table = this->TableOf(server.instance.id, index);
+  if (!table) {
+    return;
+  }
+  if (server.version > table->At(index).version) {
+    table->SetVersion(index, server.version);
+  }
+  if (server.load_time != MonotonicTime()) {
+    table->SetLoad(index, {server.load_time, server.load.running,
+                           server.load.waiting, 0, server.load.max_batch});
+  }
+}
+
 void RoutedPools::ApplyQuarantine(std::span<const std::string> digests) {
   for (const std::string& digest : digests) {
     this->quarantine.OnQuarantined(digest);
@@ -173,6 +206,7 @@
     return;
   }
   known->second.shunned_until = this->clock.Now() + duration;
+  this->any_shunned = true;
   const auto pool = this->pools.find(known->second.pool);
   if (pool != this->pools.end()) {
     pool->second.router->RemoveServer(instance);
--- a/Services/Entry/routed_pools.h
+++ b/Services/Entry/routed_pools.h
@@ -61,7 +61,11 @@
         options(std::move(options)) {}
 
   // Fails when the router options are wrong; nothing changes then.
-  Result<void> ApplyServers(std::span<const KnownServer> servers);
+  // `servers` is looked at as a whole only when it is another object than the
+  // last time, or when a server that failed may take work again.
+  Result<void> ApplyServers(
+      std::shared_ptr<const std::vector<KnownServer>> servers,
+      std::span<const KnownServer> watched);
   void ApplyQuarantine(std::span<const std::string> digests);
   // Takes in those that are newer than the ones seen before.
   void ApplyCrashes(std::span<const SharedCrash> crashes);
@@ -108,6 +112,10 @@
     bool draining = false;
   };
 
+  Result<void> ApplyAll(std::span<const KnownServer> servers);
+  // Adds it, or takes it out, as its standing says.
+  Result<void> ApplyOne(const KnownServer& server);
+  void ApplyReport(const KnownServer& server);
   Result<Router*> RouterOf(const std::string& pool);
   ServerTable* TableOf(std::string_view instance, ServerIndex& index);
   void Shun(std::string_view instance, Milliseconds duration);
@@ -119,6 +127,9 @@
   RouterOptions options;
   std::map<std::string, Pool, std::less<>> pools;
   std::map<std::string, Server, std::less<>> servers;
+  std::shared_ptr<const std::vector<KnownServer>> applied;
+  // Some server of `applied` is left alone until its `shunned_until`.
+  bool any_shunned = false;
   CrashQuarantine quarantine{CrashQuarantineOptions{}};
   // Invariant: shared crashes up to this number are in `quarantine`.
   std::uint64_t crashes_seen = 0;
--- a/Services/Entry/server_watch.cc
+++ b/Services/Entry/server_watch.cc
@@ -2,14 +2,21 @@
 
 #include "server_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carobbank {
 
 namespace {
 
-constexpr Milliseconds kHeartbeatInterval{1'000};
+constexpr Milliseconds kShortestInterval{1'000};
+// A brief status call and its answer, headers included.
+constexpr std::int64_t kBytesPerHeartbeat = 900;
+// Of the 4 KB/s that a daemon may spend on control.
+constexpr std::int64_t kHeartbeatBytesPerSecond = 2'500;
+constexpr std::int64_t kMillisecondsPerSecond = 1'000;
 constexpr Milliseconds kHeartbeatTimeout{1'500};
+constexpr Milliseconds kFirstHeartbeatSpacing{20};
 // A failed heartbeat is repeated at once on a fresh connection; only when that
 // fails too is the server held unreachable.
 constexpr std::uint32_t kFailuresToUnreachable = 2;
@@ -45,9 +52,13 @@
     watched.instance = instance;
   }
   this->servers = std::move(next);
+  // Spread out, so that an entry that starts before thousands of servers does
+  // not call them all at once.
+  Milliseconds delay{0};
   for (auto& [id, watched] : this->servers) {
     if (!watched.timer) {
-      this->Schedule(watched, Milliseconds(0));
+      this->Schedule(watched, delay);
+      delay += kFirstHeartbeatSpacing;
     }
   }
 }
@@ -57,6 +68,22 @@
   return found == this->servers.end() ? nullptr : &found->second.report;
 }
 
+std::vector<std::string_view> ServerWatch::Ids() const {
+  std::vector<std::string_view> ids;
+  for (const auto& [id, watched] : this->servers) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+Milliseconds ServerWatch::Interval() const {
+  const auto count = static_cast<std::int64_t>(this->servers.size());
+  const Milliseconds within_budget(count * kBytesPerHeartbeat *
+                                   kMillisecondsPerSecond /
+                                   kHeartbeatBytesPerSecond);
+  return std::max(kShortestInterval, within_budget);
+}
+
 void ServerWatch::Schedule(Watched& watched, Milliseconds delay) {
   watched.timer = this->loop.CallAfter(
       delay, [this, id = watched.instance.id] { this->Heartbeat(id); });
@@ -92,7 +119,7 @@
     }
     this->Schedule(watched, watched.failures < kFailuresToUnreachable
                                 ? kRepeatAfterFailure
-                                : kHeartbeatInterval);
+                                : this->Interval());
   } else {
     const Json::Value& status = answer.Value();
     watched.failures = 0;
@@ -112,7 +139,7 @@
         static_cast<std::uint32_t>(JsonInteger(status, "max_batch"));
     watched.report.load_time = this->clock.Now();
     this->Schedule(watched, report.serving || report.draining
-                                ? kHeartbeatInterval
+                                ? this->Interval()
                                 : kRepeatUntilServing);
   }
   // Load alone travels with the next snapshot; liveness makes one now.
--- a/Services/Entry/server_watch.h
+++ b/Services/Entry/server_watch.h
@@ -32,7 +32,7 @@
   void Watch(std::span<const Instance> servers);
   // Nothing when the server was not heard of yet.
   const WatchedServer* Find(std::string_view instance) const;
-  std::size_t Size() const { return this->servers.size(); }
+  std::vector<std::string_view> Ids() const;
 
  private:
   struct Watched {
@@ -45,6 +45,9 @@
   void Heartbeat(const std::string& id);
   void OnAnswer(const std::string& id, const Outcome<Json::Value>& answer);
   void Schedule(Watched& watched, Milliseconds delay);
+  // Between two heartbeats to one server: longer the more are watched, so that
+  // all together stay within this process's share of control traffic.
+  Milliseconds Interval() const;
 
   EventLoop& loop;
   const Clock& clock;
--- a/Services/Sidecar/status_report.cc
+++ b/Services/Sidecar/status_report.cc
@@ -36,16 +36,11 @@
   return snapshot.configuration && engine_known && !gate.Draining();
 }
 
-Json::Value StatusJson(const SidecarSettings& settings,
-                       std::uint64_t incarnation,
-                       const WorkGate& gate) {
+Json::Value BriefStatusJson(const SidecarSettings& settings,
+                            const WorkGate& gate) {
   const ControlSnapshot& snapshot = gate.Snapshot();
   const GateLoad load = gate.Load();
   Json::Value json;
-  json["instance"] = settings.place.instance;
-  json["incarnation"] = Json::UInt64(incarnation);
-  json["pool"] = settings.pool;
-  json["data_center"] = settings.place.data_center;
   json["draining"] = gate.Draining();
   json["serving"] = IsServing(settings, gate);
   json["running"] = load.running;
@@ -53,6 +48,18 @@
   json["max_batch"] = load.max_batch;
   json["version"] =
       Json::UInt64(snapshot.engine ? snapshot.engine->version : 0);
+  return json;
+}
+
+Json::Value StatusJson(const SidecarSettings& settings,
+                       std::uint64_t incarnation,
+                       const WorkGate& gate) {
+  const ControlSnapshot& snapshot = gate.Snapshot();
+  Json::Value json = BriefStatusJson(settings, gate);
+  json["instance"] = settings.place.instance;
+  json["incarnation"] = Json::UInt64(incarnation);
+  json["pool"] = settings.pool;
+  json["data_center"] = settings.place.data_center;
   if (snapshot.engine) {
     json["engine"] = EngineJson(*snapshot.engine);
   }
--- a/Services/Sidecar/status_report.h
+++ b/Services/Sidecar/status_report.h
@@ -7,6 +7,10 @@
 
 namespace carobbank {
 
+// What an entry's heartbeat needs, in few bytes.
+Json::Value BriefStatusJson(const SidecarSettings& settings,
+                            const WorkGate& gate);
+
 Json::Value StatusJson(const SidecarSettings& settings,
                        std::uint64_t incarnation,
                        const WorkGate& gate);
--- a/Services/Sidecar/traffic_server.cc
+++ b/Services/Sidecar/traffic_server.cc
@@ -53,7 +53,12 @@
 
 TrafficServer::TrafficServer(TrafficEnvironment environment)
     : environment(environment) {
-  this->dispatcher.Register("status", [this](const Json::Value&) {
+  this->dispatcher.Register("status", [this](const Json::Value& given) {
+    // Heartbeats ask for the part that routing needs.
+    if (given.isObject() && given["brief"].isBool()) {
+      return RpcOutcome(
+          BriefStatusJson(this->environment.settings, this->environment.gate));
+    }
     return RpcOutcome(StatusJson(this->environment.settings,
                                  this->environment.incarnation,
                                  this->environment.gate));
