Entry: Drop what arrives after a plain call has ended

Change: nothing is taken once the attempt is closed. Tests of PlainCall: how often a request is sent for each ending, and what its caller learns.

--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -282,6 +282,9 @@
 }
 
 void PlainCall::OnHeaders(int status, const HttpHeaders& headers) {
+  if (!this->attempt_open) {
+    return;
+  }
   this->status = status;
   this->refused_by_sidecar = IsSidecarRefusal(headers);
   this->answer_headers = PassedHeaders(headers);
@@ -292,6 +295,10 @@
 }
 
 void PlainCall::OnBody(std::string_view bytes) {
+  // The exchange may deliver what it has read after the call has ended.
+  if (!this->attempt_open) {
+    return;
+  }
   if (!this->streaming) {
     if (this->buffered.size() + bytes.size() <= kLargestKeyedAnswer) {
       this->buffered += bytes;
@@ -319,7 +326,7 @@
 }
 
 void PlainCall::OnAnswered() {
-  if (this->ended) {
+  if (this->ended || !this->attempt_open) {
     return;
   }
   if (this->refused_by_sidecar) {
@@ -372,7 +379,7 @@
 }
 
 void PlainCall::AfterFailure(const Problem& problem, AttemptEnd end) {
-  if (this->ended) {
+  if (this->ended || !this->attempt_open) {
     return;
   }
   if (end == AttemptEnd::kBackendCrashed) {
--- a/Tests/Entry/fakes.h
+++ b/Tests/Entry/fakes.h
@@ -23,6 +23,8 @@
   HttpHeaders headers;
   std::string body;
   Ending ending = Ending::kWhole;
+  // Further bytes that had been read before the exchange was let go.
+  std::string late_body{};
 };
 
 // Answers each request by the script, in order; `seen` keeps the requests.
@@ -72,6 +74,9 @@
     if (!alive.expired() && !answer.body.empty()) {
       handlers.on_body(answer.body);
     }
+    if (!alive.expired() && !answer.late_body.empty()) {
+      handlers.on_body(answer.late_body);
+    }
     if (alive.expired()) {
       return;
     }
@@ -86,6 +91,38 @@
   EventLoop& loop;
 };
 
+// What a caller received.
+struct CallerView {
+  int status = 0;
+  std::string body;
+  bool whole = false;
+  bool aborted = false;
+  // The caller goes away while its first bytes are written.
+  bool leaves = false;
+};
+
+class FakeResponder final : public HttpResponder {
+ public:
+  explicit FakeResponder(CallerView& view) : view(view) {}
+
+  void Send(HttpResponse response) override {
+    this->view.status = response.status;
+    this->view.body = std::move(response.body);
+    this->view.whole = true;
+  }
+  void Start(int status, HttpHeaders) override { this->view.status = status; }
+  void Write(std::string chunk, std::function<void(bool)> written) override {
+    this->view.body += chunk;
+    written(!this->view.leaves);
+  }
+  void Finish() override { this->view.whole = true; }
+  void Abort() override { this->view.aborted = true; }
+  void OnClosed(std::function<void()>) override {}
+
+ private:
+  CallerView& view;
+};
+
 // Gives the servers s1, s2, ... in turn and keeps the evidence.
 class FakeSelector final : public ServerSelector {
  public:
--- /dev/null
+++ b/Tests/Entry/plain_call_test.cc
@@ -0,0 +1,184 @@
+// Tests of PlainCall: how often a request reaches a backend server, and what
+// its caller learns, for each way in which an attempt can end.
+
+#include "Services/Entry/plain_call.h"
+#include "fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+using Ending = ScriptedAnswer::Ending;
+
+constexpr const char* kToken = "a token";
+
+std::string DocumentText() {
+  return "name: dispatch\nteam: desk\nkind: plain\npool: app\nclass: live\n"
+         "idempotency: {repeatable: [{method: GET, path_prefix: /}]}\n"
+         "callers:\n  - {name: desk, token_sha256: \"" +
+         Sha256Hex(kToken) + "\"}\n";
+}
+
+std::shared_ptr<const ControlSnapshot> MakeSnapshot() {
+  auto service = std::make_shared<ServiceInForce>();
+  service->document = ReadServiceDocument("test", DocumentText()).value;
+  auto configuration = std::make_shared<ConfigurationState>();
+  configuration->offset = 0;
+  configuration->services["dispatch"] = service;
+  // Two, because a server that failed is left alone for a while.
+  auto servers = std::make_shared<std::vector<KnownServer>>();
+  for (const char* id : {"app-1", "app-2"}) {
+    KnownServer server;
+    server.instance.id = id;
+    server.instance.pool = "app";
+    server.instance.address = "127.0.0.1:1";
+    server.takes_new_work = true;
+    servers->push_back(server);
+  }
+  auto snapshot = std::make_shared<ControlSnapshot>();
+  snapshot->configuration = configuration;
+  snapshot->configuration_known = true;
+  snapshot->servers = std::move(servers);
+  return snapshot;
+}
+
+ScriptedAnswer SidecarRefusal() {
+  Problem problem;
+  problem.status = 503;
+  problem.code = "queue_full";
+  ScriptedAnswer answer;
+  answer.status = 503;
+  answer.headers = {{"X-Carobbank-Refusal", "queue_full"}};
+  answer.body = problem.ToResponse().body;
+  return answer;
+}
+
+// The first attempt's answer; later ones are answered with 200.
+struct AttemptCase {
+  const char* name;
+  const char* method;
+  ScriptedAnswer first;
+  std::size_t sent;
+  int status;
+};
+
+}  // namespace
+
+TEST_GROUP(PlainCall) {
+  LoopRunner runner;
+  SystemClock clock;
+  FakeLog log{clock};
+  Random random{5};
+  EventTimeline timeline{clock, {}};
+  MetricRegistry metrics{clock};
+  PeerProofSigner signer{"a secret"};
+  FakeHttpClient client{runner.loop};
+  AttemptSender sender{client, clock, signer, timeline};
+  EntrySettings settings;
+  RoutedPools pools{clock, random, timeline, RouterOptions()};
+  ServiceMeters meters{clock, random, metrics, 100};
+  GenerationEnvironment generation{runner.loop, clock, random,
+                                   sender,      pools, meters};
+  GroupCommitterOptions committer{.minimum_interval = Milliseconds(0)};
+  RetentionOptions retention;
+  KeyService keys{{runner.loop, clock, random, log, timeline, metrics,
+                   committer, retention, LongestKeyWindow(retention)}};
+  LogWriter versions{
+      {runner.loop, clock, random, log, metrics}, "versions", committer};
+  std::shared_ptr<const ControlSnapshot> control = MakeSnapshot();
+  CallEnvironment environment{
+      runner.loop, clock,      random, settings, timeline, metrics, sender,
+      pools,       generation, meters, keys,     versions, nullptr, control};
+
+  void setup() override {
+    this->keys.Start();
+    CHECK_TRUE(Capture([&]() -> Result<bool> {
+                 BOOST_LEAF_CHECK(
+                     this->pools.ApplyServers(this->control->servers, {}));
+                 return true;
+               }).Ok());
+  }
+
+  void AnswerFirst(const ScriptedAnswer& first) {
+    this->client.seen.clear();
+    this->client.answer = [this, first](const HttpClientRequest&) {
+      ScriptedAnswer answer;
+      answer.body = "confirmed";
+      return this->client.seen.size() == 1 ? first : answer;
+    };
+  }
+
+  void Call(std::string method, HttpHeaders headers, CallerView & view) {
+    HttpRequest request;
+    request.method = std::move(method);
+    request.headers = std::move(headers);
+    SetHeader(request.headers, "Authorization",
+              std::string("Bearer ") + kToken);
+    PlainCall::Begin(this->environment, std::move(request), "dispatch",
+                     "/slots", std::make_shared<FakeResponder>(view));
+  }
+};
+
+TEST(PlainCall, AttemptsAreRepeatedOnlyWhereThatIsHarmless) {
+  const AttemptCase cases[] = {
+      {"not sent, repeatable", "GET", {200, {}, "", Ending::kNotSent}, 2, 200},
+      {"not sent, not repeatable",
+       "POST",
+       {200, {}, "", Ending::kNotSent},
+       2,
+       200},
+      {"refused as not run", "POST", SidecarRefusal(), 2, 200},
+      {"whole", "POST", {201, {}, "made", Ending::kWhole}, 1, 201},
+  };
+  for (const AttemptCase& each : cases) {
+    this->AnswerFirst(each.first);
+    CallerView view;
+    this->Call(each.method, {}, view);
+    CHECK_TRUE_TEXT(this->runner.RunUntil([&] { return view.whole; }),
+                    each.name);
+    LONGS_EQUAL_TEXT(each.sent, this->client.seen.size(), each.name);
+    LONGS_EQUAL_TEXT(each.status, view.status, each.name);
+    // Both servers take work again for the next case.
+    this->runner.RunFor(Milliseconds(510));
+    this->setup();
+  }
+}
+
+TEST(PlainCall, ACutAnswerIsCutTowardsItsCallerAndNotRepeated) {
+  this->AnswerFirst({200, {}, "half", Ending::kCut});
+  CallerView view;
+  this->Call("POST", {}, view);
+  CHECK_TRUE(this->runner.RunUntil([&] { return view.aborted; }));
+  CHECK_FALSE(view.whole);
+  LONGS_EQUAL(1, this->client.seen.size());
+}
+
+TEST(PlainCall, BytesAfterTheCallerHasGoneAreDropped) {
+  ScriptedAnswer answer{200, {}, "first", Ending::kWhole, "late"};
+  this->AnswerFirst(answer);
+  CallerView view;
+  view.leaves = true;
+  this->Call("GET", {}, view);
+  this->runner.RunFor(Milliseconds(5));
+  STRCMP_EQUAL("first", view.body.c_str());
+  CHECK_FALSE(view.whole);
+}
+
+TEST(PlainCall, AKeyedRequestIsSentOnceAndItsAnswerReplayed) {
+  this->AnswerFirst({200, {}, "slot b2", Ending::kWhole});
+  const HttpHeaders headers = {
+      {"Idempotency-Key", "key-1"},
+      {"Idempotency-Key-Issued", std::to_string(this->clock.WallNow())}};
+  for (int sending = 0; sending < 2; ++sending) {
+    CallerView view;
+    this->Call("POST", headers, view);
+    CHECK_TRUE(this->runner.RunUntil([&] { return view.whole; }));
+    LONGS_EQUAL(200, view.status);
+    STRCMP_EQUAL("slot b2", view.body.c_str());
+  }
+  LONGS_EQUAL(1, this->client.seen.size());
+}
+
+}  // namespace carobbank
