Sidecar: Give up a plain service that never answers

The entry had given it up at its deadline, but a peer that closes in good order is seen only when something is written to it. Change: work that is answered in one piece ends a second after its deadline, as may_have_run.

--- a/Services/Sidecar/work_stream.cc
+++ b/Services/Sidecar/work_stream.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kSilenceAfterToken{10'000};
 // Before its first token a generation may also wait in the engine's own queue.
 constexpr Milliseconds kSilenceBeforeToken{30'000};
+// After the deadline of work that is answered in one piece.
+constexpr Milliseconds kDeadlineGrace{1'000};
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -86,7 +88,14 @@
 }
 
 void WorkStream::CheckSilence(MonotonicTime now) {
-  if (!this->work->streamed || this->ended) {
+  if (this->ended) {
+    return;
+  }
+  if (!this->work->streamed) {
+    // The entry has given it up by then; its connection need not tell.
+    if (now - kDeadlineGrace >= this->work->deadline) {
+      this->Stop(BackendFailedProblem("no whole answer by the deadline"));
+    }
     return;
   }
   if (this->progressed || this->paused) {
--- a/Tests/Sidecar/work_gate_test.cc
+++ b/Tests/Sidecar/work_gate_test.cc
@@ -347,6 +347,20 @@
   }
 }
 
+TEST(WorkGate, APlainServiceThatNeverAnswersIsGivenUpAfterTheDeadline) {
+  GateHarness harness(2, false);
+  const auto answer = harness.Send({.budget_ms = 2'000});
+  LONGS_EQUAL(1, harness.client.exchanges.size());
+  harness.clock.Advance(Milliseconds(2'500));
+  harness.gate.Tick();
+  CHECK_FALSE(harness.gate.Idle());
+  harness.clock.Advance(Milliseconds(1'000));
+  harness.gate.Tick();
+  CHECK_TRUE(harness.gate.Idle());
+  STRCMP_EQUAL("backend_failed", answer->Code().c_str());
+  CHECK_FALSE(answer->NotRun());
+}
+
 TEST(WorkGate, TheEnginesMemoryBoundsWhatRuns) {
   GateHarness harness(4);
   harness.snapshot.load.emplace();
