Entry: Stop a retired generation at once

Change: Generation::Stop ends the attempt and every callback; runners and completion calls stop what they let go. A test stops a generation at its first chunk while the second has been read. Conclusion: nothing of a retired generation reaches its former owner.

--- a/Services/Entry/completion_call.cc
+++ b/Services/Entry/completion_call.cc
@@ -254,6 +254,9 @@
   // The generation's own callback may be on the stack; it also holds the
   // references that keep this call alive.
   std::shared_ptr<Generation> retired(std::move(this->generation));
+  if (retired) {
+    retired->Stop();
+  }
   this->environment.loop.Post([retired] {});
 }
 
--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -108,6 +108,11 @@
   this->BeginAttempt();
 }
 
+void Generation::Stop() {
+  this->finished = true;
+  this->EndAttempt(AttemptEnd::kCancelled);
+}
+
 void Generation::Pause() {
   this->paused = true;
   if (this->exchange) {
@@ -123,6 +128,9 @@
 }
 
 void Generation::BeginAttempt() {
+  if (this->finished) {
+    return;
+  }
   const std::size_t crashes = this->environment.selector.Crashes(this->digest);
   this->alone = crashes > 0;
   if (crashes >= kCrashesBeforeQuarantine) {
--- a/Services/Entry/generation.h
+++ b/Services/Entry/generation.h
@@ -88,6 +88,8 @@
   // Goes on from `partial`, which an earlier generation of the same request
   // produced within the same version range.
   void Start(PartialAnswer partial = {});
+  // Cancels what runs; no handler is called any more.
+  void Stop();
   // Back-pressure from whoever takes the chunks.
   void Pause();
   void Resume();
--- a/Services/Entry/step_runner.cc
+++ b/Services/Entry/step_runner.cc
@@ -344,7 +344,10 @@
   if (found == this->running.end()) {
     return;
   }
+  // Its callback may be on the stack, so it is destroyed later; it may outlive
+  // this runner until then.
   std::shared_ptr<Generation> retired(std::move(found->second.generation));
+  retired->Stop();
   this->running.erase(found);
   this->environment.generation.loop.Post([retired] {});
 }
--- a/Tests/Entry/generation_test.cc
+++ b/Tests/Entry/generation_test.cc
@@ -249,6 +249,36 @@
   LONGS_EQUAL(1, this->client.seen.size());
 }
 
+TEST(Generation, NoHandlerIsCalledAfterStop) {
+  // The handler stops it at its first chunk; the second was read with it.
+  std::unique_ptr<Generation> generation;
+  int chunks = 0;
+  this->client.answer = [](const HttpClientRequest& request) {
+    ScriptedAnswer answer;
+    answer.body = WithAttempt(Chunk(0, 1, 3), request);
+    answer.late_body = WithAttempt(Chunk(1, 2, 3, "stop"), request) + kDone;
+    return answer;
+  };
+  GenerationRequest request;
+  request.prompt = "a prompt";
+  request.max_tokens = 10;
+  request.deadline_ms = this->clock.WallNow() + kMinuteMs;
+  GenerationHandlers handlers;
+  handlers.on_chunk = [&](const GenerationChunk&) {
+    ++chunks;
+    generation->Stop();
+  };
+  handlers.on_done = [&](const PartialAnswer&) { chunks = 100; };
+  handlers.on_failure = [&](const Problem&) { chunks = 100; };
+  generation = std::make_unique<Generation>(
+      this->environment, std::move(request), std::move(handlers));
+  generation->Start();
+  this->runner.RunFor(Milliseconds(5));
+  LONGS_EQUAL(1, chunks);
+  LONGS_EQUAL(0, this->selector.open);
+  CHECK_TRUE(this->selector.ends.front() == AttemptEnd::kCancelled);
+}
+
 TEST(Generation, NoAttemptBeginsAfterTheDeadline) {
   this->client.answer = [this](const HttpClientRequest&) {
     this->clock.Advance(Milliseconds(2 * kMinuteMs));
