--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -49,6 +49,9 @@
   void TakeCleared(std::string_view digest);
 
  private:
+  // Of a call to another entry.
+  static constexpr Milliseconds kPeerTimeout{1'500};
+
   void OnConfigurationRecord(const LogRecord& record);
   void OnConfigurationPage();
   bool ConfigurationCurrent() const;
--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 #include "problems.h"
@@ -15,7 +14,6 @@
 namespace {
 
 constexpr int kBadGateway = 502;
-constexpr std::size_t kLongestKey = 256;
 // Answers to keyed requests are held whole until their outcome is in the log.
 constexpr std::size_t kLargestKeyedAnswer = 8 * 1024 * 1024;
 
@@ -131,92 +129,6 @@
   this->BeginAttempt();
 }
 
-std::variant<KeyedRequest, Problem> PlainCall::ReadKey(
-    std::string_view key) const {
-  if (key.empty() || key.size() > kLongestKey) {
-    return BadRequest(
-        "the idempotency key has " + std::to_string(key.size()) + " characters",
-        "send a key of 1 to " + std::to_string(kLongestKey) + " characters");
-  }
-  KeyedRequest keyed;
-  keyed.name = {this->Document().name, std::string(key)};
-  keyed.deadline_ms = this->deadline_ms;
-  keyed.request_digest = this->digest;
-  const auto issued =
-      FindHeader(this->request.headers, "Idempotency-Key-Issued");
-  if (!issued) {
-    return BadRequest("the header Idempotency-Key-Issued is missing",
-                      "send when the key was issued, in unix milliseconds");
-  }
-  const char* const end = issued->data() + issued->size();
-  const auto parsed = std::from_chars(issued->data(), end, keyed.issued_ms);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return BadRequest("Idempotency-Key-Issued is no whole number",
-                      "send when the key was issued, in unix milliseconds");
-  }
-  const WallMilliseconds now = this->environment.clock.WallNow();
-  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
-  const std::int64_t window =
-      this->Document().idempotency.key_window_s * kMillisecondsPerSecond;
-  if (keyed.issued_ms + window < now) {
-    Problem problem =
-        BadRequest("the key is older than the service's key window",
-                   "check whether it ran, then issue a new key");
-    problem.code = "key_expired";
-    // What this entry knows says nothing about earlier attempts.
-    problem.execution = Execution::kMayHaveRun;
-    return problem;
-  }
-  return keyed;
-}
-
-void PlainCall::ClaimKey(KeyedRequest request) {
-  const auto self = this->shared_from_this();
-  const KeyName name = request.name;
-  this->environment.keys.Claim(
-      std::move(request), [self, name](ClaimAnswer answer) {
-        if (const auto* won = std::get_if<ClaimWon>(&answer)) {
-          if (self->ended) {
-            self->environment.keys.Release(name, won->attempt);
-            return;
-          }
-          self->key = name;
-          self->attempt_id = won->attempt;
-          self->BeginAttempt();
-          return;
-        }
-        if (const auto* stored = std::get_if<StoredOutcome>(&answer)) {
-          if (!self->ended) {
-            self->SendStored(*stored);
-          }
-          return;
-        }
-        self->Refuse(std::get<Problem>(answer));
-      });
-}
-
-void PlainCall::SendStored(const StoredOutcome& outcome) {
-  if (!outcome.whole) {
-    Problem problem = ConflictProblem(
-        "key_done",
-        "the request ran and answered with status " +
-            std::to_string(outcome.status) +
-            "; its answer was too large to be kept",
-        "read the result from the service", Execution::kMayHaveRun);
-    this->Refuse(problem);
-    return;
-  }
-  HttpResponse response;
-  response.status = static_cast<int>(outcome.status);
-  response.body = outcome.body;
-  if (!outcome.content_type.empty()) {
-    SetHeader(response.headers, "Content-Type", outcome.content_type);
-  }
-  SetHeader(response.headers, "Idempotency-Replayed", "true");
-  this->responder->Send(std::move(response));
-  this->End(EventKind::kFinish, "replayed");
-}
-
 void PlainCall::BeginAttempt() {
   if (this->ended) {
     return;
@@ -354,26 +266,6 @@
   this->End(EventKind::kFinish, std::to_string(this->status));
 }
 
-void PlainCall::FinishKeyed() {
-  const auto content_type = FindHeader(this->answer_headers, "Content-Type");
-  StoredOutcome outcome =
-      MakeStoredOutcome(static_cast<std::uint32_t>(this->status),
-                        content_type.value_or(""), this->buffered);
-  const auto self = this->shared_from_this();
-  this->environment.keys.Finish(
-      *this->key, this->attempt_id, std::move(outcome), [self] {
-        if (self->ended) {
-          return;
-        }
-        HttpResponse response;
-        response.status = self->status;
-        response.headers = self->answer_headers;
-        response.body = self->buffered;
-        self->responder->Send(std::move(response));
-        self->End(EventKind::kFinish, std::to_string(self->status));
-      });
-}
-
 void PlainCall::OnLinkFailure(const AttemptFailure& failure) {
   this->AfterFailure(failure.problem, AttemptEnd::kLinkFailed);
 }
