--- a/Services/Entry/control_state.h
+++ b/Services/Entry/control_state.h
@@ -95,7 +95,6 @@
   LogStreamTail configuration_tail;
   LogStreamTail server_tail;
   LogStreamTail version_tail;
-  LogWriter configuration_writer;
   LogWriter server_writer;
 
   ServerView view;
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -308,21 +308,6 @@
   return capacity;
 }
 
-std::uint64_t RoutedPools::NewestVersion(std::string_view pool) const {
-  const auto known = this->pools.find(pool);
-  if (known == this->pools.end() || !known->second.router) {
-    return 0;
-  }
-  std::uint64_t newest = 0;
-  for (const DataCenterServers& data_center :
-       known->second.router->Servers().DataCenters()) {
-    for (const ServerGroup& group : data_center.groups) {
-      newest = std::max(newest, group.version);
-    }
-  }
-  return newest;
-}
-
 Problem RoutedPools::ProblemOf(RouteFailure failure) const {
   Problem problem;
   problem.status = kServiceUnavailable;
--- a/Services/Entry/routed_pools.h
+++ b/Services/Entry/routed_pools.h
@@ -86,7 +86,6 @@
 
   // Requests that the pool's servers run at once, as far as is known.
   std::uint64_t Capacity(std::string_view pool) const;
-  std::uint64_t NewestVersion(std::string_view pool) const;
 
   // Called with each crash for the log and the control thread.
   void SetCrashListener(std::function<void(const ServerCrash&)> listener) {
