Gateway: Keep idle connections to servers for eight seconds

Cause: servers keep idle connections for 10 s, the gateway let them go after 4 s, so most calls opened new ones.

--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -42,8 +42,8 @@
 // Left of the grace for closing what remains.
 constexpr Milliseconds kShutdownMargin{500};
 constexpr Milliseconds kRetryAfter{500};
-// Engines and plain servers close idle connections after a few seconds.
-constexpr Milliseconds kBackendIdleTime{4'000};
+// Below the ten seconds after which backend servers close idle connections.
+constexpr Milliseconds kBackendIdleTime{8'000};
 constexpr Milliseconds kSilentTimeout{2'500};
 
 struct Endpoint {
