LibVersions: Share servers out to models by their demand

Cause: every model had as many servers as every other, while one trainer's steps need a third of the tokens of the other two's, whose steps ended past their due time. Change: shares in proportion to the expected output tokens of recent steps, two servers at least, kept while off by less than one. Jobs carry the caller's estimate of each sample's length.

--- a/Libraries/LibLedger/batch_job.cc
+++ b/Libraries/LibLedger/batch_job.cc
@@ -23,6 +23,7 @@
   value["path"] = sample.path;
   value["body"] = sample.body_base64;
   value["tokens"] = Json::Int64(sample.tokens);
+  value["expected"] = Json::Int64(sample.expected_output_tokens);
   Json::Value headers(Json::arrayValue);
   for (const SampleHeader& header : sample.headers) {
     Json::Value pair(Json::arrayValue);
@@ -51,6 +52,7 @@
   sample.path = JsonString(value, "path");
   sample.body_base64 = JsonString(value, "body");
   sample.tokens = JsonInteger(value, "tokens");
+  sample.expected_output_tokens = JsonInteger(value, "expected");
   sample.group = JsonString(value, "group");
   for (const Json::Value& pair : value["headers"]) {
     if (pair.isArray() && pair.size() == 2 && pair[0].isString() &&
--- a/Libraries/LibLedger/batch_job.h
+++ b/Libraries/LibLedger/batch_job.h
@@ -33,6 +33,8 @@
   std::string body_base64;
   // Prompt tokens and most output tokens together.
   std::int64_t tokens = 0;
+  // Output tokens that it probably has; often far off.
+  std::int64_t expected_output_tokens = 0;
   // Samples of one group share their prompt; empty without groups.
   std::string group;
   std::optional<RewardCall> reward;
--- a/Libraries/LibVersions/fleet_upgrade.cc
+++ b/Libraries/LibVersions/fleet_upgrade.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-using NamedVersions = std::map<std::string, std::int64_t, std::less<>>;
-
 struct Affinity {
   // How many versions the server is behind for that model.
   std::int64_t lag = 0;
@@ -25,7 +23,7 @@
 
 std::vector<Affinity> SortedAffinities(
     std::span<const UpgradableServer> servers,
-    const NamedVersions& named) {
+    const ModelNumbers& named) {
   std::vector<Affinity> affinities;
   for (const UpgradableServer& server : servers) {
     for (const auto& [model, version] : named) {
@@ -91,20 +89,98 @@
   return wanted;
 }
 
+// Fractions of servers in proportion to demand, after each model's minimum.
+std::map<std::string, double> IdealShares(std::int64_t servers,
+                                          const ModelNumbers& demand) {
+  constexpr std::int64_t kLeastServers = 2;
+  const auto models = static_cast<std::int64_t>(demand.size());
+  const auto least = static_cast<double>(
+      models == 0 ? 0 : std::min(servers / models, kLeastServers));
+  std::map<std::string, double> weights;
+  double total = 0;
+  for (const auto& [model, amount] : demand) {
+    weights[model] = static_cast<double>(std::max<std::int64_t>(amount, 1));
+    total += weights[model];
+  }
+  // Models below the minimum take it; the others share what is left.
+  std::map<std::string, double> ideal;
+  auto left = static_cast<double>(servers);
+  double rest = 0;
+  for (const auto& [model, weight] : weights) {
+    if (static_cast<double>(servers) * weight / total < least) {
+      ideal[model] = least;
+      left -= least;
+    } else {
+      rest += weight;
+    }
+  }
+  for (const auto& [model, weight] : weights) {
+    if (!ideal.contains(model)) {
+      ideal[model] = left * weight / rest;
+    }
+  }
+  return ideal;
+}
+
+bool StillFits(std::int64_t servers,
+               const std::map<std::string, double>& ideal,
+               const ModelNumbers& before) {
+  std::int64_t sum = 0;
+  for (const auto& [model, share] : before) {
+    const auto wanted = ideal.find(model);
+    if (wanted == ideal.end() ||
+        std::abs(wanted->second - static_cast<double>(share)) >= 1.0) {
+      return false;
+    }
+    sum += share;
+  }
+  return sum == servers && before.size() == ideal.size();
+}
+
+// Largest remainder: whole servers that add up to all of them.
+ModelNumbers RoundShares(std::int64_t servers,
+                         const std::map<std::string, double>& ideal) {
+  ModelNumbers shares;
+  std::vector<std::pair<double, std::string>> remainders;
+  std::int64_t given = 0;
+  for (const auto& [model, share] : ideal) {
+    const auto whole = static_cast<std::int64_t>(share);
+    shares[model] = whole;
+    given += whole;
+    remainders.emplace_back(share - static_cast<double>(whole), model);
+  }
+  std::sort(remainders.rbegin(), remainders.rend());
+  for (const auto& [remainder, model] : remainders) {
+    if (given < servers) {
+      ++shares[model];
+      ++given;
+    }
+  }
+  return shares;
+}
+
 }  // namespace
 
+ModelNumbers ShareServers(std::int64_t servers,
+                          const ModelNumbers& demand,
+                          const ModelNumbers& before) {
+  const std::map<std::string, double> ideal = IdealShares(servers, demand);
+  if (StillFits(servers, ideal, before)) {
+    return before;
+  }
+  return RoundShares(servers, ideal);
+}
+
 std::map<std::string, std::string> AssignModels(
     std::span<const UpgradableServer> servers,
-    const NamedVersions& named) {
+    const ModelNumbers& named,
+    const ModelNumbers& shares) {
   std::map<std::string, std::string> assigned;
-  if (named.empty()) {
-    return assigned;
-  }
-  const std::size_t most = (servers.size() + named.size() - 1) / named.size();
-  std::map<std::string, std::size_t> counts;
+  ModelNumbers counts;
   for (const Affinity& affinity : SortedAffinities(servers, named)) {
-    if (!assigned.contains(affinity.server->id) &&
-        counts[*affinity.model] < most) {
+    const auto share = shares.find(*affinity.model);
+    if (share != shares.end() && !assigned.contains(affinity.server->id) &&
+        counts[*affinity.model] < share->second) {
       assigned[affinity.server->id] = *affinity.model;
       ++counts[*affinity.model];
     }
@@ -114,10 +190,11 @@
 
 std::vector<UpgradeOrder> PlanUpgrades(
     std::span<const UpgradableServer> servers,
-    const NamedVersions& named,
+    const ModelNumbers& named,
+    const ModelNumbers& shares,
     const FleetUpgradeOptions& options) {
   const std::map<std::string, std::string> assigned =
-      AssignModels(servers, named);
+      AssignModels(servers, named, shares);
   const auto changing = static_cast<std::size_t>(
       std::count_if(servers.begin(), servers.end(),
                     [](const auto& server) { return server.changing; }));
--- a/Libraries/LibVersions/fleet_upgrade.h
+++ b/Libraries/LibVersions/fleet_upgrade.h
@@ -12,10 +12,13 @@
 
 namespace carobbank {
 
+// A number for each model, by its name.
+using ModelNumbers = std::map<std::string, std::int64_t, std::less<>>;
+
 struct UpgradableServer {
   std::string id;
   // Version of each model that it serves.
-  std::map<std::string, std::int64_t, std::less<>> versions;
+  ModelNumbers versions;
   // An order that it accepted or may have accepted is not complete.
   bool changing = false;
 };
@@ -37,17 +40,27 @@
   std::int64_t version = 0;
 };
 
-// Which model each server is kept current for. A server stays with the model
-// that it is closest to; every model gets an equal part.
+// How many of `servers` servers each model of `demand` gets: in proportion to
+// its demand, but two at the least where there are enough, so that one can load
+// while another serves. `before` is kept as long as it is off by less than a
+// server.
+ModelNumbers ShareServers(std::int64_t servers,
+                          const ModelNumbers& demand,
+                          const ModelNumbers& before);
+
+// Which model each server is kept current for, `shares` servers each. A server
+// stays with the model that it is closest to.
 std::map<std::string, std::string> AssignModels(
     std::span<const UpgradableServer> servers,
-    const std::map<std::string, std::int64_t, std::less<>>& named);
+    const ModelNumbers& named,
+    const ModelNumbers& shares);
 
 // The orders to give now, most needed first. `named` holds the newest version
-// of each model.
+// of each model, `shares` its number of servers.
 std::vector<UpgradeOrder> PlanUpgrades(
     std::span<const UpgradableServer> servers,
-    const std::map<std::string, std::int64_t, std::less<>>& named,
+    const ModelNumbers& named,
+    const ModelNumbers& shares,
     const FleetUpgradeOptions& options);
 
 }  // namespace carobbank
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -176,6 +176,26 @@
   });
 }
 
+// A model without a known step counts like the mean of the others.
+void FleetUpgrader::ShareOut(std::int64_t server_count) {
+  std::int64_t known = 0;
+  std::int64_t sum = 0;
+  for (const auto& [model, version] : this->named) {
+    const auto wanted = this->demand.find(model);
+    if (wanted != this->demand.end()) {
+      ++known;
+      sum += wanted->second;
+    }
+  }
+  const std::int64_t mean = known == 0 ? 1 : sum / known;
+  ModelNumbers complete;
+  for (const auto& [model, version] : this->named) {
+    const auto wanted = this->demand.find(model);
+    complete[model] = wanted == this->demand.end() ? mean : wanted->second;
+  }
+  this->shares = ShareServers(server_count, complete, this->shares);
+}
+
 void FleetUpgrader::Act() {
   if (!this->elected || !this->environment.configuration) {
     return;
@@ -196,10 +216,11 @@
       }
     }
   }
+  this->ShareOut(static_cast<std::int64_t>(candidates.size()));
   FleetUpgradeOptions options;
   options.allowed_lag = this->environment.settings.allowed_version_lag;
   for (const UpgradeOrder& order :
-       PlanUpgrades(candidates, this->named, options)) {
+       PlanUpgrades(candidates, this->named, this->shares, options)) {
     if (const auto* server = this->environment.fleet.Find(order.server_id)) {
       this->Order(*server, order);
     }
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -26,14 +26,12 @@
   void SetElected(bool elected);
   // A trainer named a version. Lower ones than known are ignored.
   void Name(const NamedVersion& named);
+  // Expected output tokens of a usual step of each model.
+  void SetDemand(ModelNumbers demand) { this->demand = std::move(demand); }
   // Servers or named versions changed.
   void Reconsider();
 
   bool Holding() const;
-  // Newest named version of each model.
-  const std::map<std::string, std::int64_t, std::less<>>& Named() const {
-    return this->named;
-  }
 
  private:
   enum class Phase {
@@ -61,6 +59,7 @@
   void Tick();
   void Act();
   std::vector<UpgradableServer> Candidates() const;
+  void ShareOut(std::int64_t server_count);
   void Forget();
   void Advance(const FleetServer& server);
   void Ask(const FleetServer& server);
@@ -82,7 +81,10 @@
   std::optional<std::uint64_t> claim_offset;
   // Orders are allowed from then on, by Clock::BootNow().
   MonotonicTime holding_from = MonotonicTime::max();
-  std::map<std::string, std::int64_t, std::less<>> named;
+  // Newest named version of each model.
+  ModelNumbers named;
+  ModelNumbers demand;
+  ModelNumbers shares;
   std::map<std::string, Server, std::less<>> servers;
   std::unique_ptr<Timer> tick;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -339,12 +339,43 @@
   this->housekeeping = this->loop.CallAfter(kHousekeepingPeriod, [this] {
     this->Housekeep();
     this->fleet.Expire(this->clock.Now());
+    this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.Forget([this](const std::string& id) {
       return this->fleet.Find(id) != nullptr;
     });
   });
 }
 
+ModelNumbers Gateway::DemandOfModels() const {
+  // Single steps differ; a few of them tell what is usual.
+  constexpr std::int64_t kStepsAveraged = 4;
+  ModelNumbers newest_step;
+  for (const auto& partition : this->partitions) {
+    for (const JobState* const state : partition->Fold().Jobs()) {
+      std::int64_t& newest = newest_step[state->job.model];
+      newest = std::max(newest, state->job.step);
+    }
+  }
+  ModelNumbers tokens;
+  ModelNumbers steps;
+  for (const auto& partition : this->partitions) {
+    for (const JobState* const state : partition->Fold().Jobs()) {
+      const BatchJob& job = state->job;
+      if (job.step <= newest_step[job.model] - kStepsAveraged) {
+        continue;
+      }
+      ++steps[job.model];
+      for (const JobSample& sample : job.samples) {
+        tokens[job.model] += sample.expected_output_tokens;
+      }
+    }
+  }
+  for (auto& [model, sum] : tokens) {
+    sum /= steps[model];
+  }
+  return tokens;
+}
+
 bool Gateway::IsReady() const {
   const bool synced =
       this->configuration && this->servers_follower.Synced() &&
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -56,6 +56,8 @@
   void Join();
   void Joined(const Outcome<GroupMembership>& outcome);
   void Housekeep();
+  // Expected output tokens of the latest steps of each model, on average.
+  ModelNumbers DemandOfModels() const;
 
   void BeginDrain();
   void ContinueDrain();
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -114,16 +114,35 @@
   return !state.ended && !state.Complete();
 }
 
+void JobRunner::LogOver(const JobState& state, const ActiveJob& job) const {
+  std::size_t waiting = 0;
+  std::size_t unscored = 0;
+  for (const Progress& progress : job.samples) {
+    waiting += progress.stage == Stage::kWaiting ? 1 : 0;
+    unscored += progress.stage == Stage::kWaitingForScore ||
+                        progress.stage == Stage::kScoring
+                    ? 1
+                    : 0;
+  }
+  WriteLog(LogLevel::kInfo, "job over",
+           {{"job", state.job.id},
+            {"step", std::to_string(state.job.step)},
+            {"listed", std::to_string(state.results.size())},
+            {"samples", std::to_string(state.listed.size())},
+            {"waiting", std::to_string(waiting)},
+            {"unscored", std::to_string(unscored)},
+            {"starts", std::to_string(job.starts)},
+            {"last_start_ms", std::to_string(job.last_start.count())},
+            {"ended_by_caller", state.ended ? "true" : "false"},
+            {"age_ms", std::to_string(this->AgeOf(state).count())}});
+}
+
 void JobRunner::Adopt(JobPartition& partition, const JobState& state) {
   if (!this->StillOpen(state)) {
-    if (this->jobs.erase(state.job.id) > 0) {
-      WriteLog(LogLevel::kInfo, "job over",
-               {{"job", state.job.id},
-                {"step", std::to_string(state.job.step)},
-                {"listed", std::to_string(state.results.size())},
-                {"samples", std::to_string(state.listed.size())},
-                {"ended_by_caller", state.ended ? "true" : "false"},
-                {"age_ms", std::to_string(this->AgeOf(state).count())}});
+    const auto known = this->jobs.find(state.job.id);
+    if (known != this->jobs.end()) {
+      this->LogOver(state, *known->second);
+      this->jobs.erase(known);
     }
     return;
   }
@@ -321,6 +340,8 @@
                                         std::string_view reason) {
     this->StreamEnded(job, index, end, reason);
   };
+  ++job.starts;
+  job.last_start = this->AgeOf(state);
   progress.stage = Stage::kGenerating;
   progress.stream =
       SampleStream::Start(this->environment, *server, request,
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -70,6 +70,9 @@
     Milliseconds due{0};
     // Per sample of the job.
     std::vector<Progress> samples;
+    // When a sample last found a server, counted from the acceptance.
+    Milliseconds last_start{0};
+    std::size_t starts = 0;
     // Samples before it need no server any more.
     std::size_t first_open = 0;
     // Where the samples of a group went last.
@@ -85,6 +88,7 @@
   void DropMissing(const JobPartition& partition);
   void TakeListed(ActiveJob& job, const JobState& state);
   bool StillOpen(const JobState& state) const;
+  void LogOver(const JobState& state, const ActiveJob& job) const;
   void Pump();
   void PumpSoon();
   std::vector<ActiveJob*> JobsInOrder() const;
--- a/Tests/LibVersions/fleet_upgrade_test.cc
+++ b/Tests/LibVersions/fleet_upgrade_test.cc
@@ -11,7 +11,11 @@
 
 namespace {
 
-using Named = std::map<std::string, std::int64_t, std::less<>>;
+using Named = ModelNumbers;
+
+ModelNumbers EqualShares() {
+  return {{"a", 3}, {"b", 3}, {"c", 3}};
+}
 
 std::vector<UpgradableServer> Servers(std::size_t count, const Named& at) {
   std::vector<UpgradableServer> servers;
@@ -48,26 +52,30 @@
 
 TEST(FleetUpgrade, NoMoreServersLoadAtOnceThanTheShareAllows) {
   std::vector<UpgradableServer> servers = Servers(10, {{"m", 1}});
-  LONGS_EQUAL(2, PlanUpgrades(servers, {{"m", 9}}, this->options).size());
+  LONGS_EQUAL(
+      2, PlanUpgrades(servers, {{"m", 9}}, {{"m", 10}}, this->options).size());
   servers[0].changing = true;
-  LONGS_EQUAL(1, PlanUpgrades(servers, {{"m", 9}}, this->options).size());
+  LONGS_EQUAL(
+      1, PlanUpgrades(servers, {{"m", 9}}, {{"m", 10}}, this->options).size());
   servers[1].changing = true;
-  LONGS_EQUAL(0, PlanUpgrades(servers, {{"m", 9}}, this->options).size());
+  LONGS_EQUAL(
+      0, PlanUpgrades(servers, {{"m", 9}}, {{"m", 10}}, this->options).size());
 }
 
 TEST(FleetUpgrade, ServersThatCanNotServeTheStepGoFirst) {
   std::vector<UpgradableServer> servers = Servers(10, {{"m", 4}});
   servers[7].versions["m"] = 2;
   servers[8].versions["m"] = 3;
-  const auto plan = PlanUpgrades(servers, {{"m", 5}}, this->options);
+  const auto plan =
+      PlanUpgrades(servers, {{"m", 5}}, {{"m", 10}}, this->options);
   STRCMP_EQUAL("s7", plan[0].server_id.c_str());
   STRCMP_EQUAL("s8", plan[1].server_id.c_str());
 }
 
 TEST(FleetUpgrade, AnUpToDateFleetIsLeftAlone) {
-  LONGS_EQUAL(
-      0,
-      PlanUpgrades(Servers(10, {{"m", 5}}), {{"m", 5}}, this->options).size());
+  LONGS_EQUAL(0, PlanUpgrades(Servers(10, {{"m", 5}}), {{"m", 5}}, {{"m", 10}},
+                              this->options)
+                     .size());
 }
 
 TEST(FleetUpgrade, OneLoadOfEachServerServesTwoVersions) {
@@ -75,9 +83,10 @@
   constexpr std::int64_t kVersions = 12;
   std::size_t loads = 0;
   for (std::int64_t version = 2; version <= kVersions; ++version) {
-    for (auto plan = PlanUpgrades(servers, {{"m", version}}, this->options);
-         !plan.empty();
-         plan = PlanUpgrades(servers, {{"m", version}}, this->options)) {
+    for (auto plan = PlanUpgrades(servers, {{"m", version}}, {{"m", 10}},
+                                  this->options);
+         !plan.empty(); plan = PlanUpgrades(servers, {{"m", version}},
+                                            {{"m", 10}}, this->options)) {
       for (const UpgradeOrder& order : plan) {
         Carry(servers, order);
         ++loads;
@@ -92,7 +101,7 @@
   const Named named = {{"a", 2}, {"b", 2}, {"c", 2}};
   std::vector<UpgradableServer> servers =
       Servers(9, {{"a", 1}, {"b", 1}, {"c", 1}});
-  const auto assigned = AssignModels(servers, named);
+  const auto assigned = AssignModels(servers, named, EqualShares());
   std::map<std::string, int> counts;
   for (const auto& [server, model] : assigned) {
     ++counts[model];
@@ -104,13 +113,44 @@
     server.versions[assigned.find(server.id)->second] = 2;
   }
   const Named later = {{"a", 3}, {"b", 5}, {"c", 2}};
-  CHECK_TRUE(AssignModels(servers, later) == assigned);
+  CHECK_TRUE(AssignModels(servers, later, EqualShares()) == assigned);
+}
+
+TEST(FleetUpgrade, SharesFollowDemandAndAddUp) {
+  const struct {
+    std::int64_t servers;
+    ModelNumbers demand;
+    ModelNumbers shares;
+  } cases[] = {
+      {11, {{"a", 7}}, {{"a", 11}}},
+      {9, {{"a", 5}, {"b", 5}, {"c", 5}}, {{"a", 3}, {"b", 3}, {"c", 3}}},
+      {10, {{"a", 1}, {"b", 2}, {"c", 2}}, {{"a", 2}, {"b", 4}, {"c", 4}}},
+      {10, {{"a", 0}, {"b", 9}, {"c", 9}}, {{"a", 2}, {"b", 4}, {"c", 4}}},
+      {2, {{"a", 1}, {"b", 9}}, {{"a", 1}, {"b", 1}}},
+      {1, {{"a", 1}, {"b", 9}}, {{"a", 0}, {"b", 1}}},
+      {0, {{"a", 1}}, {{"a", 0}}},
+      {5, {}, {}},
+  };
+  for (const auto& example : cases) {
+    CHECK_TRUE(ShareServers(example.servers, example.demand, {}) ==
+               example.shares);
+  }
+}
+
+TEST(FleetUpgrade, SharesStayWhileTheyAreOffByLessThanAServer) {
+  const ModelNumbers before = {{"a", 4}, {"b", 6}};
+  CHECK_TRUE(ShareServers(10, {{"a", 48}, {"b", 52}}, before) == before);
+  const ModelNumbers moved = {{"a", 6}, {"b", 4}};
+  CHECK_TRUE(ShareServers(10, {{"a", 60}, {"b", 40}}, before) == moved);
+  const ModelNumbers fewer = ShareServers(9, {{"a", 48}, {"b", 52}}, before);
+  LONGS_EQUAL(9, fewer.at("a") + fewer.at("b"));
 }
 
 TEST(FleetUpgrade, ModelsTakeTurnsInThePlan) {
   this->options.concurrent_share = 0.5;
   const auto plan = PlanUpgrades(Servers(9, {{"a", 1}, {"b", 1}, {"c", 1}}),
-                                 {{"a", 9}, {"b", 9}, {"c", 9}}, this->options);
+                                 {{"a", 9}, {"b", 9}, {"c", 9}}, EqualShares(),
+                                 this->options);
   std::set<std::string> first;
   for (std::size_t i = 0; i < 3; ++i) {
     first.insert(plan[i].model);
