Gateway: Start the samples that are expected to be longest first

Cause: a step ends with its slowest sample. Change: samples of a job start in the order of their expected length.

--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -4,6 +4,7 @@
 #include "job_runner.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -53,6 +54,17 @@
   avoided.push_back(std::move(server));
 }
 
+std::vector<std::size_t> LongestFirst(std::span<const JobSample> samples) {
+  std::vector<std::size_t> order(samples.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::stable_sort(order.begin(), order.end(),
+                   [samples](std::size_t left, std::size_t right) {
+                     return samples[left].expected_output_tokens >
+                            samples[right].expected_output_tokens;
+                   });
+  return order;
+}
+
 }  // namespace
 
 JobRunner::JobRunner(
@@ -154,6 +166,7 @@
     job->accepted_at = state.job.accepted_at;
     job->due = state.job.due;
     job->samples.resize(state.job.samples.size());
+    job->order = LongestFirst(state.job.samples);
     WriteLog(LogLevel::kInfo, "job taken",
              {{"job", job->id},
               {"model", state.job.model},
@@ -247,13 +260,13 @@
 void JobRunner::StartSamples(ActiveJob& job, const JobState& state) {
   const MonotonicTime now = this->environment.clock.Now();
   bool all_before_finished = true;
-  for (std::size_t index = job.first_open; index < job.samples.size();
-       ++index) {
+  for (std::size_t place = job.first_open; place < job.order.size(); ++place) {
+    const std::size_t index = job.order[place];
     const Progress& progress = job.samples[index];
     all_before_finished =
         all_before_finished && progress.stage == Stage::kFinished;
     if (all_before_finished) {
-      job.first_open = index + 1;
+      job.first_open = place + 1;
     }
     if (progress.stage != Stage::kWaiting || progress.not_before > now) {
       continue;
@@ -447,8 +460,8 @@
     return;
   }
   const MonotonicTime now = this->environment.clock.Now();
-  for (std::size_t index = job.first_open; index < job.samples.size();
-       ++index) {
+  for (std::size_t place = job.first_open; place < job.order.size(); ++place) {
+    const std::size_t index = job.order[place];
     const Progress& progress = job.samples[index];
     if (progress.stage != Stage::kWaitingForScore ||
         progress.not_before > now) {
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -73,7 +73,10 @@
     // When a sample last found a server, counted from the acceptance.
     Milliseconds last_start{0};
     std::size_t starts = 0;
-    // Samples before it need no server any more.
+    // Indexes of the samples in the order in which they are started: the longest
+    // first, because the step ends with its slowest sample.
+    std::vector<std::size_t> order;
+    // Samples before this place in `order` need no server any more.
     std::size_t first_open = 0;
     // Where the samples of a group went last.
     std::map<std::string, std::string> group_servers;
