Gateway: Stay ready without the log; keep lapsed servers until a reading lacks them

Cause: during an outage of the log every gateway left rotation, so the balancer used all of them, those that had just started and knew nothing included; and two outages in a row let servers lapse that could not register between them. Change: a gateway that has its configuration stays ready; lapsed servers are forgotten only by a reading that began after the grace. Tried and reverted: refusing submissions at once while the log is away.

--- a/Libraries/LibMembership/fleet.cc
+++ b/Libraries/LibMembership/fleet.cc
@@ -28,7 +28,7 @@
     }
   }
   entry.server = std::move(server);
-  entry.forget_at = MonotonicTime::max();
+  entry.lapsed = false;
 }
 
 void ServerFleet::Drop(std::string_view id, MonotonicTime now) {
@@ -42,19 +42,20 @@
     this->servers.erase(found);
     return;
   }
-  if (found->second.forget_at == MonotonicTime::max()) {
-    found->second.forget_at = this->last_outage + kLapseGrace;
-  }
+  found->second.lapsed = true;
 }
 
 void ServerFleet::NoteOutage(MonotonicTime now) {
   this->last_outage = now;
 }
 
-void ServerFleet::Expire(MonotonicTime now) {
-  std::erase_if(this->servers, [now](const auto& entry) {
-    return entry.second.forget_at <= now;
-  });
+void ServerFleet::Expire(MonotonicTime confirmed_at) {
+  if (this->last_outage != MonotonicTime::min() &&
+      confirmed_at - this->last_outage < kLapseGrace) {
+    return;
+  }
+  std::erase_if(this->servers,
+                [](const auto& entry) { return entry.second.lapsed; });
 }
 
 void ServerFleet::Replace(std::vector<FleetServer> listed, MonotonicTime now) {
--- a/Libraries/LibMembership/fleet.h
+++ b/Libraries/LibMembership/fleet.h
@@ -47,8 +47,10 @@
   void Drop(std::string_view id, MonotonicTime now);
   // The registry could not be reached or has just come back.
   void NoteOutage(MonotonicTime now);
-  // Forgets lapsed servers whose grace is over.
-  void Expire(MonotonicTime now);
+  // Forgets lapsed servers that a reading of the registry, begun at
+  // `confirmed_at`, still lacked after the grace. Another outage begins the
+  // grace anew: who could not register is not gone.
+  void Expire(MonotonicTime confirmed_at);
   // A whole listing: servers that are not in it are dropped.
   void Replace(std::vector<FleetServer> servers, MonotonicTime now);
   // A server's own answer showed that it serves this version.
@@ -69,8 +71,8 @@
  private:
   struct Registered {
     FleetServer server;
-    // When a lapsed entry is forgotten; max while the entry stands.
-    MonotonicTime forget_at = MonotonicTime::max();
+    // Its entry was dropped around an outage.
+    bool lapsed = false;
   };
   std::map<std::string, Registered, std::less<>> servers;
   MonotonicTime last_outage = MonotonicTime::min();
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -28,9 +28,6 @@
 // Joins within one time to live, so that lost ones cost no partition.
 constexpr std::int64_t kJoinsPerTtl = 4;
 constexpr Milliseconds kHousekeepingPeriod{500};
-// An instance that can't read the log for so long is taken out of rotation:
-// others may still accept jobs.
-constexpr Milliseconds kLogSilenceLimit{2'000};
 // Server entries change with every heartbeat of every server; their records
 // are read several at a time.
 constexpr Milliseconds kServersPace{200};
@@ -217,7 +214,7 @@
 }
 
 void Gateway::NoteReachable(std::string_view what, bool reachable) {
-  this->fleet.NoteOutage(this->clock.Now());
+  this->fleet.NoteOutage(this->clock.BootNow());
   WriteLog(reachable ? LogLevel::kInfo : LogLevel::kWarning,
            reachable ? "log reachable again" : "log unreachable",
            {{"partition", std::string(what)}});
@@ -261,7 +258,7 @@
 void Gateway::TakeServerRecord(const KeyedLogRecord& record) {
   const KeyedRecord& keyed = record.record;
   if (keyed.value.empty()) {
-    this->fleet.Drop(keyed.key, this->clock.Now());
+    this->fleet.Drop(keyed.key, this->clock.BootNow());
     return;
   }
   Outcome<FleetServer> decoded =
@@ -269,7 +266,7 @@
   if (!decoded.Ok()) {
     WriteLog(LogLevel::kWarning, "server entry not usable",
              {{"server", keyed.key}, {"error", decoded.GetError().Text()}});
-    this->fleet.Drop(keyed.key, this->clock.Now());
+    this->fleet.Drop(keyed.key, this->clock.BootNow());
     return;
   }
   this->fleet.Put(std::move(decoded.Value()));
@@ -291,7 +288,7 @@
         LogLevel::kWarning, "server entry not usable",
         {{"server", record.record.key}, {"error", decoded.GetError().Text()}});
   }
-  this->fleet.Replace(std::move(listed), this->clock.Now());
+  this->fleet.Replace(std::move(listed), this->clock.BootNow());
 }
 
 void Gateway::ServersChanged() {
@@ -338,7 +335,7 @@
 void Gateway::Housekeep() {
   this->housekeeping = this->loop.CallAfter(kHousekeepingPeriod, [this] {
     this->Housekeep();
-    this->fleet.Expire(this->clock.Now());
+    this->fleet.Expire(this->servers_follower.ConfirmedAt());
     this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.Forget([this](const std::string& id) {
       return this->fleet.Find(id) != nullptr;
@@ -376,16 +373,16 @@
   return tokens;
 }
 
+// A gateway that has lost the log stays ready: it serves plain calls and reads,
+// and the balancer can't tell it from one that has just started and knows
+// nothing.
 bool Gateway::IsReady() const {
   const bool synced =
       this->configuration && this->servers_follower.Synced() &&
       std::all_of(
           this->partitions.begin(), this->partitions.end(),
           [](const auto& partition) { return partition->Follower().Synced(); });
-  const bool log_heard =
-      this->clock.BootNow() - this->operator_follower.ConfirmedAt() <
-      kLogSilenceLimit;
-  return !this->draining && synced && log_heard;
+  return !this->draining && synced;
 }
 
 void Gateway::HandleReadiness(const HttpRequest& request,
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -50,6 +50,24 @@
   CHECK_TRUE(this->Has("b"));
 }
 
+TEST(ServerFleet, ASecondOutageBeginsTheGraceAnew) {
+  this->fleet.Put(Server("a"));
+  this->fleet.NoteOutage(this->clock.Now());
+  this->fleet.Drop("a", this->clock.Now());
+  this->clock.Advance(Milliseconds(1'000));
+  const MonotonicTime last_reading = this->clock.Now();
+  this->clock.Advance(ServerFleet::kLapseGrace);
+  // No reading since the registry went away again.
+  this->fleet.Expire(last_reading);
+  CHECK_TRUE(this->Has("a"));
+  this->fleet.NoteOutage(this->clock.Now());
+  this->fleet.Expire(this->clock.Now());
+  CHECK_TRUE(this->Has("a"));
+  this->clock.Advance(ServerFleet::kLapseGrace);
+  this->fleet.Expire(this->clock.Now());
+  CHECK_FALSE(this->Has("a"));
+}
+
 TEST(ServerFleet, AListingDropsWhatItDoesNotHold) {
   this->fleet.Put(Server("a"));
   this->fleet.Replace({Server("b")}, this->clock.Now());
