Gateway: Ask peers while the log is lost

Cause: an owner that was cut off from the log went on running what its successor ran too, and a gateway that started during an outage knew no configuration. Change: while the log is lost, gateways ask those that the settings name whether they still reach it. One that is cut off stops running; one that knows nothing takes their records.

--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -172,6 +172,10 @@
   std::string ready_listen;
   // The platform's log.
   std::string platform_address;
+  // Where other gateways ask; empty for nowhere.
+  std::string peer_listen;
+  // "10.1.0.10:8166,10.2.0.40:8166": gateways to ask while the log is lost.
+  std::string peers;
   LogSettings log;
   TrafficLimits limits;
   // Partitions of the topic of batch jobs.
--- a/Libraries/LibContract/text_rules.h
+++ b/Libraries/LibContract/text_rules.h
@@ -19,6 +19,9 @@
 bool IsAddress(std::string_view text);
 // "<IPv4 address>:<port>"
 bool IsEndpoint(std::string_view text);
+bool IsOptionalEndpoint(std::string_view text);
+// Endpoints with commas between them; may be empty.
+bool IsEndpointList(std::string_view text);
 bool IsUrl(std::string_view text);
 bool IsFile(std::string_view text);
 bool IsSecret(std::string_view text);
@@ -41,6 +44,10 @@
                                           "an IPv4 or IPv6 address"};
 inline constexpr TextRule kEndpointRule = {
     &IsEndpoint, "an IPv4 address and a port, 127.0.0.1:8080"};
+inline constexpr TextRule kOptionalEndpointRule = {
+    &IsOptionalEndpoint, "an IPv4 address and a port, or nothing"};
+inline constexpr TextRule kEndpointListRule = {
+    &IsEndpointList, "IPv4 addresses with ports, commas between them"};
 inline constexpr TextRule kUrlRule = {
     &IsUrl, "an http or https URL without a slash at its end"};
 inline constexpr TextRule kFileRule = {&IsFile,
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -81,6 +81,20 @@
   return options;
 }
 
+// The settings may name this gateway too.
+std::vector<std::string> OtherPeers(const GatewaySettings& settings) {
+  std::vector<std::string> peers;
+  std::string_view rest = settings.peers;
+  while (!rest.empty()) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    if (rest.substr(0, comma) != settings.peer_listen) {
+      peers.emplace_back(rest.substr(0, comma));
+    }
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+  }
+  return peers;
+}
+
 Random MakeRandom(std::int64_t seed) {
   return Random(seed == 0 ? SeedFromSystem()
                           : static_cast<std::uint64_t>(seed));
@@ -116,7 +130,10 @@
                        *this->log,
                        dialect.ServersPart(),
                        {.wait = kLogWait, .pace = kServersPace},
-                       this->ServersHandlers()) {}
+                       this->ServersHandlers()),
+      peer_exchange(this->environment,
+                    OtherPeers(this->settings),
+                    this->PeerHandlers()) {}
 
 Gateway::~Gateway() = default;
 
@@ -149,6 +166,18 @@
                  const std::shared_ptr<HttpResponder>& responder) {
             this->HandleReadiness(request, responder);
           }));
+  if (this->settings.peer_listen.empty()) {
+    return {};
+  }
+  BOOST_LEAF_ASSIGN(
+      this->peer_server,
+      HttpServer::Create(
+          this->loop,
+          ServerOptions(this->settings.peer_listen, this->settings.limits),
+          [this](const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            this->HandlePeer(request, responder);
+          }));
   return {};
 }
 
@@ -183,6 +212,7 @@
   handlers.on_batch = [] {};
   handlers.on_reachable = [this](bool reachable) {
     this->NoteReachable("operator", reachable);
+    this->peer_exchange.SetLogLost(!reachable);
   };
   return handlers;
 }
@@ -222,6 +252,7 @@
 
 void Gateway::TakeOperatorRecord(const KeyedLogRecord& record) {
   const KeyedRecord& keyed = record.record;
+  this->operator_records[keyed.key] = record;
   if (keyed.value.empty()) {
     return;
   }
@@ -257,7 +288,9 @@
 
 void Gateway::TakeServerRecord(const KeyedLogRecord& record) {
   const KeyedRecord& keyed = record.record;
+  this->server_records[keyed.key] = record;
   if (keyed.value.empty()) {
+    this->server_records.erase(keyed.key);
     this->fleet.Drop(keyed.key, this->clock.BootNow());
     return;
   }
@@ -273,11 +306,13 @@
 }
 
 void Gateway::ReplaceServers(std::span<const KeyedLogRecord> records) {
+  this->server_records.clear();
   std::vector<FleetServer> listed;
   for (const KeyedLogRecord& record : records) {
     if (record.record.value.empty()) {
       continue;
     }
+    this->server_records[record.record.key] = record;
     Outcome<FleetServer> decoded =
         this->dialect.DecodeServer(record.record.key, record.record.value);
     if (decoded.Ok()) {
@@ -377,12 +412,9 @@
 // and the balancer can't tell it from one that has just started and knows
 // nothing.
 bool Gateway::IsReady() const {
-  const bool synced =
-      this->configuration && this->servers_follower.Synced() &&
-      std::all_of(
-          this->partitions.begin(), this->partitions.end(),
-          [](const auto& partition) { return partition->Follower().Synced(); });
-  return !this->draining && synced;
+  const bool knows_servers =
+      this->servers_follower.Synced() || this->fleet.Size() > 0;
+  return !this->draining && this->configuration && knows_servers;
 }
 
 void Gateway::HandleReadiness(const HttpRequest& request,
@@ -402,6 +434,50 @@
   responder->Send({ready ? kOk : kServiceUnavailable, {}, ""});
 }
 
+PeerExchangeHandlers Gateway::PeerHandlers() {
+  PeerExchangeHandlers handlers;
+  handlers.on_standing = [this](bool cut_off) {
+    // The group gives what this gateway ran to others, who begin again.
+    if (cut_off) {
+      this->runner.SetOwned({});
+    }
+  };
+  handlers.wants_records = [this] { return !this->configuration; };
+  handlers.on_records = [this](const PeerState& state) {
+    WriteLog(LogLevel::kInfo, "learned from a peer",
+             {{"servers", std::to_string(state.server_records.size())}});
+    this->ReplaceServers(state.server_records);
+    for (const KeyedLogRecord& record : state.operator_records) {
+      this->TakeOperatorRecord(record);
+    }
+  };
+  return handlers;
+}
+
+void Gateway::HandlePeer(const HttpRequest& request,
+                         const std::shared_ptr<HttpResponder>& responder) {
+  if (request.Path() != PeerExchange::kPath) {
+    responder->Send(Reject(kNotFound, "no_such_path", "nothing is here",
+                           "ask for the state of a peer"));
+    return;
+  }
+  PeerState state;
+  state.reaches_log =
+      this->operator_follower.Reachable() &&
+      this->clock.BootNow() - this->operator_follower.ConfirmedAt() <
+          PeerState::kFreshness;
+  if (request.Query("records")) {
+    for (const auto& [key, record] : this->operator_records) {
+      state.operator_records.push_back(record);
+    }
+    for (const auto& [key, record] : this->server_records) {
+      state.server_records.push_back(record);
+    }
+  }
+  responder->Send(
+      {kOk, {{"Content-Type", "application/json"}}, EncodePeerState(state)});
+}
+
 void Gateway::Handle(HttpRequest request,
                      std::shared_ptr<HttpResponder> responder) {
   if (!this->configuration) {
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway_environment.h"
 #include "job_calls.h"
 #include "job_runner.h"
+#include "peer_exchange.h"
 
 namespace carobbank {
 
@@ -52,6 +53,9 @@
   void HandleReadiness(const HttpRequest& request,
                        const std::shared_ptr<HttpResponder>& responder);
   bool IsReady() const;
+  PeerExchangeHandlers PeerHandlers();
+  void HandlePeer(const HttpRequest& request,
+                  const std::shared_ptr<HttpResponder>& responder);
 
   void Join();
   void Joined(const Outcome<GroupMembership>& outcome);
@@ -84,9 +88,15 @@
   FleetUpgrader upgrader;
   LogFollower operator_follower;
   LogFollower servers_follower;
+  // Newest records as they were read, for peers that have just started.
+  std::map<std::string, KeyedLogRecord, std::less<>> operator_records;
+  std::map<std::string, KeyedLogRecord, std::less<>> server_records;
+  PeerExchange peer_exchange;
   std::set<std::shared_ptr<ForwardedCall>> forwarded;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpServer> ready_server;
+  // Null without an address for it.
+  std::unique_ptr<HttpServer> peer_server;
 
   std::int64_t generation = 0;
   std::unique_ptr<Timer> join_timer;
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -73,8 +73,8 @@
     // When a sample last found a server, counted from the acceptance.
     Milliseconds last_start{0};
     std::size_t starts = 0;
-    // Indexes of the samples in the order in which they are started: the longest
-    // first, because the step ends with its slowest sample.
+    // Indexes of the samples in the order in which they are started: the
+    // longest first, because the step ends with its slowest sample.
     std::vector<std::size_t> order;
     // Samples before this place in `order` need no server any more.
     std::size_t first_open = 0;
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -58,6 +58,8 @@
   bool Synced() const { return this->synced; }
   // The offset of the next record; every lower one was handed over.
   std::uint64_t Next() const { return this->next; }
+  // No read has failed since the last one that was answered.
+  bool Reachable() const { return this->reachable; }
   // When the last successful read began, by Clock::BootNow().
   MonotonicTime ConfirmedAt() const { return this->confirmed_at; }
 
--- /dev/null
+++ b/Services/Gateway/peer_exchange.cc
@@ -0,0 +1,160 @@
+// Rounds of questions to peers, and what their answers show.
+
+#include "peer_exchange.h"
+
+#include <utility>
+
+#include "LibProcess/process.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Milliseconds kRoundPeriod{500};
+constexpr Milliseconds kCallTimeout{400};
+// Without an answer from any peer for so long, this gateway is cut off itself:
+// single peers are down, but hardly all of them.
+constexpr int kSilentRounds = 2;
+
+Json::Value EncodeRecords(const std::vector<KeyedLogRecord>& records) {
+  Json::Value rows(Json::arrayValue);
+  for (const KeyedLogRecord& record : records) {
+    Json::Value row(Json::arrayValue);
+    row.append(Json::UInt64(record.offset));
+    row.append(record.record.key);
+    row.append(EncodeBase64(record.record.value));
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<KeyedLogRecord> DecodeRecords(const Json::Value& rows) {
+  std::vector<KeyedLogRecord> records;
+  for (const Json::Value& row : rows) {
+    if (!row.isArray() || row.size() != 3 || !row[0].isUInt64() ||
+        !row[1].isString() || !row[2].isString()) {
+      continue;
+    }
+    if (auto value = DecodeBase64(row[2].asString())) {
+      records.push_back(
+          {row[0].asUInt64(), {row[1].asString(), std::move(*value)}});
+    }
+  }
+  return records;
+}
+
+}  // namespace
+
+std::string EncodePeerState(const PeerState& state) {
+  Json::Value value;
+  value["reaches_log"] = state.reaches_log;
+  value["operator"] = EncodeRecords(state.operator_records);
+  value["servers"] = EncodeRecords(state.server_records);
+  return WriteJson(value);
+}
+
+std::optional<PeerState> DecodePeerState(std::string_view text) {
+  const auto body = Capture([&] { return ParseJson(text); });
+  if (!body.Ok() || !body.Value().isObject() ||
+      !body.Value()["reaches_log"].isBool()) {
+    return std::nullopt;
+  }
+  PeerState state;
+  state.reaches_log = body.Value()["reaches_log"].asBool();
+  state.operator_records = DecodeRecords(body.Value()["operator"]);
+  state.server_records = DecodeRecords(body.Value()["servers"]);
+  return state;
+}
+
+PeerExchange::PeerExchange(GatewayEnvironment& environment,
+                           std::vector<std::string> peers,
+                           PeerExchangeHandlers handlers)
+    : environment(environment),
+      peers(std::move(peers)),
+      handlers(std::move(handlers)) {}
+
+PeerExchange::~PeerExchange() {
+  *this->alive = false;
+}
+
+void PeerExchange::SetLogLost(bool now_lost) {
+  if (this->lost == now_lost) {
+    return;
+  }
+  this->lost = now_lost;
+  this->silent_rounds = 0;
+  ++this->round;
+  this->timer.reset();
+  if (now_lost) {
+    this->Ask();
+    return;
+  }
+  if (std::exchange(this->cut_off, false)) {
+    this->handlers.on_standing(false);
+  }
+}
+
+void PeerExchange::Ask() {
+  if (this->peers.empty()) {
+    return;
+  }
+  ++this->round;
+  this->open = this->peers.size();
+  this->answered = 0;
+  this->reached = false;
+  const bool records = this->handlers.wants_records();
+  for (const std::string& peer : this->peers) {
+    HttpClientRequest request;
+    request.url =
+        "http://" + peer + std::string(kPath) + (records ? "?records=1" : "");
+    request.timeout = kCallTimeout;
+    request.connect_timeout = kCallTimeout;
+    this->environment.client.Fetch(
+        std::move(request), [this, kept = this->alive, asked = this->round](
+                                const Outcome<HttpResponse>& outcome) {
+          if (*kept) {
+            this->Asked(asked, outcome);
+          }
+        });
+  }
+}
+
+void PeerExchange::Asked(std::uint64_t asked,
+                         const Outcome<HttpResponse>& outcome) {
+  if (asked != this->round) {
+    return;
+  }
+  --this->open;
+  const bool whole = outcome.Ok() && outcome.Value().status == kOk;
+  if (const auto state =
+          whole ? DecodePeerState(outcome.Value().body) : std::nullopt) {
+    ++this->answered;
+    this->reached = this->reached || state->reaches_log;
+    if (!state->operator_records.empty() && this->handlers.wants_records()) {
+      this->handlers.on_records(*state);
+    }
+  }
+  if (this->open == 0) {
+    this->EndRound();
+  }
+}
+
+void PeerExchange::EndRound() {
+  this->silent_rounds = this->answered == 0 ? this->silent_rounds + 1 : 0;
+  const bool now_cut_off =
+      this->reached || this->silent_rounds >= kSilentRounds;
+  if (now_cut_off != this->cut_off) {
+    this->cut_off = now_cut_off;
+    WriteLog(LogLevel::kWarning,
+             now_cut_off ? "cut off from a log that others may reach"
+                         : "the log is lost to others too",
+             {{"peers_answered", std::to_string(this->answered)},
+              {"peer_reaches_log", this->reached ? "true" : "false"}});
+    this->handlers.on_standing(now_cut_off);
+  }
+  this->timer =
+      this->environment.loop.CallAfter(kRoundPeriod, [this] { this->Ask(); });
+}
+
+}  // namespace carobbank
