Gateway: Renew the claim to orders, mark empty partitions, leave rotation when cut off

Change: partitions get a mark at the start; the holder renews its claim and keeps it while others are elected; shares count every model that is served; a gateway that two rounds of answers show to be cut off leaves rotation and sends jobs on.

--- a/Libraries/LibLedger/batch_job.cc
+++ b/Libraries/LibLedger/batch_job.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kPiecePrefix = "j/";
 constexpr std::string_view kResultPrefix = "r/";
 constexpr std::string_view kEndPrefix = "e/";
+constexpr std::string_view kMarkKey = "m/";
 
 // Results fit one record; a job's pieces leave room for the key.
 constexpr std::size_t kKeyReserveBytes = 512;
@@ -192,6 +193,10 @@
   return {EndKey(job_id), "{}"};
 }
 
+JobRecord EncodeMark() {
+  return {std::string(kMarkKey), "{}"};
+}
+
 std::optional<BatchJob> DecodeJob(std::string_view text) {
   const std::optional<Json::Value> parsed = ParseObject(text);
   if (!parsed) {
@@ -247,6 +252,10 @@
     parsed.job_id = key.substr(kEndPrefix.size());
     return parsed;
   }
+  if (key == kMarkKey) {
+    parsed.kind = JobKey::Kind::kMark;
+    return parsed;
+  }
   if (!key.starts_with(kResultPrefix)) {
     return std::nullopt;
   }
--- a/Libraries/LibLedger/batch_job.h
+++ b/Libraries/LibLedger/batch_job.h
@@ -84,6 +84,8 @@
                                  std::size_t max_record_bytes);
 JobRecord EncodeResult(std::string_view job_id, const JobResult& result);
 JobRecord EncodeEnd(std::string_view job_id);
+// A record without meaning, for a partition that should not stay empty.
+JobRecord EncodeMark();
 
 std::optional<BatchJob> DecodeJob(std::string_view text);
 std::optional<JobResult> DecodeResult(std::string_view sample_id,
@@ -98,7 +100,7 @@
 
 // A record's key taken apart.
 struct JobKey {
-  enum class Kind { kPiece, kResult, kEnd };
+  enum class Kind { kPiece, kResult, kEnd, kMark };
   Kind kind = Kind::kPiece;
   std::string_view job_id;
   // Results only.
--- a/Libraries/LibLedger/job_fold.cc
+++ b/Libraries/LibLedger/job_fold.cc
@@ -31,6 +31,8 @@
       return this->ApplyResult(*parsed, value);
     case JobKey::Kind::kEnd:
       return this->ApplyEnd(*parsed);
+    case JobKey::Kind::kMark:
+      break;
   }
   return std::nullopt;
 }
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -22,8 +22,13 @@
 constexpr Milliseconds kUnansweredPatience{1'200};
 constexpr Milliseconds kFailedPause{300};
 constexpr Milliseconds kCallTimeout{1'000};
-// Claims that were not confirmed for so long may have been replaced.
-constexpr Milliseconds kClaimFreshness{2'500};
+// Parts of the lease after which the holder renews its claim, and after which
+// it gives no more orders without a renewal: what is left covers orders under
+// way.
+constexpr int kRenewalPercent = 33;
+constexpr int kUsableLeasePercent = 80;
+// Stands for a holder whose claim was not read.
+constexpr std::string_view kUnknownHolder = "?";
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
@@ -67,34 +72,27 @@
   if (record.record.key != kClaimKey) {
     return;
   }
-  const bool first = !this->claim_offset;
-  const bool renewed =
-      !first && this->claim_holder == this->environment.settings.instance;
-  this->claim_holder = record.record.value;
-  this->claim_offset = record.offset;
-  if (this->claim_holder != this->environment.settings.instance) {
-    this->holding_from = MonotonicTime::max();
+  this->claimed_at = this->environment.clock.BootNow();
+  if (this->claim_holder == record.record.value) {
     return;
   }
-  const bool nobody_before = first || renewed;
-  this->holding_from =
-      this->environment.clock.BootNow() +
-      (nobody_before ? Milliseconds(0)
-                     : Milliseconds(this->environment.settings.order_lease_ms));
-  WriteLog(LogLevel::kInfo, "gives orders to engines",
-           {{"fencing_token", std::to_string(record.offset)},
-            {"after_other_holder", nobody_before ? "false" : "true"}});
+  this->claim_holder = record.record.value;
+  this->tenure_offset = record.offset;
+  this->servers.clear();
+  WriteLog(LogLevel::kInfo, "orders to engines have a new holder",
+           {{"holder", this->claim_holder},
+            {"fencing_token", std::to_string(this->tenure_offset + 1)}});
 }
 
 void FleetUpgrader::SetElected(bool now_elected) {
-  if (this->elected == now_elected) {
-    return;
-  }
   this->elected = now_elected;
-  this->servers.clear();
   this->Act();
 }
 
+void FleetUpgrader::Retire() {
+  this->retired = true;
+}
+
 void FleetUpgrader::Name(const NamedVersion& version) {
   std::int64_t& known = this->named[version.model];
   known = std::max(known, version.version);
@@ -102,17 +100,38 @@
 }
 
 void FleetUpgrader::Reconsider() {
-  if (this->elected) {
-    this->Act();
-  }
+  this->Act();
+}
+
+bool FleetUpgrader::IsHolder() const {
+  return this->claim_holder == this->environment.settings.instance;
 }
 
 bool FleetUpgrader::Holding() const {
-  const MonotonicTime now = this->environment.clock.BootNow();
-  return this->elected && this->claim_offset &&
-         this->claim_holder == this->environment.settings.instance &&
-         now >= this->holding_from &&
-         now - this->claims.ConfirmedAt() < kClaimFreshness;
+  const Milliseconds limit =
+      Milliseconds(this->environment.settings.order_lease_ms) *
+      kUsableLeasePercent / 100;
+  return this->IsHolder() && !this->retired &&
+         this->environment.clock.BootNow() - this->claimed_at < limit;
+}
+
+bool FleetUpgrader::ClaimInUse() const {
+  return !this->claim_holder.empty() &&
+         this->environment.clock.BootNow() - this->claimed_at <
+             Milliseconds(this->environment.settings.order_lease_ms);
+}
+
+void FleetUpgrader::ClaimOrRenew() {
+  const Milliseconds renewal =
+      Milliseconds(this->environment.settings.order_lease_ms) *
+      kRenewalPercent / 100;
+  const bool renewal_due =
+      this->IsHolder() &&
+      this->environment.clock.BootNow() - this->claimed_at >= renewal;
+  const bool vacant = this->elected && !this->ClaimInUse();
+  if (!this->retired && (renewal_due || vacant)) {
+    this->Claim();
+  }
 }
 
 void FleetUpgrader::Claim() {
@@ -122,15 +141,18 @@
   this->claiming = true;
   const std::vector<KeyedRecord> records = {
       {std::string(kClaimKey), this->environment.settings.instance}};
+  const MonotonicTime began = this->environment.clock.BootNow();
   this->environment.log.Append(
       this->claims.Part(), records, this->claims.Next(),
-      [this, kept = this->alive, records](const AppendOutcome& outcome) {
+      [this, kept = this->alive, records, began](const AppendOutcome& outcome) {
         if (!*kept) {
           return;
         }
         this->claiming = false;
         if (outcome.result == AppendResult::kAppended) {
           this->claims.TakeOwn(records, outcome.offset, outcome.end);
+          // The waiting read may have brought it before.
+          this->claimed_at = this->IsHolder() ? began : this->claimed_at;
         } else {
           this->claims.Refresh([](bool /*fresh*/) {});
         }
@@ -140,9 +162,8 @@
 void FleetUpgrader::Tick() {
   this->tick = this->environment.loop.CallAfter(kTickPeriod, [this] {
     this->Tick();
-    if (this->elected) {
-      this->Act();
-    }
+    this->ClaimOrRenew();
+    this->Act();
   });
 }
 
@@ -176,11 +197,29 @@
   });
 }
 
+// The newest version of every model that the servers serve: of one that nobody
+// has named a version of yet, the newest that is served.
+ModelNumbers FleetUpgrader::VersionsToServe(
+    std::span<const UpgradableServer> servers) const {
+  ModelNumbers versions;
+  for (const UpgradableServer& server : servers) {
+    for (const auto& [model, version] : server.versions) {
+      versions[model] = std::max(versions[model], version);
+    }
+  }
+  for (auto& [model, version] : versions) {
+    const auto known = this->named.find(model);
+    version = known == this->named.end() ? version : known->second;
+  }
+  return versions;
+}
+
 // A model without a known step counts like the mean of the others.
-void FleetUpgrader::ShareOut(std::int64_t server_count) {
+void FleetUpgrader::ShareOut(std::int64_t server_count,
+                             const ModelNumbers& versions) {
   std::int64_t known = 0;
   std::int64_t sum = 0;
-  for (const auto& [model, version] : this->named) {
+  for (const auto& [model, version] : versions) {
     const auto wanted = this->demand.find(model);
     if (wanted != this->demand.end()) {
       ++known;
@@ -189,7 +228,7 @@
   }
   const std::int64_t mean = known == 0 ? 1 : sum / known;
   ModelNumbers complete;
-  for (const auto& [model, version] : this->named) {
+  for (const auto& [model, version] : versions) {
     const auto wanted = this->demand.find(model);
     complete[model] = wanted == this->demand.end() ? mean : wanted->second;
   }
@@ -197,14 +236,7 @@
 }
 
 void FleetUpgrader::Act() {
-  if (!this->elected || !this->environment.configuration) {
-    return;
-  }
-  if (this->claim_holder != this->environment.settings.instance) {
-    this->Claim();
-    return;
-  }
-  if (!this->Holding()) {
+  if (!this->environment.configuration || !this->Holding()) {
     return;
   }
   this->Forget();
@@ -216,11 +248,12 @@
       }
     }
   }
-  this->ShareOut(static_cast<std::int64_t>(candidates.size()));
+  const ModelNumbers versions = this->VersionsToServe(candidates);
+  this->ShareOut(static_cast<std::int64_t>(candidates.size()), versions);
   FleetUpgradeOptions options;
   options.allowed_lag = this->environment.settings.allowed_version_lag;
   for (const UpgradeOrder& order :
-       PlanUpgrades(candidates, this->named, this->shares, options)) {
+       PlanUpgrades(candidates, versions, this->shares, options)) {
     if (const auto* server = this->environment.fleet.Find(order.server_id)) {
       this->Order(*server, order);
     }
@@ -352,7 +385,7 @@
   OrderTerms terms;
   terms.holder = this->environment.settings.instance;
   // Tokens begin at 1, offsets at 0.
-  terms.fencing_token = *this->claim_offset + 1;
+  terms.fencing_token = this->tenure_offset + 1;
   terms.expected_orders_accepted = known.orders_accepted;
   HttpClientRequest request =
       this->environment.dialect.OrderRequest(server, order, terms);
@@ -363,7 +396,7 @@
   this->environment.client.Fetch(
       std::move(request),
       [this, kept = this->alive, id = server.id,
-       token = *this->claim_offset](const Outcome<HttpResponse>& outcome) {
+       token = this->tenure_offset](const Outcome<HttpResponse>& outcome) {
         if (*kept) {
           this->Ordered(id, token, outcome);
         }
@@ -402,10 +435,10 @@
     server.not_before = now + kNextLook;
     return;
   }
-  if (status == kFenced && this->claim_offset == token) {
-    // A higher token was used: only a newer claim may order again.
-    this->claim_holder.clear();
-    this->holding_from = MonotonicTime::max();
+  if (status == kFenced && this->tenure_offset == token) {
+    // Another holder has used a higher token: wait its lease out, then claim.
+    this->claim_holder = std::string(kUnknownHolder);
+    this->claimed_at = this->environment.clock.BootNow();
   }
   WriteLog(LogLevel::kWarning, "order refused",
            {{"server", id},
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -1,6 +1,7 @@
 // Gives the orders by which engines load named versions. One instance at a time
-// does: the owner of the first job partition, after its claim in the log. The
-// claim's offset is the fencing token.
+// does: it claims the right in the log and renews the claim. The offset of its
+// first claim is the fencing token. Another may claim only after a lease
+// without a renewal, and the holder stops well before that.
 
 #pragma once
 
@@ -22,8 +23,11 @@
   FleetUpgrader(const FleetUpgrader&) = delete;
   FleetUpgrader& operator=(const FleetUpgrader&) = delete;
 
-  // This instance is, or is no longer, the one that should give orders.
+  // This instance is, or is no longer, the one that claims the right when
+  // nobody holds it.
   void SetElected(bool elected);
+  // Claims and renews no more, for a shutdown.
+  void Retire();
   // A trainer named a version. Lower ones than known are ignored.
   void Name(const NamedVersion& named);
   // Expected output tokens of a usual step of each model.
@@ -55,11 +59,16 @@
 
   LogFollowerHandlers ClaimHandlers();
   void TakeClaim(const KeyedLogRecord& record);
+  // The newest claim, own or not, may still be in use.
+  bool ClaimInUse() const;
+  bool IsHolder() const;
+  void ClaimOrRenew();
   void Claim();
+  ModelNumbers VersionsToServe(std::span<const UpgradableServer> servers) const;
   void Tick();
   void Act();
   std::vector<UpgradableServer> Candidates() const;
-  void ShareOut(std::int64_t server_count);
+  void ShareOut(std::int64_t server_count, const ModelNumbers& versions);
   void Forget();
   void Advance(const FleetServer& server);
   void Ask(const FleetServer& server);
@@ -75,12 +84,15 @@
   GatewayEnvironment& environment;
   LogFollower claims;
   bool elected = false;
+  bool retired = false;
   bool claiming = false;
-  // The newest claim in the log; its offset is the fencing token.
+  // The newest claim in the log; empty when there is none.
   std::string claim_holder;
-  std::optional<std::uint64_t> claim_offset;
-  // Orders are allowed from then on, by Clock::BootNow().
-  MonotonicTime holding_from = MonotonicTime::max();
+  // Offset of the first claim in the holder's unbroken row of claims.
+  std::uint64_t tenure_offset = 0;
+  // When the newest claim was read, or for an own one: when its append began,
+  // by Clock::BootNow().
+  MonotonicTime claimed_at = MonotonicTime::min();
   // Newest named version of each model.
   ModelNumbers named;
   ModelNumbers demand;
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -39,6 +39,8 @@
 // Left of the grace for closing what remains.
 constexpr Milliseconds kShutdownMargin{500};
 constexpr Milliseconds kRetryAfter{500};
+// Another instance can serve the caller right now.
+constexpr Milliseconds kElsewhereRetryAfter{50};
 // Below the ten seconds after which backend servers close idle connections.
 constexpr Milliseconds kBackendIdleTime{8'000};
 constexpr Milliseconds kSilentTimeout{2'500};
@@ -408,13 +410,15 @@
   return tokens;
 }
 
-// A gateway that has lost the log stays ready: it serves plain calls and reads,
-// and the balancer can't tell it from one that has just started and knows
-// nothing.
+// A gateway that has lost the log with all others stays ready: it serves plain
+// calls and reads, and the balancer can't tell it from one that has just
+// started and knows nothing. One that is cut off alone leaves jobs to the
+// others.
 bool Gateway::IsReady() const {
   const bool knows_servers =
       this->servers_follower.Synced() || this->fleet.Size() > 0;
-  return !this->draining && this->configuration && knows_servers;
+  return !this->draining && this->configuration && knows_servers &&
+         !this->peer_exchange.CutOff();
 }
 
 void Gateway::HandleReadiness(const HttpRequest& request,
@@ -499,6 +503,12 @@
     return;
   }
   if (route->use == RouteUse::kBatchJobs) {
+    if (this->peer_exchange.CutOff()) {
+      responder->Send(RefuseNotRun("cut_off",
+                                   "only other instances reach the log now",
+                                   kElsewhereRetryAfter));
+      return;
+    }
     this->job_calls.Submit(*route, request, std::move(responder));
     return;
   }
@@ -538,7 +548,7 @@
   this->server->AnnounceClosing();
   this->join_timer.reset();
   this->log->Leave(kGroup, this->settings.instance);
-  this->upgrader.SetElected(false);
+  this->upgrader.Retire();
   this->runner.SetOwned({});
   this->ContinueDrain();
 }
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <utility>
 
+#include "LibProcess/process.h"
 #include "refusals.h"
 
 namespace carobbank {
@@ -51,6 +52,42 @@
                 "check the id, or submit the job");
 }
 
+// A job's submission while its records are on the way to the log.
+struct Submission {
+  std::string job_id;
+  MonotonicTime began;
+  // Records that have not ended.
+  std::size_t open = 0;
+  bool answered = false;
+};
+
+// The answer to the caller, once the end of a record's write settles it:
+// whichever record ends last or fails first does.
+std::optional<HttpResponse> TakeWriteEnd(Submission& submission, WriteEnd end) {
+  --submission.open;
+  const bool done = end == WriteEnd::kDone;
+  if (submission.answered || (done && submission.open > 0)) {
+    return std::nullopt;
+  }
+  submission.answered = true;
+  if (done) {
+    return HttpResponse{kAccepted, {}, ""};
+  }
+  return end == WriteEnd::kNotWritten ? LogUnavailable() : OutcomeUnknown();
+}
+
+void LogSubmission(const Submission& submission,
+                   int status,
+                   MonotonicTime now) {
+  const auto took =
+      std::chrono::duration_cast<Milliseconds>(now - submission.began);
+  WriteLog(status == kAccepted ? LogLevel::kInfo : LogLevel::kWarning,
+           "job submitted",
+           {{"job", submission.job_id},
+            {"status", std::to_string(status)},
+            {"took_ms", std::to_string(took.count())}});
+}
+
 std::size_t LastOfPage(const std::vector<JobResult>& results,
                        std::size_t first) {
   // Quotes, names and other members of one result.
@@ -128,13 +165,10 @@
   const auto& settings = this->environment.settings;
   const std::vector<JobRecord> records =
       EncodeJob(job, static_cast<std::size_t>(settings.log_record_bytes));
-  // Whichever of its writes ends last or fails first decides.
-  struct Submission {
-    std::size_t open = 0;
-    bool failed = false;
-  };
   auto submission = std::make_shared<Submission>();
   submission->open = records.size();
+  submission->job_id = job.id;
+  submission->began = this->environment.clock.Now();
   for (const JobRecord& record : records) {
     JobWrite write;
     write.records.push_back({record.key, record.value});
@@ -142,20 +176,12 @@
     write.is_redundant = [id = job.id](const JobFold& fold) {
       return fold.Find(id) != nullptr;
     };
-    write.done = [submission, responder](WriteEnd end) {
-      --submission->open;
-      if (submission->failed) {
-        return;
-      }
-      if (end == WriteEnd::kDone) {
-        if (submission->open == 0) {
-          responder->Send({kAccepted, {}, ""});
-        }
-        return;
+    write.done = [this, submission, responder](WriteEnd end) {
+      if (std::optional<HttpResponse> answer = TakeWriteEnd(*submission, end)) {
+        LogSubmission(*submission, answer->status,
+                      this->environment.clock.Now());
+        responder->Send(std::move(*answer));
       }
-      submission->failed = true;
-      responder->Send(end == WriteEnd::kNotWritten ? LogUnavailable()
-                                                   : OutcomeUnknown());
     };
     partition.Write(std::move(write));
   }
--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -55,6 +55,7 @@
     for (const KeyedLogRecord& record : records) {
       this->fold.Apply(record.record.key, record.record.value);
     }
+    this->MarkEmpty();
   };
   followed.on_record = [this](const KeyedLogRecord& record) {
     this->TakeRecord(record);
@@ -69,6 +70,21 @@
   return followed;
 }
 
+// A read that waits on a partition without records may not notice the first
+// one.
+void JobPartition::MarkEmpty() {
+  if (this->follower.Next() > 0) {
+    return;
+  }
+  const JobRecord mark = EncodeMark();
+  JobWrite write;
+  write.records.push_back({mark.key, mark.value});
+  write.is_redundant = [this](const JobFold& /*fold*/) {
+    return this->follower.Next() > 0;
+  };
+  this->Write(std::move(write));
+}
+
 void JobPartition::TakeRecord(const KeyedLogRecord& record) {
   const std::optional<JobChange> change =
       this->fold.Apply(record.record.key, record.record.value);
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -81,6 +81,7 @@
   using Batch = std::vector<std::shared_ptr<Pending>>;
 
   LogFollowerHandlers FollowerHandlers();
+  void MarkEmpty();
   void TakeRecord(const KeyedLogRecord& record);
   void FlushSoon();
   void Flush();
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -16,7 +16,7 @@
 
 struct LogFollowerOptions {
   // Longest time that one read waits at the log.
-  Milliseconds wait{5'000};
+  Milliseconds wait{2'000};
   // Pause after a read that brought records, so that the next brings more of
   // them; zero reads on at once.
   Milliseconds pace{0};
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -13,9 +13,9 @@
 constexpr int kOk = 200;
 constexpr Milliseconds kRoundPeriod{500};
 constexpr Milliseconds kCallTimeout{400};
-// Without an answer from any peer for so long, this gateway is cut off itself:
-// single peers are down, but hardly all of them.
-constexpr int kSilentRounds = 2;
+// Rounds in a row in which a peer reached the log, or no peer answered at all:
+// peers notice an outage at different moments, and single ones are down.
+constexpr int kRoundsToCutOff = 2;
 
 Json::Value EncodeRecords(const std::vector<KeyedLogRecord>& records) {
   Json::Value rows(Json::arrayValue);
@@ -83,7 +83,7 @@
     return;
   }
   this->lost = now_lost;
-  this->silent_rounds = 0;
+  this->rounds_alone = 0;
   ++this->round;
   this->timer.reset();
   if (now_lost) {
@@ -141,9 +141,9 @@
 }
 
 void PeerExchange::EndRound() {
-  this->silent_rounds = this->answered == 0 ? this->silent_rounds + 1 : 0;
-  const bool now_cut_off =
-      this->reached || this->silent_rounds >= kSilentRounds;
+  const bool alone = this->reached || this->answered == 0;
+  this->rounds_alone = alone ? this->rounds_alone + 1 : 0;
+  const bool now_cut_off = this->rounds_alone >= kRoundsToCutOff;
   if (now_cut_off != this->cut_off) {
     this->cut_off = now_cut_off;
     WriteLog(LogLevel::kWarning,
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -69,8 +69,8 @@
   std::size_t open = 0;
   std::size_t answered = 0;
   bool reached = false;
-  // Rounds without any answer.
-  int silent_rounds = 0;
+  // Rounds in a row that speak for being cut off.
+  int rounds_alone = 0;
   std::unique_ptr<Timer> timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/Gateway/job_partition_test.cc
+++ b/Tests/Gateway/job_partition_test.cc
@@ -82,6 +82,21 @@
   }
 };
 
+TEST(JobPartition, AnEmptyPartitionGetsARecordOnce) {
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->fixture.log.Records(JobsPart()).size() == 1; }));
+  JobPartition second(
+      this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
+      JobsPart(), 1'000'000,
+      JobPartitionHandlers{[](const JobChange&) {}, [] {}, [](bool) {}});
+  second.Start();
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [&] { return second.Follower().Synced(); }));
+  this->fixture.runner.RunFor(Milliseconds(50));
+  LONGS_EQUAL(1, this->fixture.log.Records(JobsPart()).size());
+  LONGS_EQUAL(0, this->partition.Fold().Unreadable());
+}
+
 TEST(JobPartition, AWriteIsInTheFoldWhenItIsDone) {
   this->WriteJob("a", Milliseconds(60'000));
   this->WaitForEnds(1);
