Gateway: Move texts off servers that are much slower than the others

Servers were compared by how long whole texts took, which says more of the texts. Change: servers are compared by the shortest recent gap between events; a slow one has room for less, and running texts leave it, six at a time, when a faster one has room.

--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -24,9 +24,10 @@
 
 bool HasRoom(const BackendQuery& query,
              const BackendLoads& loads,
-             const FleetServer& server) {
-  const double room =
-      std::ceil(static_cast<double>(server.slots) * query.room_per_slot);
+             const FleetServer& server,
+             double slowness) {
+  const double room = std::ceil(static_cast<double>(server.slots) *
+                                query.room_per_slot / std::max(slowness, 1.0));
   return static_cast<double>(loads.InFlight(server.id)) < room;
 }
 
@@ -34,38 +35,47 @@
 double Score(const BackendQuery& query,
              const BackendLoads& loads,
              const FleetServer& server,
-             double typical_ms,
+             double slowness,
              Random& random) {
   const auto slots =
       static_cast<double>(std::max<std::int64_t>(server.slots, 1));
   const double load =
       (static_cast<double>(loads.InFlight(server.id)) + 1) / slots;
-  const double mean = loads.MeanAnswerMs(server.id);
-  const double slowness =
-      mean > 0 && typical_ms > 0 ? std::max(mean / typical_ms, 0.5) : 1.0;
   const double distance =
       server.data_center == query.data_center ? 0.0 : kFarPenalty;
   return load * slowness + distance + random.Unit() * kJitter;
 }
 
-double TypicalAnswerMs(const BackendQuery& query, const BackendLoads& loads) {
-  std::vector<double> means;
-  for (const FleetServer* const server : query.servers) {
-    const double mean = loads.MeanAnswerMs(server->id);
-    if (mean > 0) {
-      means.push_back(mean);
+}  // namespace
+
+double TypicalWorkTimeMs(std::span<const FleetServer* const> servers,
+                         const BackendLoads& loads) {
+  std::vector<double> times;
+  for (const FleetServer* const server : servers) {
+    const double time = loads.WorkTimeMs(server->id);
+    if (time > 0) {
+      times.push_back(time);
     }
   }
-  if (means.empty()) {
+  if (times.empty()) {
     return 0;
   }
   const auto middle =
-      means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
+      times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::nth_element(times.begin(), middle, times.end());
   return *middle;
 }
 
-}  // namespace
+double SlownessOf(const FleetServer& server,
+                  const BackendLoads& loads,
+                  double typical_ms) {
+  const double time = loads.WorkTimeMs(server.id);
+  if (time <= 0 || typical_ms <= 0) {
+    return 1.0;
+  }
+  constexpr double kLeastSlowness = 0.5;
+  return std::max(time / typical_ms, kLeastSlowness);
+}
 
 void BackendLoads::Begin(std::string_view server_id) {
   ++this->states[std::string(server_id)].in_flight;
@@ -118,20 +128,43 @@
   return found != this->states.end() && found->second.avoided_until > now;
 }
 
-double BackendLoads::MeanAnswerMs(std::string_view server_id) const {
+void BackendLoads::NoteEvent(std::string_view server_id,
+                             Milliseconds gap,
+                             MonotonicTime now) {
+  State& state = this->states[std::string(server_id)];
+  if (now - state.window_began > kPaceWindow) {
+    state.last_gap = state.current_gap;
+    state.current_gap.reset();
+    state.window_began = now;
+  }
+  state.current_gap = std::min(state.current_gap.value_or(gap), gap);
+}
+
+double BackendLoads::WorkTimeMs(std::string_view server_id) const {
   const auto found = this->states.find(server_id);
-  return found == this->states.end() ? 0 : found->second.mean_answer_ms;
+  if (found == this->states.end()) {
+    return 0;
+  }
+  const State& state = found->second;
+  if (!state.last_gap && !state.current_gap) {
+    return state.mean_answer_ms;
+  }
+  const Milliseconds shortest =
+      std::min(state.last_gap.value_or(Milliseconds::max()),
+               state.current_gap.value_or(Milliseconds::max()));
+  return static_cast<double>(shortest.count());
 }
 
 const FleetServer* ChooseBackend(const BackendQuery& query,
                                  const BackendLoads& loads,
                                  MonotonicTime now,
                                  Random& random) {
-  const double typical_ms = TypicalAnswerMs(query, loads);
+  const double typical_ms = TypicalWorkTimeMs(query.servers, loads);
   const FleetServer* best = nullptr;
   double best_score = 0;
   for (const FleetServer* const server : query.servers) {
-    if (Excluded(query, *server) || !HasRoom(query, loads, *server)) {
+    const double slowness = SlownessOf(*server, loads, typical_ms);
+    if (Excluded(query, *server) || !HasRoom(query, loads, *server, slowness)) {
       continue;
     }
     const bool avoided = loads.Avoided(server->id, now);
@@ -143,7 +176,7 @@
     }
     // An avoided server comes after every other.
     constexpr double kAvoidedPenalty = 1'000;
-    const double score = Score(query, loads, *server, typical_ms, random) +
+    const double score = Score(query, loads, *server, slowness, random) +
                          (avoided ? kAvoidedPenalty : 0.0);
     if (best == nullptr || score < best_score) {
       best = server;
--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,8 +38,15 @@
   std::int64_t InFlight(std::string_view server_id) const;
   // The server failed or refused a moment ago.
   bool Avoided(std::string_view server_id, MonotonicTime now) const;
-  // Mean time of its answers in milliseconds, or 0 when none is known.
-  double MeanAnswerMs(std::string_view server_id) const;
+  // A stream from the server brought an event `gap` after the one before it.
+  void NoteEvent(std::string_view server_id,
+                 Milliseconds gap,
+                 MonotonicTime now);
+  // How long the server takes for one piece of work, in milliseconds: the
+  // shortest recent gap between events of a stream, else the mean time of its
+  // answers; 0 when nothing is known. Pauses of a stream, as for a change of
+  // weights, don't count against a server.
+  double WorkTimeMs(std::string_view server_id) const;
   // Drops what is known of servers that `is_known` rejects and that have
   // nothing in flight.
   template <typename Predicate>
@@ -54,6 +62,8 @@
   // a crashed server is back or its entry is gone.
   static constexpr Milliseconds kFirstFailurePause{250};
   static constexpr Milliseconds kLongestFailurePause{4'000};
+  // A server's shortest gap is taken over the last one to two of these.
+  static constexpr Milliseconds kPaceWindow{500};
 
  private:
   struct State {
@@ -61,6 +71,10 @@
     std::int64_t failures_in_row = 0;
     MonotonicTime avoided_until = MonotonicTime::min();
     double mean_answer_ms = 0;
+    // Shortest gaps between events in the window before and in this one.
+    std::optional<Milliseconds> last_gap;
+    std::optional<Milliseconds> current_gap;
+    MonotonicTime window_began = MonotonicTime::min();
   };
   std::map<std::string, State, std::less<>> states;
 };
@@ -79,7 +93,17 @@
   bool allow_avoided = false;
 };
 
-// The server with the most room, or null when none has any.
+// The middle work time of those servers of which one is known, or 0.
+double TypicalWorkTimeMs(std::span<const FleetServer* const> servers,
+                         const BackendLoads& loads);
+
+// How many times slower than usual the server is; 1 when nothing is known.
+double SlownessOf(const FleetServer& server,
+                  const BackendLoads& loads,
+                  double typical_ms);
+
+// The server with the most room, or null when none has any. A slow server has
+// room for less.
 const FleetServer* ChooseBackend(const BackendQuery& query,
                                  const BackendLoads& loads,
                                  MonotonicTime now,
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -34,6 +34,13 @@
 constexpr Milliseconds kForgetMargin{30'000};
 constexpr Milliseconds kForgetPeriod{5'000};
 
+// A server is left by running texts when it takes so many times as long as the
+// others: reading the text in again elsewhere costs a few events' time.
+constexpr double kSlowEnough = 1.7;
+// Texts of one job that are moved at once, so that they don't all meet at the
+// same server.
+constexpr std::size_t kMovesPerTick = 6;
+
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
 
@@ -54,6 +61,12 @@
   avoided.push_back(std::move(server));
 }
 
+// Samples of a group share their prompt, so they go to one service.
+const std::string& ServiceOf(const HostRoute& route, const JobSample& sample) {
+  return ChooseService(
+      route, FastHash(sample.group.empty() ? sample.id : sample.group));
+}
+
 std::vector<std::size_t> LongestFirst(std::span<const JobSample> samples) {
   std::vector<std::size_t> order(samples.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
@@ -277,10 +290,10 @@
   }
 }
 
-const FleetServer* JobRunner::ChooseEngine(ActiveJob& job,
-                                           const JobState& state,
-                                           std::size_t index,
-                                           const std::string& service) {
+// Servers of the service whose version the job allows.
+std::vector<const FleetServer*> JobRunner::UsableEngines(
+    const JobState& state,
+    const std::string& service) const {
   std::vector<const FleetServer*> servers =
       this->environment.fleet.Serving(service);
   if (!state.job.model.empty()) {
@@ -288,6 +301,15 @@
       return server->VersionOf(state.job.model) < state.job.min_version;
     });
   }
+  return servers;
+}
+
+const FleetServer* JobRunner::ChooseEngine(ActiveJob& job,
+                                           const JobState& state,
+                                           std::size_t index,
+                                           const std::string& service) {
+  const std::vector<const FleetServer*> servers =
+      this->UsableEngines(state, service);
   BackendQuery query;
   query.servers = servers;
   query.excluded = job.samples[index].avoided;
@@ -313,10 +335,8 @@
     return true;
   }
   Progress& progress = job.samples[index];
-  const std::string& service = ChooseService(
-      *route, FastHash(sample.group.empty() ? sample.id : sample.group));
   const FleetServer* const server =
-      this->ChooseEngine(job, state, index, service);
+      this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
   if (server == nullptr) {
     const bool only_avoided = !progress.avoided.empty();
     progress.avoided.clear();
@@ -593,6 +613,7 @@
     const std::vector<ActiveJob*> ordered = this->JobsInOrder();
     for (ActiveJob* const job : ordered) {
       this->CheckSilence(*job);
+      this->LeaveSlowServers(*job);
       const JobState* const state = job->State();
       if (state != nullptr && this->AgeOf(*state) > state->job.retention) {
         this->GiveUpExpired(*job, *state);
@@ -614,9 +635,63 @@
     const Milliseconds limit =
         progress.stream->HasBegun() ? kLongestPause : kLongestQueueing;
     if (now - progress.stream->LastNews() > limit) {
-      progress.stream->GiveUp("the server fell silent");
+      progress.stream->GiveUp(SendOutcome::kFailed, "the server fell silent");
+    }
+  }
+}
+
+// A text on a server that is much slower than the others goes on at one of
+// them, a few at a time: the step ends with its slowest sample.
+void JobRunner::LeaveSlowServers(ActiveJob& job) {
+  const JobState* const state = job.State();
+  const HostRoute* const route =
+      state == nullptr || !this->environment.configuration
+          ? nullptr
+          : this->RouteOf(*state);
+  if (route == nullptr) {
+    return;
+  }
+  std::size_t moves = 0;
+  for (std::size_t index = 0; index < job.samples.size(); ++index) {
+    Progress& progress = job.samples[index];
+    if (!progress.stream || !progress.stream->HasBegun()) {
+      continue;
+    }
+    if (moves == kMovesPerTick) {
+      return;
     }
+    if (this->FasterServerHasRoom(job, *state, index, *route)) {
+      ++moves;
+      progress.stream->GiveUp(SendOutcome::kCancelled,
+                              "a faster server has room");
+    }
+  }
+}
+
+bool JobRunner::FasterServerHasRoom(ActiveJob& job,
+                                    const JobState& state,
+                                    std::size_t index,
+                                    const HostRoute& route) {
+  const std::string& server_id = job.samples[index].stream->ServerId();
+  const std::vector<const FleetServer*> servers =
+      this->UsableEngines(state, ServiceOf(route, state.job.samples[index]));
+  const double typical = TypicalWorkTimeMs(servers, this->environment.loads);
+  const FleetServer* const current = this->environment.fleet.Find(server_id);
+  if (current == nullptr ||
+      SlownessOf(*current, this->environment.loads, typical) < kSlowEnough) {
+    return false;
   }
+  const std::vector<std::string> excluded = {server_id};
+  BackendQuery query;
+  query.servers = servers;
+  query.excluded = excluded;
+  query.data_center = this->environment.settings.data_center;
+  query.room_per_slot = kSampleRoomPerSlot;
+  const FleetServer* const other =
+      ChooseBackend(query, this->environment.loads,
+                    this->environment.clock.Now(), this->environment.random);
+  return other != nullptr &&
+         SlownessOf(*other, this->environment.loads, typical) < kSlowEnough;
 }
 
 void JobRunner::GiveUpExpired(ActiveJob& job, const JobState& state) {
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -102,6 +102,9 @@
                                   const JobState& state,
                                   std::size_t index,
                                   const std::string& service);
+  std::vector<const FleetServer*> UsableEngines(
+      const JobState& state,
+      const std::string& service) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool TakeEvent(ActiveJob& job,
@@ -125,6 +128,11 @@
   Milliseconds AgeOf(const JobState& state) const;
   void Tick();
   void CheckSilence(ActiveJob& job);
+  void LeaveSlowServers(ActiveJob& job);
+  bool FasterServerHasRoom(ActiveJob& job,
+                           const JobState& state,
+                           std::size_t index,
+                           const HostRoute& route);
   void ForgetOld();
 
   GatewayEnvironment& environment;
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -104,6 +104,7 @@
               events.GetError().message);
     return;
   }
+  this->NotePace(events.Value().size());
   for (const ServerSentEvent& event : events.Value()) {
     if (!this->TakeEvent(event)) {
       this->End(StreamEnd::kBroken, SendOutcome::kRefused,
@@ -113,6 +114,18 @@
   }
 }
 
+// Only an event that came alone tells the server's pace: several in one piece
+// waited for each other.
+void SampleStream::NotePace(std::size_t events) {
+  const MonotonicTime now = this->environment.clock.Now();
+  if (events == 1 && this->last_event != MonotonicTime::min()) {
+    this->environment.loads.NoteEvent(
+        this->server_id,
+        std::chrono::duration_cast<Milliseconds>(now - this->last_event), now);
+  }
+  this->last_event = events == 0 ? this->last_event : now;
+}
+
 bool SampleStream::TakeEvent(const ServerSentEvent& event) {
   this->begun = true;
   const std::string_view field =
@@ -167,8 +180,8 @@
   this->End(end, SendOutcome::kFailed, failure.error.message);
 }
 
-void SampleStream::GiveUp(std::string_view reason) {
-  this->End(StreamEnd::kBroken, SendOutcome::kFailed, reason);
+void SampleStream::GiveUp(SendOutcome outcome, std::string_view reason) {
+  this->End(StreamEnd::kBroken, outcome, reason);
 }
 
 void SampleStream::End(StreamEnd end,
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -54,8 +54,8 @@
   // When the server last sent something, or the run began.
   MonotonicTime LastNews() const { return this->last_news; }
   bool HasBegun() const { return this->begun; }
-  // Ends the run as broken, for silence.
-  void GiveUp(std::string_view reason);
+  // Ends the run as broken. `outcome` says whether the server is to blame.
+  void GiveUp(SendOutcome outcome, std::string_view reason);
 
  private:
   SampleStream(GatewayEnvironment& environment,
@@ -65,6 +65,7 @@
   HttpClientHandlers ClientHandlers();
   void TakeHeaders(int status, const HttpHeaders& headers);
   void TakeBody(std::string_view bytes);
+  void NotePace(std::size_t events);
   bool TakeEvent(const ServerSentEvent& event);
   void Done();
   void Failed(const HttpClientFailure& failure);
@@ -78,6 +79,7 @@
   ServerSentEventReader reader;
   MonotonicTime began;
   MonotonicTime last_news;
+  MonotonicTime last_event = MonotonicTime::min();
   int status = 0;
   bool not_run = false;
   bool begun = false;
