Gateway: Measure an engine's pace over four events

Cause: the shortest gap between two events is next to nothing when both arrive together, which made other servers look slow. Change: the mean gap over four events.

--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -38,7 +38,7 @@
   std::int64_t InFlight(std::string_view server_id) const;
   // The server failed or refused a moment ago.
   bool Avoided(std::string_view server_id, MonotonicTime now) const;
-  // A stream from the server brought an event `gap` after the one before it.
+  // A stream from the server brought its last events `gap` apart, on average.
   void NoteEvent(std::string_view server_id,
                  Milliseconds gap,
                  MonotonicTime now);
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int kEventsOfPace = 4;
+
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
@@ -104,7 +106,6 @@
               events.GetError().message);
     return;
   }
-  this->NotePace(events.Value().size());
   for (const ServerSentEvent& event : events.Value()) {
     if (!this->TakeEvent(event)) {
       this->End(StreamEnd::kBroken, SendOutcome::kRefused,
@@ -114,20 +115,22 @@
   }
 }
 
-// Only an event that came alone tells the server's pace: several in one piece
-// waited for each other.
-void SampleStream::NotePace(std::size_t events) {
+// The pace over several events: single ones may arrive together.
+void SampleStream::NotePace() {
   const MonotonicTime now = this->environment.clock.Now();
-  if (events == 1 && this->last_event != MonotonicTime::min()) {
-    this->environment.loads.NoteEvent(
-        this->server_id,
-        std::chrono::duration_cast<Milliseconds>(now - this->last_event), now);
+  this->event_times.push_back(now);
+  if (this->event_times.size() <= kEventsOfPace) {
+    return;
   }
-  this->last_event = events == 0 ? this->last_event : now;
+  const auto span =
+      std::chrono::duration_cast<Milliseconds>(now - this->event_times.front());
+  this->event_times.pop_front();
+  this->environment.loads.NoteEvent(this->server_id, span / kEventsOfPace, now);
 }
 
 bool SampleStream::TakeEvent(const ServerSentEvent& event) {
   this->begun = true;
+  this->NotePace();
   const std::string_view field =
       this->environment.dialect.Headers().weight_version_field;
   for (const ServerSentField& extension : event.extension_fields) {
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,7 +66,7 @@
   HttpClientHandlers ClientHandlers();
   void TakeHeaders(int status, const HttpHeaders& headers);
   void TakeBody(std::string_view bytes);
-  void NotePace(std::size_t events);
+  void NotePace();
   bool TakeEvent(const ServerSentEvent& event);
   void Done();
   void Failed(const HttpClientFailure& failure);
@@ -79,7 +80,8 @@
   ServerSentEventReader reader;
   MonotonicTime began;
   MonotonicTime last_news;
-  MonotonicTime last_event = MonotonicTime::min();
+  // Arrival of the last few events.
+  std::deque<MonotonicTime> event_times;
   int status = 0;
   bool not_run = false;
   bool begun = false;
