--- a/Libraries/LibVersions/fleet_upgrade.cc
+++ b/Libraries/LibVersions/fleet_upgrade.cc
@@ -122,36 +122,48 @@
   return ideal;
 }
 
-bool StillFits(std::int64_t servers,
-               const std::map<std::string, double>& ideal,
-               const ModelNumbers& before) {
+std::int64_t SumOf(const ModelNumbers& numbers) {
   std::int64_t sum = 0;
-  for (const auto& [model, share] : before) {
-    const auto wanted = ideal.find(model);
-    if (wanted == ideal.end() ||
-        std::abs(wanted->second - static_cast<double>(share)) >= 1.0) {
+  for (const auto& [model, number] : numbers) {
+    sum += number;
+  }
+  return sum;
+}
+
+bool StillFits(const std::map<std::string, double>& ideal,
+               const ModelNumbers& before) {
+  if (before.size() != ideal.size()) {
+    return false;
+  }
+  double wanted_sum = 0;
+  for (const auto& [model, wanted] : ideal) {
+    const auto share = before.find(model);
+    if (share == before.end() ||
+        std::abs(wanted - static_cast<double>(share->second)) >= 1.0) {
       return false;
     }
-    sum += share;
+    wanted_sum += wanted;
   }
-  return sum == servers && before.size() == ideal.size();
+  return std::abs(wanted_sum - static_cast<double>(SumOf(before))) < 1.0;
 }
 
-// Largest remainder: whole servers that add up to all of them.
-ModelNumbers RoundShares(std::int64_t servers,
-                         const std::map<std::string, double>& ideal) {
+// Largest remainder: whole servers that add up to the whole sum.
+ModelNumbers RoundShares(const std::map<std::string, double>& ideal) {
   ModelNumbers shares;
   std::vector<std::pair<double, std::string>> remainders;
+  double sum = 0;
   std::int64_t given = 0;
   for (const auto& [model, share] : ideal) {
     const auto whole = static_cast<std::int64_t>(share);
     shares[model] = whole;
     given += whole;
+    sum += share;
     remainders.emplace_back(share - static_cast<double>(whole), model);
   }
+  const std::int64_t places = std::llround(sum);
   std::sort(remainders.rbegin(), remainders.rend());
   for (const auto& [remainder, model] : remainders) {
-    if (given < servers) {
+    if (given < places) {
       ++shares[model];
       ++given;
     }
@@ -161,28 +173,52 @@
 
 }  // namespace
 
+double ShareOverlap(double loads_per_s,
+                    double needed_per_s,
+                    std::size_t models) {
+  if (needed_per_s <= 0) {
+    return 1.0;
+  }
+  return std::clamp(loads_per_s / needed_per_s, 1.0,
+                    std::max(static_cast<double>(models), 1.0));
+}
+
 ModelNumbers ShareServers(std::int64_t servers,
+                          double overlap,
                           const ModelNumbers& demand,
                           const ModelNumbers& before) {
-  const std::map<std::string, double> ideal = IdealShares(servers, demand);
-  if (StillFits(servers, ideal, before)) {
+  const std::int64_t places =
+      std::llround(static_cast<double>(servers) * overlap);
+  std::map<std::string, double> ideal = IdealShares(places, demand);
+  for (auto& [model, share] : ideal) {
+    share = std::min(share, static_cast<double>(servers));
+  }
+  if (StillFits(ideal, before) && SumOf(before) <= places) {
     return before;
   }
-  return RoundShares(servers, ideal);
+  return RoundShares(ideal);
 }
 
-std::map<std::string, std::string> AssignModels(
+std::map<std::string, std::set<std::string>> AssignModels(
     std::span<const UpgradableServer> servers,
     const ModelNumbers& named,
     const ModelNumbers& shares) {
-  std::map<std::string, std::string> assigned;
-  ModelNumbers counts;
+  std::map<std::string, std::set<std::string>> assigned;
+  if (servers.empty()) {
+    return assigned;
+  }
+  const auto count = static_cast<std::int64_t>(servers.size());
+  const auto most_models =
+      static_cast<std::size_t>((SumOf(shares) + count - 1) / count);
+  std::map<std::string, std::size_t> models_of;
   for (const Affinity& affinity : SortedAffinities(servers, named)) {
     const auto share = shares.find(*affinity.model);
-    if (share != shares.end() && !assigned.contains(affinity.server->id) &&
-        counts[*affinity.model] < share->second) {
-      assigned[affinity.server->id] = *affinity.model;
-      ++counts[*affinity.model];
+    std::set<std::string>& own = assigned[*affinity.model];
+    if (share != shares.end() &&
+        own.size() < static_cast<std::size_t>(share->second) &&
+        models_of[affinity.server->id] < most_models) {
+      own.insert(affinity.server->id);
+      ++models_of[affinity.server->id];
     }
   }
   return assigned;
@@ -193,7 +229,7 @@
     const ModelNumbers& named,
     const ModelNumbers& shares,
     const FleetUpgradeOptions& options) {
-  const std::map<std::string, std::string> assigned =
+  const std::map<std::string, std::set<std::string>> assigned =
       AssignModels(servers, named, shares);
   const auto changing = static_cast<std::size_t>(
       std::count_if(servers.begin(), servers.end(),
@@ -204,9 +240,9 @@
   std::vector<std::vector<UpgradeOrder>> by_model;
   for (const auto& [model, version] : named) {
     std::vector<const UpgradableServer*> own;
+    const auto keepers = assigned.find(model);
     for (const UpgradableServer& server : servers) {
-      const auto found = assigned.find(server.id);
-      if (found != assigned.end() && found->second == model) {
+      if (keepers != assigned.end() && keepers->second.contains(server.id)) {
         own.push_back(&server);
       }
     }
@@ -215,15 +251,20 @@
       orders.push_back({server->id, model, version});
     }
   }
-  // The models take turns, so that none waits for another's whole round.
+  // The models take turns, so that none waits for another's whole round. A
+  // server carries out one order at a time.
   std::vector<UpgradeOrder> plan;
+  std::set<std::string> taken;
   for (std::size_t turn = 0; room > 0; ++turn) {
     bool any = false;
     for (const std::vector<UpgradeOrder>& orders : by_model) {
-      if (turn < orders.size() && room > 0) {
+      if (turn >= orders.size() || room == 0) {
+        continue;
+      }
+      any = true;
+      if (taken.insert(orders[turn].server_id).second) {
         plan.push_back(orders[turn]);
         --room;
-        any = true;
       }
     }
     if (!any) {
--- a/Libraries/LibVersions/fleet_upgrade.h
+++ b/Libraries/LibVersions/fleet_upgrade.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -40,17 +41,25 @@
   std::int64_t version = 0;
 };
 
+// How many times over the fleet can be shared out: `loads_per_s` changes of
+// version are possible, `needed_per_s` would keep every server current for one
+// model. At least 1, at most the number of models.
+double ShareOverlap(double loads_per_s,
+                    double needed_per_s,
+                    std::size_t models);
+
 // How many of `servers` servers each model of `demand` gets: in proportion to
 // its demand, but two at the least where there are enough, so that one can load
-// while another serves. `before` is kept as long as it is off by less than a
-// server.
+// while another serves. With an `overlap` above 1 servers have several models.
+// `before` is kept as long as it is off by less than a server.
 ModelNumbers ShareServers(std::int64_t servers,
+                          double overlap,
                           const ModelNumbers& demand,
                           const ModelNumbers& before);
 
-// Which model each server is kept current for, `shares` servers each. A server
-// stays with the model that it is closest to.
-std::map<std::string, std::string> AssignModels(
+// The servers that are kept current for each model, `shares` of them, with the
+// models spread evenly. A server stays with the models that it is closest to.
+std::map<std::string, std::set<std::string>> AssignModels(
     std::span<const UpgradableServer> servers,
     const ModelNumbers& named,
     const ModelNumbers& shares);
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -3,6 +3,7 @@
 #include "fleet_upgrader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -27,6 +28,9 @@
 // way.
 constexpr int kRenewalPercent = 33;
 constexpr int kUsableLeasePercent = 80;
+// Part of the loads that are possible that the plan counts on; the others make
+// good for servers that were late.
+constexpr double kUsableLoads = 0.85;
 // Stands for a holder whose claim was not read.
 constexpr std::string_view kUnknownHolder = "?";
 
@@ -95,7 +99,18 @@
 
 void FleetUpgrader::Name(const NamedVersion& version) {
   std::int64_t& known = this->named[version.model];
-  known = std::max(known, version.version);
+  if (version.version <= known) {
+    return;
+  }
+  known = version.version;
+  const MonotonicTime now = this->environment.clock.Now();
+  NamingPace& pace = this->naming[version.model];
+  if (pace.last != MonotonicTime()) {
+    const auto since =
+        std::chrono::duration_cast<Milliseconds>(now - pace.last);
+    pace.interval = pace.interval ? (*pace.interval + since) / 2 : since;
+  }
+  pace.last = now;
   this->Reconsider();
 }
 
@@ -214,6 +229,30 @@
   return versions;
 }
 
+double FleetUpgrader::Overlap(std::int64_t server_count) const {
+  FleetUpgradeOptions options;
+  const double seconds_per_load =
+      std::chrono::duration<double>(this->load_time).count();
+  const double at_once = std::max(
+      std::round(static_cast<double>(server_count) * options.concurrent_share),
+      1.0);
+  const double usable = at_once / seconds_per_load * kUsableLoads;
+  double needed = 0;
+  for (const auto& [model, pace] : this->naming) {
+    const auto share = this->shares.find(model);
+    if (!pace.interval || share == this->shares.end()) {
+      return 1.0;
+    }
+    // Every server loads each (allowed lag + 1)th version.
+    needed += static_cast<double>(server_count) /
+              static_cast<double>(this->shares.size()) /
+              static_cast<double>(
+                  this->environment.settings.allowed_version_lag + 1) /
+              std::chrono::duration<double>(*pace.interval).count();
+  }
+  return ShareOverlap(usable, needed, this->shares.size());
+}
+
 // A model without a known step counts like the mean of the others.
 void FleetUpgrader::ShareOut(std::int64_t server_count,
                              const ModelNumbers& versions) {
@@ -232,7 +271,8 @@
     const auto wanted = this->demand.find(model);
     complete[model] = wanted == this->demand.end() ? mean : wanted->second;
   }
-  this->shares = ShareServers(server_count, complete, this->shares);
+  this->shares = ShareServers(server_count, this->Overlap(server_count),
+                              complete, this->shares);
 }
 
 void FleetUpgrader::Act() {
@@ -344,6 +384,9 @@
   if (done || not_taken || passed_over) {
     const auto took =
         std::chrono::duration_cast<Milliseconds>(now - server.ordered_at);
+    if (done) {
+      this->load_time = (this->load_time + took) / 2;
+    }
     WriteLog(done ? LogLevel::kInfo : LogLevel::kWarning,
              done ? "order complete" : "order without effect",
              {{"server", id},
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -37,6 +37,9 @@
 
   bool Holding() const;
 
+  // Assumed until loads were seen.
+  static constexpr Milliseconds kUsualLoadTime{1'100};
+
  private:
   enum class Phase {
     // Its count of accepted orders is not known.
@@ -69,6 +72,9 @@
   void Act();
   std::vector<UpgradableServer> Candidates() const;
   void ShareOut(std::int64_t server_count, const ModelNumbers& versions);
+  // How many times over the fleet can be kept current, by the pace at which
+  // versions are named and loaded.
+  double Overlap(std::int64_t server_count) const;
   void Forget();
   void Advance(const FleetServer& server);
   void Ask(const FleetServer& server);
@@ -96,6 +102,14 @@
   // Newest named version of each model.
   ModelNumbers named;
   ModelNumbers demand;
+  // When each model's newest version was named, and the mean time between two.
+  struct NamingPace {
+    MonotonicTime last;
+    std::optional<Milliseconds> interval;
+  };
+  std::map<std::string, NamingPace, std::less<>> naming;
+  // Mean time from an order until it was seen complete.
+  Milliseconds load_time = kUsualLoadTime;
   ModelNumbers shares;
   std::map<std::string, Server, std::less<>> servers;
   std::unique_ptr<Timer> tick;
--- a/Tests/LibVersions/fleet_upgrade_test.cc
+++ b/Tests/LibVersions/fleet_upgrade_test.cc
@@ -102,20 +102,56 @@
   std::vector<UpgradableServer> servers =
       Servers(9, {{"a", 1}, {"b", 1}, {"c", 1}});
   const auto assigned = AssignModels(servers, named, EqualShares());
-  std::map<std::string, int> counts;
-  for (const auto& [server, model] : assigned) {
-    ++counts[model];
-  }
-  for (const auto& [model, count] : counts) {
-    LONGS_EQUAL(3, count);
+  std::set<std::string> all;
+  for (const auto& [model, own] : assigned) {
+    LONGS_EQUAL(3, own.size());
+    all.insert(own.begin(), own.end());
   }
+  LONGS_EQUAL(9, all.size());
   for (UpgradableServer& server : servers) {
-    server.versions[assigned.find(server.id)->second] = 2;
+    for (const auto& [model, own] : assigned) {
+      server.versions[model] = own.contains(server.id) ? 2 : 1;
+    }
   }
   const Named later = {{"a", 3}, {"b", 5}, {"c", 2}};
   CHECK_TRUE(AssignModels(servers, later, EqualShares()) == assigned);
 }
 
+TEST(FleetUpgrade, OverlappingSharesAreSpreadOverAllServers) {
+  const Named named = {{"a", 2}, {"b", 2}, {"c", 2}};
+  const std::vector<UpgradableServer> servers =
+      Servers(9, {{"a", 1}, {"b", 1}, {"c", 1}});
+  const ModelNumbers shares =
+      ShareServers(9, 1.5, {{"a", 5}, {"b", 5}, {"c", 5}}, {});
+  std::map<std::string, int> models_of;
+  std::int64_t sum = 0;
+  for (const auto& [model, own] : AssignModels(servers, named, shares)) {
+    LONGS_EQUAL(shares.at(model), own.size());
+    for (const std::string& server : own) {
+      ++models_of[server];
+      ++sum;
+    }
+  }
+  LONGS_EQUAL(14, sum);
+  for (const auto& [server, models] : models_of) {
+    CHECK_TRUE(models <= 2);
+  }
+  this->options.concurrent_share = 1.0;
+  std::set<std::string> ordered;
+  for (const UpgradeOrder& order : PlanUpgrades(
+           servers, {{"a", 9}, {"b", 9}, {"c", 9}}, shares, this->options)) {
+    CHECK_TRUE(ordered.insert(order.server_id).second);
+  }
+}
+
+TEST(FleetUpgrade, TheOverlapFollowsTheLoadsThatArePossible) {
+  DOUBLES_EQUAL(1.0, ShareOverlap(1.0, 2.0, 3), 1e-9);
+  DOUBLES_EQUAL(1.5, ShareOverlap(3.0, 2.0, 3), 1e-9);
+  DOUBLES_EQUAL(3.0, ShareOverlap(9.0, 2.0, 3), 1e-9);
+  DOUBLES_EQUAL(1.0, ShareOverlap(9.0, 0.0, 3), 1e-9);
+  DOUBLES_EQUAL(1.0, ShareOverlap(9.0, 2.0, 0), 1e-9);
+}
+
 TEST(FleetUpgrade, SharesFollowDemandAndAddUp) {
   const struct {
     std::int64_t servers;
@@ -132,17 +168,18 @@
       {5, {}, {}},
   };
   for (const auto& example : cases) {
-    CHECK_TRUE(ShareServers(example.servers, example.demand, {}) ==
+    CHECK_TRUE(ShareServers(example.servers, 1.0, example.demand, {}) ==
                example.shares);
   }
 }
 
 TEST(FleetUpgrade, SharesStayWhileTheyAreOffByLessThanAServer) {
   const ModelNumbers before = {{"a", 4}, {"b", 6}};
-  CHECK_TRUE(ShareServers(10, {{"a", 48}, {"b", 52}}, before) == before);
+  CHECK_TRUE(ShareServers(10, 1.0, {{"a", 48}, {"b", 52}}, before) == before);
   const ModelNumbers moved = {{"a", 6}, {"b", 4}};
-  CHECK_TRUE(ShareServers(10, {{"a", 60}, {"b", 40}}, before) == moved);
-  const ModelNumbers fewer = ShareServers(9, {{"a", 48}, {"b", 52}}, before);
+  CHECK_TRUE(ShareServers(10, 1.0, {{"a", 60}, {"b", 40}}, before) == moved);
+  const ModelNumbers fewer =
+      ShareServers(9, 1.0, {{"a", 48}, {"b", 52}}, before);
   LONGS_EQUAL(9, fewer.at("a") + fewer.at("b"));
 }
 
