Gateway: Carry texts over to a model's next job

Cause: the longest text takes 7 s alone, and a step waits for what was left over from the one before, which began again from nothing: steps took 7 to 8 s each and trainers fell two steps behind. Change: jobs of one model meet in one partition; the owner keeps the texts of groups that a job left incomplete and goes on with them, or only scores them, in a later job that their versions fit. Long samples start on servers with the newer version, so that they do fit.

--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -114,24 +114,42 @@
   *this->alive = false;
 }
 
-JobPartition& JobCalls::PartitionOf(std::string_view job_id) const {
-  return *this->partitions[FastHash(job_id) % this->partitions.size()];
+JobPartition& JobCalls::PartitionFor(const BatchJob& job) const {
+  const std::string& key = job.model.empty() ? job.id : job.model;
+  return *this->partitions[FastHash(key) % this->partitions.size()];
 }
 
-void JobCalls::WithFreshKnowledge(JobPartition& partition,
-                                  std::shared_ptr<HttpResponder> responder,
-                                  std::function<void()> then) {
-  partition.Refresh([kept = this->alive, responder = std::move(responder),
-                     then = std::move(then)](bool fresh) {
-    if (!*kept) {
-      return;
+JobPartition* JobCalls::FindPartition(std::string_view job_id) const {
+  for (const auto& partition : this->partitions) {
+    if (partition->Fold().Find(job_id) != nullptr) {
+      return partition.get();
     }
-    if (!fresh) {
-      responder->Send(LogUnavailable());
-      return;
-    }
-    then();
-  });
+  }
+  return nullptr;
+}
+
+void JobCalls::WithFreshKnowledge(std::shared_ptr<HttpResponder> responder,
+                                  std::function<void()> then) {
+  struct Refreshing {
+    std::size_t open = 0;
+    bool fresh = true;
+  };
+  auto refreshing = std::make_shared<Refreshing>();
+  refreshing->open = this->partitions.size();
+  for (const auto& partition : this->partitions) {
+    partition->Refresh(
+        [kept = this->alive, refreshing, responder, then](bool fresh) {
+          refreshing->fresh = refreshing->fresh && fresh;
+          if (--refreshing->open > 0 || !*kept) {
+            return;
+          }
+          if (refreshing->fresh) {
+            then();
+          } else {
+            responder->Send(LogUnavailable());
+          }
+        });
+  }
 }
 
 void JobCalls::Submit(const HostRoute& route,
@@ -149,7 +167,7 @@
   job.accepted_at = this->environment.clock.WallNow();
   job.due = route.due;
   job.retention = route.retention;
-  JobPartition& partition = this->PartitionOf(job.id);
+  JobPartition& partition = this->PartitionFor(job);
   if (partition.Fold().Find(job.id) != nullptr) {
     responder->Send({kAccepted, {}, ""});
     return;
@@ -201,19 +219,18 @@
   }
 }
 
-void JobCalls::WithJob(const JobCall& call,
-                       std::shared_ptr<HttpResponder> responder,
-                       std::function<void(const JobState&)> then) {
-  JobPartition& partition = this->PartitionOf(call.job_id);
-  if (const JobState* const state = partition.Fold().Find(call.job_id)) {
-    then(*state);
+void JobCalls::WithJob(
+    const JobCall& call,
+    std::shared_ptr<HttpResponder> responder,
+    std::function<void(JobPartition&, const JobState&)> then) {
+  if (JobPartition* const partition = this->FindPartition(call.job_id)) {
+    then(*partition, *partition->Fold().Find(call.job_id));
     return;
   }
   this->WithFreshKnowledge(
-      partition, responder,
-      [&partition, id = call.job_id, responder, then = std::move(then)] {
-        if (const JobState* const state = partition.Fold().Find(id)) {
-          then(*state);
+      responder, [this, id = call.job_id, responder, then = std::move(then)] {
+        if (JobPartition* const partition = this->FindPartition(id)) {
+          then(*partition, *partition->Fold().Find(id));
         } else {
           responder->Send(NoSuchJob());
         }
@@ -222,27 +239,29 @@
 
 void JobCalls::ReadResults(const JobCall& call,
                            const std::shared_ptr<HttpResponder>& responder) {
-  JobPartition& partition = this->PartitionOf(call.job_id);
-  if (this->TryAnswerRead(call, partition, *responder)) {
-    return;
-  }
-  const JobState* const state = partition.Fold().Find(call.job_id);
-  const bool beyond = state != nullptr && call.position > state->results.size();
-  const bool fresh =
-      this->environment.clock.BootNow() - partition.Follower().ConfirmedAt() <
-      kFreshness;
-  if (state != nullptr && !beyond && fresh) {
-    this->WaitForResults(call, partition, responder);
-    return;
+  JobPartition* const partition = this->FindPartition(call.job_id);
+  if (partition != nullptr) {
+    if (this->TryAnswerRead(call, *partition, *responder)) {
+      return;
+    }
+    const JobState& state = *partition->Fold().Find(call.job_id);
+    const bool beyond = call.position > state.results.size();
+    const bool fresh = this->environment.clock.BootNow() -
+                           partition->Follower().ConfirmedAt() <
+                       kFreshness;
+    if (!beyond && fresh) {
+      this->WaitForResults(call, *partition, responder);
+      return;
+    }
   }
-  this->WithFreshKnowledge(
-      partition, responder, [this, call, &partition, responder] {
-        if (partition.Fold().Find(call.job_id) == nullptr) {
-          responder->Send(NoSuchJob());
-        } else if (!this->TryAnswerRead(call, partition, *responder)) {
-          this->WaitForResults(call, partition, responder);
-        }
-      });
+  this->WithFreshKnowledge(responder, [this, call, responder] {
+    JobPartition* const holder = this->FindPartition(call.job_id);
+    if (holder == nullptr) {
+      responder->Send(NoSuchJob());
+    } else if (!this->TryAnswerRead(call, *holder, *responder)) {
+      this->WaitForResults(call, *holder, responder);
+    }
+  });
 }
 
 // Answers when there is a result at the position, or never will be.
@@ -336,7 +355,8 @@
                         std::shared_ptr<HttpResponder> responder) {
   this->WithJob(
       call, responder,
-      [responder, sample_id = call.sample_id](const JobState& state) {
+      [responder, sample_id = call.sample_id](JobPartition& /*partition*/,
+                                              const JobState& state) {
         const std::optional<std::size_t> index = state.IndexOf(sample_id);
         const std::optional<std::string> body =
             index && !state.listed[*index]
@@ -354,34 +374,36 @@
 
 void JobCalls::EndJob(const JobCall& call,
                       std::shared_ptr<HttpResponder> responder) {
-  this->WithJob(call, responder, [this, responder](const JobState& state) {
-    if (state.ended) {
-      responder->Send({kOk, {}, ""});
-      return;
-    }
-    const JobRecord record = EncodeEnd(state.job.id);
-    JobWrite write;
-    write.records.push_back({record.key, record.value});
-    write.patience = kLogPatience;
-    write.is_redundant = [id = state.job.id](const JobFold& fold) {
-      const JobState* const known = fold.Find(id);
-      return known == nullptr || known->ended;
-    };
-    write.done = [responder](WriteEnd end) {
-      switch (end) {
-        case WriteEnd::kDone:
+  this->WithJob(
+      call, responder,
+      [responder](JobPartition& partition, const JobState& state) {
+        if (state.ended) {
           responder->Send({kOk, {}, ""});
           return;
-        case WriteEnd::kNotWritten:
-          responder->Send(LogUnavailable());
-          return;
-        case WriteEnd::kUnknown:
-          responder->Send(OutcomeUnknown());
-          return;
-      }
-    };
-    this->PartitionOf(state.job.id).Write(std::move(write));
-  });
+        }
+        const JobRecord record = EncodeEnd(state.job.id);
+        JobWrite write;
+        write.records.push_back({record.key, record.value});
+        write.patience = kLogPatience;
+        write.is_redundant = [id = state.job.id](const JobFold& fold) {
+          const JobState* const known = fold.Find(id);
+          return known == nullptr || known->ended;
+        };
+        write.done = [responder](WriteEnd end) {
+          switch (end) {
+            case WriteEnd::kDone:
+              responder->Send({kOk, {}, ""});
+              return;
+            case WriteEnd::kNotWritten:
+              responder->Send(LogUnavailable());
+              return;
+            case WriteEnd::kUnknown:
+              responder->Send(OutcomeUnknown());
+              return;
+          }
+        };
+        partition.Write(std::move(write));
+      });
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/job_calls.h
+++ b/Services/Gateway/job_calls.h
@@ -43,14 +43,18 @@
     std::unique_ptr<Timer> timer;
   };
 
-  JobPartition& PartitionOf(std::string_view job_id) const;
-  // Runs `then` with fresh knowledge of the partition, or refuses.
-  void WithFreshKnowledge(JobPartition& partition,
-                          std::shared_ptr<HttpResponder> responder,
+  // Where a new job goes. Successive jobs of one model meet in one partition,
+  // so that their owner can carry texts over; a job that is submitted again
+  // goes to the same.
+  JobPartition& PartitionFor(const BatchJob& job) const;
+  // The partition that holds the job, or null when none is known to.
+  JobPartition* FindPartition(std::string_view job_id) const;
+  // Runs `then` with fresh knowledge of all partitions, or refuses.
+  void WithFreshKnowledge(std::shared_ptr<HttpResponder> responder,
                           std::function<void()> then);
   void WithJob(const JobCall& call,
                std::shared_ptr<HttpResponder> responder,
-               std::function<void(const JobState&)> then);
+               std::function<void(JobPartition&, const JobState&)> then);
   void WriteJob(JobPartition& partition,
                 const BatchJob& job,
                 Milliseconds patience,
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -33,6 +33,11 @@
 // results must be readable, and a margin for clocks that differ.
 constexpr Milliseconds kForgetMargin{30'000};
 constexpr Milliseconds kForgetPeriod{5'000};
+// A trainer asks for what was left of a step with one of its next steps.
+constexpr Milliseconds kCarriedTime{60'000};
+// Samples that are expected to be so many times longer than the others of their
+// job are the ones that may be left over.
+constexpr double kLongSample = 1.5;
 
 // A server is left by running texts when it takes so many times as long as the
 // others: reading the text in again elsewhere costs a few events' time.
@@ -67,6 +72,15 @@
       route, FastHash(sample.group.empty() ? sample.id : sample.group));
 }
 
+std::int64_t LongTokens(std::span<const JobSample> samples) {
+  std::int64_t sum = 0;
+  for (const JobSample& sample : samples) {
+    sum += sample.expected_output_tokens;
+  }
+  return static_cast<std::int64_t>(kLongSample * static_cast<double>(sum) /
+                                   static_cast<double>(samples.size()));
+}
+
 std::vector<std::size_t> LongestFirst(std::span<const JobSample> samples) {
   std::vector<std::size_t> order(samples.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
@@ -167,6 +181,7 @@
     const auto known = this->jobs.find(state.job.id);
     if (known != this->jobs.end()) {
       this->LogOver(state, *known->second);
+      this->CarryOver(state, *known->second);
       this->jobs.erase(known);
     }
     return;
@@ -180,6 +195,7 @@
     job->due = state.job.due;
     job->samples.resize(state.job.samples.size());
     job->order = LongestFirst(state.job.samples);
+    job->long_tokens = LongTokens(state.job.samples);
     WriteLog(LogLevel::kInfo, "job taken",
              {{"job", job->id},
               {"model", state.job.model},
@@ -189,10 +205,84 @@
               {"listed", std::to_string(state.results.size())},
               {"partition", std::to_string(partition.Number())},
               {"age_ms", std::to_string(this->AgeOf(state).count())}});
+    this->TakeCarried(*job, state);
   }
   this->TakeListed(*job, state);
 }
 
+void JobRunner::CarryOver(const JobState& state, ActiveJob& job) {
+  std::set<std::string, std::less<>> open_groups;
+  for (std::size_t index = 0; index < state.listed.size(); ++index) {
+    if (!state.listed[index]) {
+      open_groups.insert(state.job.samples[index].group);
+    }
+  }
+  const MonotonicTime now = this->environment.clock.Now();
+  for (std::size_t index = 0; index < job.samples.size(); ++index) {
+    Progress& progress = job.samples[index];
+    const bool unfinished =
+        progress.events > 0 && progress.stage != Stage::kFinished;
+    if (unfinished) {
+      const bool whole = progress.stage == Stage::kWaitingForScore ||
+                         progress.stage == Stage::kScoring;
+      this->carried[state.job.samples[index].id] = {
+          std::move(progress.text), progress.events, progress.last_event_id,
+          progress.versions,        whole,           now};
+    }
+  }
+  for (const JobResult& result : state.results) {
+    const std::size_t index = *state.IndexOf(result.sample_id);
+    if (result.completed &&
+        open_groups.contains(state.job.samples[index].group)) {
+      this->carried[result.sample_id] = {
+          result.output,
+          1,
+          "",
+          std::set<std::int64_t>(result.versions.begin(),
+                                 result.versions.end()),
+          true,
+          now};
+    }
+  }
+}
+
+void JobRunner::TakeCarried(ActiveJob& job, const JobState& state) {
+  const HostRoute* const route =
+      this->environment.configuration ? this->RouteOf(state) : nullptr;
+  const bool single_version = route != nullptr && route->single_version;
+  std::size_t taken = 0;
+  for (std::size_t index = 0; index < job.samples.size(); ++index) {
+    const auto found = this->carried.find(state.job.samples[index].id);
+    if (found == this->carried.end()) {
+      continue;
+    }
+    CarriedText& text = found->second;
+    const bool fits =
+        (text.versions.empty() ||
+         *text.versions.begin() >= state.job.min_version) &&
+        !(single_version && (!text.whole || text.versions.size() > 1));
+    if (fits) {
+      Progress& progress = job.samples[index];
+      progress.text = std::move(text.text);
+      progress.events = text.events;
+      progress.last_event_id = std::move(text.last_event_id);
+      progress.versions = std::move(text.versions);
+      if (text.whole && state.job.samples[index].reward) {
+        progress.stage = Stage::kWaitingForScore;
+        ++job.waiting_for_score;
+      } else if (text.whole) {
+        this->Finish(job, state, index, true, "");
+      }
+      ++taken;
+    }
+    this->carried.erase(found);
+  }
+  if (taken > 0) {
+    WriteLog(LogLevel::kInfo, "texts carried over",
+             {{"job", job.id}, {"texts", std::to_string(taken)}});
+  }
+}
+
 void JobRunner::TakeListed(ActiveJob& job, const JobState& state) {
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
     Progress& progress = job.samples[index];
@@ -310,6 +400,27 @@
                                            const std::string& service) {
   const std::vector<const FleetServer*> servers =
       this->UsableEngines(state, service);
+  // What is left of a long text when its step ends fits the next step if all of
+  // it came from the newer version.
+  if (state.job.samples[index].expected_output_tokens > job.long_tokens &&
+      job.samples[index].events == 0) {
+    std::vector<const FleetServer*> newest = servers;
+    std::erase_if(newest, [&state](const FleetServer* server) {
+      return server->VersionOf(state.job.model) <= state.job.min_version;
+    });
+    if (const FleetServer* const server =
+            this->ChooseAmong(newest, job, state, index)) {
+      return server;
+    }
+  }
+  return this->ChooseAmong(servers, job, state, index);
+}
+
+const FleetServer* JobRunner::ChooseAmong(
+    std::span<const FleetServer* const> servers,
+    ActiveJob& job,
+    const JobState& state,
+    std::size_t index) {
   BackendQuery query;
   query.servers = servers;
   query.excluded = job.samples[index].avoided;
@@ -710,6 +821,9 @@
     return;
   }
   this->last_forgetting = now;
+  std::erase_if(this->carried, [now](const auto& entry) {
+    return now - entry.second.kept_at > kCarriedTime;
+  });
   const Milliseconds kept =
       std::chrono::seconds(this->environment.settings.results_kept_s) +
       kForgetMargin;
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -78,6 +78,8 @@
     std::vector<std::size_t> order;
     // Samples before this place in `order` need no server any more.
     std::size_t first_open = 0;
+    // Samples expected to have more output tokens are long ones.
+    std::int64_t long_tokens = 0;
     // Where the samples of a group went last.
     std::map<std::string, std::string> group_servers;
     // Invariant: the number of samples in that stage.
@@ -85,9 +87,23 @@
 
     const JobState* State() const { return partition->Fold().Find(id); }
   };
+  // A text of a job that has ended, for a later job with the same sample.
+  struct CarriedText {
+    std::string text;
+    std::size_t events = 0;
+    std::string last_event_id;
+    std::set<std::int64_t> versions;
+    // Nothing follows; only its reward call may be missing.
+    bool whole = false;
+    MonotonicTime kept_at;
+  };
   using JobMap = std::map<std::string, std::unique_ptr<ActiveJob>, std::less<>>;
 
   void Adopt(JobPartition& partition, const JobState& state);
+  // Keeps the texts of groups that are not complete.
+  void CarryOver(const JobState& state, ActiveJob& job);
+  // Takes up a carried text whose versions fit the job.
+  void TakeCarried(ActiveJob& job, const JobState& state);
   void DropMissing(const JobPartition& partition);
   void TakeListed(ActiveJob& job, const JobState& state);
   bool StillOpen(const JobState& state) const;
@@ -105,6 +121,10 @@
   std::vector<const FleetServer*> UsableEngines(
       const JobState& state,
       const std::string& service) const;
+  const FleetServer* ChooseAmong(std::span<const FleetServer* const> servers,
+                                 ActiveJob& job,
+                                 const JobState& state,
+                                 std::size_t index);
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool TakeEvent(ActiveJob& job,
@@ -139,6 +159,8 @@
   const std::vector<std::unique_ptr<JobPartition>>& partitions;
   std::set<std::int64_t> owned;
   JobMap jobs;
+  // By sample id.
+  std::map<std::string, CarriedText, std::less<>> carried;
   // Ended streams and calls, kept until their own callback returned.
   std::vector<std::unique_ptr<SampleStream>> ended_streams;
   std::vector<std::unique_ptr<BackendCall>> ended_calls;
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -213,6 +213,106 @@
   LONGS_EQUAL(0, this->fixture.client.seen.size());
 }
 
+TEST(JobRunner, ALeftOverTextGoesOnInALaterJobIfItsVersionsFit) {
+  const struct {
+    const char* name;
+    std::int64_t min_version;
+    bool goes_on;
+  } cases[] = {{"fits", 3, true}, {"too old", 4, false}};
+  for (const auto& example : cases) {
+    this->fixture.fleet = ServerFleet();
+    this->fixture.AddServer("a", "llm", 3);
+    this->fixture.client.seen.clear();
+    // The first run brings one event; nothing more can be had until the end.
+    this->fixture.client.answer = [this](const HttpClientRequest& request) {
+      ScriptedAnswer answer = Stream(request);
+      if (this->fixture.client.seen.size() == 1) {
+        answer.body = EventText(1);
+        answer.ending = ScriptedAnswer::Ending::kCut;
+        this->fixture.fleet = ServerFleet();
+      } else {
+        answer.headers[2].value = "4";
+      }
+      return answer;
+    };
+    BatchJob job = this->JobOf(1);
+    job.id = std::string("first-") + std::to_string(example.min_version);
+    this->PutJob(job);
+    CHECK_TRUE(this->fixture.runner.RunUntil(
+        [this] { return this->fixture.client.seen.size() == 1; }));
+    this->fixture.runner.RunFor(Milliseconds(20));
+    const JobRecord end = EncodeEnd(job.id);
+    this->fixture.log.Put(JobsPart(), {{end.key, end.value}});
+    this->fixture.runner.RunFor(Milliseconds(20));
+    this->fixture.AddServer("b", "llm", 4);
+    job.id = std::string("later-") + std::to_string(example.min_version);
+    job.min_version = example.min_version;
+    this->PutJob(job);
+    CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+      const JobState* const state = this->partitions[0]->Fold().Find(job.id);
+      return state != nullptr && state->Complete();
+    }));
+    const JobState& state = *this->partitions[0]->Fold().Find(job.id);
+    STRCMP_EQUAL_TEXT("e1\ne2", state.results[0].output.c_str(), example.name);
+    CHECK_EQUAL_TEXT(
+        example.goes_on,
+        FindHeader(this->fixture.client.seen[1].headers, "After-Event")
+            .has_value(),
+        example.name);
+  }
+}
+
+TEST(JobRunner, AListedTextOfAnIncompleteGroupIsOnlyScoredAgain) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.AddServer("s", "app");
+  BatchJob job = this->JobOf(2);
+  for (JobSample& sample : job.samples) {
+    sample.reward = RewardCall{"reward-" + sample.id, "app.example",
+                               "/app/score", "c2NvcmU="};
+  }
+  // The second sample of the group finds no server.
+  this->fixture.client.answer = [](const HttpClientRequest& request) {
+    if (request.url.starts_with("http://s:1")) {
+      return GatewayFixture::Answer(request, 200, "ok");
+    }
+    return request.url.ends_with("-1") ? GatewayFixture::NotRun(request)
+                                       : Stream(request);
+  };
+  this->PutJob(job);
+  CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+    return this->State() != nullptr && this->State()->results.size() == 1;
+  }));
+  const JobRecord end = EncodeEnd("j");
+  this->fixture.log.Put(JobsPart(), {{end.key, end.value}});
+  this->fixture.runner.RunFor(Milliseconds(20));
+  this->fixture.client.seen.clear();
+  job.id = "later";
+  this->PutJob(job);
+  CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+    const JobState* const state = this->partitions[0]->Fold().Find("later");
+    return state != nullptr && state->results.size() == 1;
+  }));
+  const JobState& state = *this->partitions[0]->Fold().Find("later");
+  STRCMP_EQUAL("j-0", state.results[0].sample_id.c_str());
+  STRCMP_EQUAL("e1\ne2", state.results[0].output.c_str());
+  for (const HttpClientRequest& request : this->fixture.client.seen) {
+    CHECK_FALSE(request.url.ends_with("/train/j-0"));
+  }
+}
+
+TEST(JobRunner, TheLongestSamplesStartFirst) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.client.answer = &Stream;
+  BatchJob job = this->JobOf(6);
+  for (std::size_t i = 0; i < job.samples.size(); ++i) {
+    job.samples[i].expected_output_tokens = static_cast<std::int64_t>(i);
+  }
+  this->PutJob(job);
+  this->RunUntilComplete();
+  CHECK_TRUE(this->fixture.client.seen[0].url.ends_with("j-5"));
+  CHECK_TRUE(this->fixture.client.seen[5].url.ends_with("j-0"));
+}
+
 TEST(JobRunner, OnlyOwnedPartitionsAreRun) {
   this->runner->SetOwned({});
   this->fixture.AddServer("a", "llm", 3);
--- a/Tests/LibRouting/backend_choice_test.cc
+++ b/Tests/LibRouting/backend_choice_test.cc
@@ -90,6 +90,35 @@
   CHECK_FALSE(this->Choose().empty());
 }
 
+TEST(BackendChoice, AStreamsPaceCountsAndItsPausesDoNot) {
+  for (const char* id : {"a", "b", "c"}) {
+    const Milliseconds pace(id[0] == 'a' ? 120 : 40);
+    for (int i = 0; i < 10; ++i) {
+      this->loads.NoteEvent(id, pace, this->clock.Now());
+    }
+    // All of them paused once.
+    this->loads.NoteEvent(id, Milliseconds(900), this->clock.Now());
+  }
+  const double typical = TypicalWorkTimeMs(this->pointers, this->loads);
+  DOUBLES_EQUAL(40.0, typical, 1e-9);
+  DOUBLES_EQUAL(3.0, SlownessOf(this->servers[0], this->loads, typical), 1e-9);
+  DOUBLES_EQUAL(1.0, SlownessOf(this->servers[1], this->loads, typical), 1e-9);
+  // A third of two slots still is one place.
+  this->loads.Begin("a");
+  this->query.preferred_id = "a";
+  CHECK_FALSE(this->Choose() == "a");
+}
+
+TEST(BackendChoice, ARecoveredServerIsSeenWithinTwoWindows) {
+  for (const char* id : {"a", "b", "c"}) {
+    this->loads.NoteEvent(id, Milliseconds(id[0] == 'a' ? 120 : 40),
+                          this->clock.Now());
+  }
+  this->clock.Advance(BackendLoads::kPaceWindow + Milliseconds(1));
+  this->loads.NoteEvent("a", Milliseconds(40), this->clock.Now());
+  DOUBLES_EQUAL(40.0, this->loads.WorkTimeMs("a"), 1e-9);
+}
+
 TEST(BackendChoice, ASlowServerGetsLessWork) {
   for (int i = 0; i < 30; ++i) {
     for (const char* id : {"a", "b", "c"}) {
