--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -87,12 +87,14 @@
                       AppendCallback callback) = 0;
 
   using ReadCallback = std::function<void(Outcome<KeyedLogPage>)>;
-  // Waits up to `wait` for a record at `from`. Errors: kExpired when records
+  // Waits up to `wait` for a record at `from`; a log that has not answered
+  // `patience` later is taken for unreachable. Errors: kExpired when records
   // from there on are gone (take a snapshot), kNotFound for a topic without
   // any record, else kUnavailable.
   virtual void Read(const LogPart& part,
                     std::uint64_t from,
                     Milliseconds wait,
+                    Milliseconds patience,
                     ReadCallback callback) = 0;
 
   using SnapshotCallback = std::function<void(Outcome<KeyedSnapshot>)>;
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -246,9 +246,10 @@
     }
     const JobState& state = *partition->Fold().Find(call.job_id);
     const bool beyond = call.position > state.results.size();
-    const bool fresh = this->environment.clock.BootNow() -
-                           partition->Follower().ConfirmedAt() <
-                       kFreshness;
+    const bool fresh = partition->Follower().Synced() &&
+                       this->environment.clock.BootNow() -
+                               partition->Follower().ConfirmedAt() <
+                           kFreshness;
     if (!beyond && fresh) {
       this->WaitForResults(call, *partition, responder);
       return;
--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -41,7 +41,7 @@
                clock,
                log,
                std::move(part),
-               LogFollowerOptions(),
+               {.from_beginning = true},
                this->FollowerHandlers()) {}
 
 JobPartition::~JobPartition() {
@@ -55,12 +55,12 @@
     for (const KeyedLogRecord& record : records) {
       this->fold.Apply(record.record.key, record.record.value);
     }
-    this->MarkEmpty();
   };
   followed.on_record = [this](const KeyedLogRecord& record) {
     this->TakeRecord(record);
   };
   followed.on_batch = [this] {
+    this->MarkEmpty();
     this->handlers.on_batch();
     this->FlushSoon();
   };
@@ -73,9 +73,10 @@
 // A read that waits on a partition without records may not notice the first
 // one.
 void JobPartition::MarkEmpty() {
-  if (this->follower.Next() > 0) {
+  if (this->marked || this->follower.Next() > 0) {
     return;
   }
+  this->marked = true;
   const JobRecord mark = EncodeMark();
   JobWrite write;
   write.records.push_back({mark.key, mark.value});
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -106,6 +106,8 @@
   // Invariant: an append under way holds the first entries of the queue.
   std::deque<std::shared_ptr<Pending>> queue;
   bool appending = false;
+  // A mark was written, or tried.
+  bool marked = false;
   Milliseconds backoff{0};
   std::unique_ptr<Timer> flush_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -127,7 +127,8 @@
     return;
   }
   for (const auto& partition : this->partitions) {
-    if (partition->Number() != number) {
+    // Before all was read, an end that stands in the log may not be known.
+    if (partition->Number() != number || !partition->Follower().Synced()) {
       continue;
     }
     this->DropMissing(*partition);
--- a/Services/Gateway/log_follower.cc
+++ b/Services/Gateway/log_follower.cc
@@ -15,6 +15,10 @@
 constexpr Milliseconds kLongestBackoff{400};
 // A topic that has no record yet is asked for again after this time.
 constexpr Milliseconds kMissingTopicPause{400};
+// The log answers in milliseconds, in a quarter of a second when it is slow.
+constexpr Milliseconds kPatience{1'000};
+// While this instance reads what it missed, others may do so too.
+constexpr Milliseconds kCatchUpPatience{5'000};
 
 }  // namespace
 
@@ -36,15 +40,20 @@
 }
 
 void LogFollower::Start() {
-  this->TakeSnapshot();
+  if (!this->options.from_beginning) {
+    this->needs_snapshot = true;
+    this->TakeSnapshot();
+    return;
+  }
+  this->Read();
 }
 
 void LogFollower::ReadAfter(Milliseconds delay) {
   this->timer = this->loop.CallAfter(delay, [this] {
-    if (this->synced) {
-      this->Read();
-    } else {
+    if (this->needs_snapshot) {
       this->TakeSnapshot();
+    } else {
+      this->Read();
     }
   });
 }
@@ -69,6 +78,7 @@
   const KeyedSnapshot snapshot =
       missing ? KeyedSnapshot() : std::move(outcome.Value());
   this->synced = true;
+  this->needs_snapshot = false;
   this->next = snapshot.end;
   this->handlers.on_snapshot(snapshot.records);
   this->Confirm(began);
@@ -78,7 +88,9 @@
 
 void LogFollower::Read() {
   const MonotonicTime began = this->clock.BootNow();
-  this->log.Read(this->part, this->next, this->options.wait,
+  const Milliseconds wait = this->synced ? this->options.wait : Milliseconds(0);
+  this->log.Read(this->part, this->next, wait,
+                 this->synced ? kPatience : kCatchUpPatience,
                  [this, alive = this->alive, began](auto outcome) {
                    if (*alive) {
                      this->ReadDone(std::move(outcome), began);
@@ -91,15 +103,18 @@
     const bool news = !outcome.Value().records.empty();
     const bool more = outcome.Value().next < outcome.Value().end;
     this->TakePage(outcome.Value(), began);
+    this->CaughtUp(!more);
     this->ReadAfter(news && !more ? this->options.pace : Milliseconds(0));
     return;
   }
   switch (outcome.GetError().kind) {
     case ErrorKind::kExpired:
+      this->needs_snapshot = true;
       this->TakeSnapshot();
       break;
     case ErrorKind::kNotFound:
       this->Confirm(began);
+      this->CaughtUp(true);
       this->ReadAfter(kMissingTopicPause);
       break;
     default:
@@ -107,6 +122,13 @@
   }
 }
 
+void LogFollower::CaughtUp(bool at_end) {
+  if (at_end && !this->synced) {
+    this->synced = true;
+    this->handlers.on_batch();
+  }
+}
+
 void LogFollower::TakePage(const KeyedLogPage& page, MonotonicTime began) {
   bool any = false;
   for (const KeyedLogRecord& record : page.records) {
@@ -177,7 +199,7 @@
     return;
   }
   const MonotonicTime began = this->clock.BootNow();
-  this->log.Read(this->part, this->next, Milliseconds(0),
+  this->log.Read(this->part, this->next, Milliseconds(0), kPatience,
                  [this, alive = this->alive, began](auto outcome) {
                    if (*alive) {
                      this->RefreshDone(std::move(outcome), began);
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -1,5 +1,5 @@
-// Follows one partition of the log: a snapshot first, then every record as it
-// comes, and a snapshot again when records were deleted meanwhile.
+// Follows one partition of the log: a snapshot, or all that is retained, then
+// every record as it comes, and a snapshot again when records were deleted.
 
 #pragma once
 
@@ -20,6 +20,9 @@
   // Pause after a read that brought records, so that the next brings more of
   // them; zero reads on at once.
   Milliseconds pace{0};
+  // Begin with the records that are still retained, which are cheaper to read
+  // than a snapshot; for handlers that may see old values before new ones.
+  bool from_beginning = false;
 };
 
 struct LogFollowerHandlers {
@@ -54,7 +57,7 @@
                std::uint64_t end);
 
   const LogPart& Part() const { return this->part; }
-  // A snapshot was taken.
+  // Everything was read that the log held at some moment since the start.
   bool Synced() const { return this->synced; }
   // The offset of the next record; every lower one was handed over.
   std::uint64_t Next() const { return this->next; }
@@ -73,6 +76,7 @@
   void StartRefresh();
   void RefreshDone(Outcome<KeyedLogPage> outcome, MonotonicTime began);
   void EndRefresh(bool fresh);
+  void CaughtUp(bool at_end);
   void TakePage(const KeyedLogPage& page, MonotonicTime began);
   void Confirm(MonotonicTime began);
   void ReadAfter(Milliseconds delay);
@@ -86,6 +90,8 @@
   LogFollowerHandlers handlers;
 
   bool synced = false;
+  // Records at `next` were deleted.
+  bool needs_snapshot = false;
   bool reachable = true;
   std::uint64_t next = 0;
   MonotonicTime confirmed_at = MonotonicTime::min();
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -57,6 +57,7 @@
   void Read(const LogPart& part,
             std::uint64_t from,
             Milliseconds wait,
+            Milliseconds /*patience*/,
             ReadCallback callback) override {
     if (this->faults.outage) {
       this->Answer(std::move(callback), Unavailable());
