--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -22,6 +22,10 @@
   std::unique_ptr<JobRunner> runner;
 
   void setup() override {
+    this->Start();
+  }
+
+  void Start() {
     this->partitions.push_back(std::make_unique<JobPartition>(
         this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
         JobsPart(), 1'000'000,
@@ -313,6 +317,22 @@
   CHECK_TRUE(this->fixture.client.seen[5].url.ends_with("j-0"));
 }
 
+TEST(JobRunner, NothingRunsBeforeAllRecordsWereRead) {
+  this->teardown();
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.client.answer = &Stream;
+  this->PutJob(this->JobOf(1));
+  const JobRecord end = EncodeEnd("j");
+  this->fixture.log.Put(JobsPart(), {{end.key, end.value}});
+  // The job's end stands behind it on another page.
+  this->fixture.log.faults.most_records_a_page = 1;
+  this->Start();
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->State() != nullptr && this->State()->ended; }));
+  this->fixture.runner.RunFor(Milliseconds(50));
+  LONGS_EQUAL(0, this->fixture.client.seen.size());
+}
+
 TEST(JobRunner, OnlyOwnedPartitionsAreRun) {
   this->runner->SetOwned({});
   this->fixture.AddServer("a", "llm", 3);
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -23,6 +23,8 @@
   std::size_t late_appends = 0;
   // That many next appends end in kRefused.
   std::size_t refused_appends = 0;
+  // A read brings no more of them at once.
+  std::size_t most_records_a_page = 1'000;
 };
 
 class FakePartitionedLog final : public PartitionedLog {
@@ -193,9 +195,11 @@
     const std::vector<KeyedLogRecord>& stored = this->parts[part];
     KeyedLogPage page;
     const std::size_t first = std::min<std::size_t>(from, stored.size());
+    const std::size_t last =
+        std::min(first + this->faults.most_records_a_page, stored.size());
     page.records.assign(stored.begin() + static_cast<std::ptrdiff_t>(first),
-                        stored.end());
-    page.next = std::max<std::uint64_t>(from, stored.size());
+                        stored.begin() + static_cast<std::ptrdiff_t>(last));
+    page.next = std::max<std::uint64_t>(from, last);
     page.end = stored.size();
     return page;
   }
