--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -173,7 +173,7 @@
   this->sends.erase(found);
   switch (answer.verdict) {
     case BackendVerdict::kNotRun:
-      this->NotRun(server_id, answer);
+      this->NotRun(answer);
       return;
     case BackendVerdict::kUnknown:
       this->last_reason = answer.reason;
@@ -201,8 +201,7 @@
   this->Finish(FailUnknown(kBadGateway, "no_answer", this->last_reason));
 }
 
-void ForwardedCall::NotRun(const std::string& /*server_id*/,
-                           const BackendAnswer& answer) {
+void ForwardedCall::NotRun(const BackendAnswer& answer) {
   --this->runs;
   this->last_reason = answer.reason;
   if (this->sends.empty()) {
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -35,7 +35,7 @@
   void Attempt();
   const FleetServer* ChooseServer(bool allow_avoided);
   void Answered(const std::string& server_id, BackendAnswer answer);
-  void NotRun(const std::string& server_id, const BackendAnswer& answer);
+  void NotRun(const BackendAnswer& answer);
   void WaitAndAttempt();
   void WatchSlowness();
   void OutOfTime();
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -190,7 +190,10 @@
         this->loop, this->clock, *this->log,
         LogPart{std::string(kJobsTopic), number},
         static_cast<std::size_t>(this->settings.log_append_bytes),
-        this->HandlersOf(number)));
+        [this, number] {
+          this->runner.Reconsider(number);
+          this->job_calls.Changed(number);
+        }));
   }
   for (const auto& partition : this->partitions) {
     partition->Start();
@@ -234,17 +237,6 @@
   return handlers;
 }
 
-JobPartitionHandlers Gateway::HandlersOf(std::int64_t partition) {
-  JobPartitionHandlers handlers;
-  handlers.on_change = [](const JobChange& /*change*/) {};
-  handlers.on_batch = [this, partition] {
-    this->runner.Reconsider(partition);
-    this->job_calls.Changed(partition);
-  };
-  handlers.on_reachable = [](bool /*reachable*/) {};
-  return handlers;
-}
-
 void Gateway::NoteReachable(std::string_view what, bool reachable) {
   this->fleet.NoteOutage(this->clock.BootNow());
   WriteLog(reachable ? LogLevel::kInfo : LogLevel::kWarning,
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -41,7 +41,6 @@
   void Follow();
   LogFollowerHandlers OperatorHandlers();
   LogFollowerHandlers ServersHandlers();
-  JobPartitionHandlers HandlersOf(std::int64_t partition);
   void TakeOperatorRecord(const KeyedLogRecord& record);
   void TakeConfiguration(std::string_view text);
   void TakeServerRecord(const KeyedLogRecord& record);
--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -32,11 +32,11 @@
                            PartitionedLog& log,
                            LogPart part,
                            std::size_t max_append_bytes,
-                           JobPartitionHandlers handlers)
+                           std::function<void()> on_batch)
     : loop(loop),
       log(log),
       max_append_bytes(max_append_bytes),
-      handlers(std::move(handlers)),
+      on_batch(std::move(on_batch)),
       follower(loop,
                clock,
                log,
@@ -57,16 +57,14 @@
     }
   };
   followed.on_record = [this](const KeyedLogRecord& record) {
-    this->TakeRecord(record);
+    this->fold.Apply(record.record.key, record.record.value);
   };
   followed.on_batch = [this] {
     this->MarkEmpty();
-    this->handlers.on_batch();
+    this->on_batch();
     this->FlushSoon();
   };
-  followed.on_reachable = [this](bool reachable) {
-    this->handlers.on_reachable(reachable);
-  };
+  followed.on_reachable = [](bool /*reachable*/) {};
   return followed;
 }
 
@@ -86,14 +84,6 @@
   this->Write(std::move(write));
 }
 
-void JobPartition::TakeRecord(const KeyedLogRecord& record) {
-  const std::optional<JobChange> change =
-      this->fold.Apply(record.record.key, record.record.value);
-  if (change) {
-    this->handlers.on_change(*change);
-  }
-}
-
 void JobPartition::Write(JobWrite write) {
   auto pending = std::make_shared<Pending>();
   pending->write = std::move(write);
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -38,14 +38,6 @@
   std::function<void(WriteEnd)> done;
 };
 
-struct JobPartitionHandlers {
-  std::function<void(const JobChange&)> on_change;
-  // After the changes of one batch; also after a snapshot, when any job may
-  // have changed.
-  std::function<void()> on_batch;
-  std::function<void(bool reachable)> on_reachable;
-};
-
 class JobPartition {
  public:
   JobPartition(EventLoop& loop,
@@ -53,7 +45,7 @@
                PartitionedLog& log,
                LogPart part,
                std::size_t max_append_bytes,
-               JobPartitionHandlers handlers);
+               std::function<void()> on_batch);
   ~JobPartition();
   JobPartition(const JobPartition&) = delete;
   JobPartition& operator=(const JobPartition&) = delete;
@@ -82,7 +74,6 @@
 
   LogFollowerHandlers FollowerHandlers();
   void MarkEmpty();
-  void TakeRecord(const KeyedLogRecord& record);
   void FlushSoon();
   void Flush();
   void FlushAfter(Milliseconds delay);
@@ -99,7 +90,8 @@
   EventLoop& loop;
   PartitionedLog& log;
   std::size_t max_append_bytes;
-  JobPartitionHandlers handlers;
+  // After the records of one read, when any job may have changed.
+  std::function<void()> on_batch;
   JobFold fold;
   LogFollower follower;
 
--- a/Tests/Gateway/job_calls_test.cc
+++ b/Tests/Gateway/job_calls_test.cc
@@ -16,10 +16,7 @@
   void setup() override {
     this->partitions.push_back(std::make_unique<JobPartition>(
         this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
-        JobsPart(), 1'000'000,
-        JobPartitionHandlers{[](const JobChange&) {},
-                             [this] { this->calls->Changed(0); },
-                             [](bool) {}}));
+        JobsPart(), 1'000'000, [this] { this->calls->Changed(0); }));
     this->calls =
         std::make_unique<JobCalls>(this->fixture.environment, this->partitions);
     this->partitions[0]->Start();
--- a/Tests/Gateway/job_partition_test.cc
+++ b/Tests/Gateway/job_partition_test.cc
@@ -23,14 +23,9 @@
 TEST_GROUP(JobPartition) {
   GatewayFixture fixture;
   int batches = 0;
-  JobPartition partition{
-      fixture.runner.loop,
-      fixture.clock,
-      fixture.log,
-      JobsPart(),
-      1'000'000,
-      JobPartitionHandlers{[](const JobChange&) {}, [this] { ++this->batches; },
-                           [](bool) {}}};
+  JobPartition partition{fixture.runner.loop, fixture.clock,
+                         fixture.log,         JobsPart(),
+                         1'000'000,           [this] { ++this->batches; }};
   std::vector<WriteEnd> ends;
 
   void setup() override {
@@ -85,10 +80,8 @@
 TEST(JobPartition, AnEmptyPartitionGetsARecordOnce) {
   CHECK_TRUE(this->fixture.runner.RunUntil(
       [this] { return this->fixture.log.Records(JobsPart()).size() == 1; }));
-  JobPartition second(
-      this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
-      JobsPart(), 1'000'000,
-      JobPartitionHandlers{[](const JobChange&) {}, [] {}, [](bool) {}});
+  JobPartition second(this->fixture.runner.loop, this->fixture.clock,
+                      this->fixture.log, JobsPart(), 1'000'000, [] {});
   second.Start();
   CHECK_TRUE(this->fixture.runner.RunUntil(
       [&] { return second.Follower().Synced(); }));
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -28,10 +28,7 @@
   void Start() {
     this->partitions.push_back(std::make_unique<JobPartition>(
         this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
-        JobsPart(), 1'000'000,
-        JobPartitionHandlers{[](const JobChange&) {},
-                             [this] { this->runner->Reconsider(0); },
-                             [](bool) {}}));
+        JobsPart(), 1'000'000, [this] { this->runner->Reconsider(0); }));
     this->runner = std::make_unique<JobRunner>(this->fixture.environment,
                                                this->partitions);
     this->partitions[0]->Start();
