Gateway: Account sends, choose servers and read answers in one place each

Cause: reading the change again. Calls and streams each kept the account of a send; the runner built the same query in three places, looked a service's servers up for every running text and took up all jobs again at every heartbeat of a server; the upgrader repeated the plan's bound of loads and its own options. Change: SendAccount for both; one Choose() in the runner; servers of a service are looked up once a tick; news of servers and configuration only start samples, as jobs change with their partition alone. MostLoadsAtOnce is the plan's. A moved-from answer is no longer looked at. Three older parsers use ParseInteger.

--- a/Libraries/LibPlatform/json_members.cc
+++ b/Libraries/LibPlatform/json_members.cc
@@ -2,7 +2,6 @@
 
 #include "LibPlatform/json_members.h"
 
-#include <charconv>
 #include <limits>
 
 namespace carobbank {
@@ -60,15 +59,11 @@
 }
 
 std::uint64_t JsonMembers::DecimalString(const char* key) {
-  const std::string text = this->String(key);
-  std::uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
+  const auto value = ParseInteger<std::uint64_t>(this->String(key));
+  if (!value) {
     this->RejectMember(key, "an unsigned number in decimal digits");
-    return 0;
   }
-  return value;
+  return value.value_or(0);
 }
 
 const Json::Value& JsonMembers::Array(const char* key) {
--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -42,7 +42,7 @@
   AppendResult result = AppendResult::kUnknown;
   // kAppended: offset of the first record.
   std::uint64_t offset = 0;
-  // kAppended and kConflict: where the partition ends.
+  // kAppended: where the partition ends then.
   std::uint64_t end = 0;
   // Why it failed, for log lines.
   std::string reason;
--- a/Libraries/LibVersions/fleet_upgrade.cc
+++ b/Libraries/LibVersions/fleet_upgrade.cc
@@ -47,12 +47,6 @@
   return static_cast<std::size_t>(static_cast<double>(count) * share);
 }
 
-std::size_t MostAtOnce(std::size_t servers, double share) {
-  const auto rounded = static_cast<std::size_t>(
-      std::lround(static_cast<double>(servers) * share));
-  return std::max<std::size_t>(rounded, 1);
-}
-
 // The servers of one model that should load, oldest first: all that can't serve
 // the newest step, then as many as the fresh share wants.
 std::vector<const UpgradableServer*> Wanted(
@@ -173,6 +167,12 @@
 
 }  // namespace
 
+std::size_t MostLoadsAtOnce(std::size_t servers, double concurrent_share) {
+  const auto rounded = static_cast<std::size_t>(
+      std::lround(static_cast<double>(servers) * concurrent_share));
+  return std::max<std::size_t>(rounded, 1);
+}
+
 double ShareOverlap(double loads_per_s,
                     double needed_per_s,
                     std::size_t models) {
@@ -234,7 +234,8 @@
   const auto changing = static_cast<std::size_t>(
       std::count_if(servers.begin(), servers.end(),
                     [](const auto& server) { return server.changing; }));
-  const std::size_t most = MostAtOnce(servers.size(), options.concurrent_share);
+  const std::size_t most =
+      MostLoadsAtOnce(servers.size(), options.concurrent_share);
   std::size_t room = most > changing ? most - changing : 0;
 
   std::vector<std::vector<UpgradeOrder>> by_model;
--- a/Libraries/LibVersions/fleet_upgrade.h
+++ b/Libraries/LibVersions/fleet_upgrade.h
@@ -41,6 +41,9 @@
   std::int64_t version = 0;
 };
 
+// How many of so many servers may load at once; one at the least.
+std::size_t MostLoadsAtOnce(std::size_t servers, double concurrent_share);
+
 // How many times over the fleet can be shared out: `loads_per_s` changes of
 // version are possible, `needed_per_s` would keep every server current for one
 // model. At least 1, at most the number of models.
--- a/Services/Entry/call_environment.cc
+++ b/Services/Entry/call_environment.cc
@@ -3,7 +3,6 @@
 #include "call_environment.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "problems.h"
 
@@ -144,11 +143,9 @@
   std::int64_t allowed = document.limits.deadline_ms;
   const auto given = FindHeader(request.headers, "X-Deadline-Ms");
   if (given) {
-    std::int64_t wished = 0;
-    const char* const end = given->data() + given->size();
-    const auto parsed = std::from_chars(given->data(), end, wished);
-    if (parsed.ec == std::errc() && parsed.ptr == end && wished > 0) {
-      allowed = std::min(allowed, wished);
+    const auto wished = ParseInteger<std::int64_t>(*given);
+    if (wished && *wished > 0) {
+      allowed = std::min(allowed, *wished);
     }
   }
   return now_ms + allowed;
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -94,10 +94,9 @@
                          std::string request_id,
                          Callback done)
     : environment(environment),
-      server_id(std::move(server_id)),
+      account(environment, std::move(server_id)),
       request_id(std::move(request_id)),
-      done(std::move(done)),
-      began(environment.clock.Now()) {}
+      done(std::move(done)) {}
 
 std::unique_ptr<BackendCall> BackendCall::Start(GatewayEnvironment& environment,
                                                 const FleetServer& server,
@@ -108,18 +107,10 @@
   HttpClientRequest sent =
       RequestForServer(request, server, environment.dialect.Headers());
   sent.accept_unframed_answer = true;
-  environment.loads.Begin(server.id);
   call->exchange = environment.client.Start(std::move(sent), call->Handlers());
   return call;
 }
 
-BackendCall::~BackendCall() {
-  if (this->done) {
-    this->environment.loads.End(this->server_id, SendOutcome::kCancelled,
-                                Milliseconds(0), this->environment.clock.Now());
-  }
-}
-
 HttpClientHandlers BackendCall::Handlers() {
   HttpClientHandlers handlers;
   handlers.on_headers = [this](int status, const HttpHeaders& headers) {
@@ -147,8 +138,8 @@
   BackendAnswer answer = this->Judge();
   SendOutcome outcome = SendOutcome::kAnswered;
   if (answer.verdict == BackendVerdict::kNotRun) {
-    outcome = this->response.status == kMisdirected ? SendOutcome::kFailed
-                                                    : SendOutcome::kRefused;
+    outcome = answer.response.status == kMisdirected ? SendOutcome::kFailed
+                                                     : SendOutcome::kRefused;
   } else if (answer.verdict == BackendVerdict::kUnknown) {
     outcome = SendOutcome::kFailed;
   }
@@ -189,10 +180,7 @@
   if (!this->done) {
     return;
   }
-  const MonotonicTime now = this->environment.clock.Now();
-  this->environment.loads.End(
-      this->server_id, outcome,
-      std::chrono::duration_cast<Milliseconds>(now - this->began), now);
+  this->account.End(outcome);
   const Callback report = std::move(this->done);
   this->done = nullptr;
   // May destroy this call.
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "gateway_environment.h"
+#include "send_account.h"
 
 namespace carobbank {
 
@@ -66,11 +67,11 @@
                                             const BackendRequest& request,
                                             Callback done);
   // Gives the request up: closes its connection, calls nothing.
-  ~BackendCall();
+  ~BackendCall() = default;
   BackendCall(const BackendCall&) = delete;
   BackendCall& operator=(const BackendCall&) = delete;
 
-  const std::string& ServerId() const { return this->server_id; }
+  const std::string& ServerId() const { return this->account.ServerId(); }
 
  private:
   BackendCall(GatewayEnvironment& environment,
@@ -85,10 +86,9 @@
   BackendAnswer Judge();
 
   GatewayEnvironment& environment;
-  std::string server_id;
+  SendAccount account;
   std::string request_id;
   Callback done;
-  MonotonicTime began;
   HttpResponse response;
   std::unique_ptr<HttpExchange> exchange;
 };
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -3,7 +3,6 @@
 #include "fleet_upgrader.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -62,7 +61,7 @@
   handlers.on_record = [this](const KeyedLogRecord& record) {
     this->TakeClaim(record);
   };
-  handlers.on_batch = [this] { this->Act(); };
+  handlers.on_batch = [this] { this->Reconsider(); };
   return handlers;
 }
 
@@ -84,7 +83,7 @@
 
 void FleetUpgrader::SetElected(bool now_elected) {
   this->elected = now_elected;
-  this->Act();
+  this->Reconsider();
 }
 
 void FleetUpgrader::Retire() {
@@ -108,10 +107,6 @@
   this->Reconsider();
 }
 
-void FleetUpgrader::Reconsider() {
-  this->Act();
-}
-
 bool FleetUpgrader::IsHolder() const {
   return this->claim_holder == this->environment.settings.instance;
 }
@@ -172,7 +167,7 @@
   this->tick = this->environment.loop.CallAfter(kTickPeriod, [this] {
     this->Tick();
     this->ClaimOrRenew();
-    this->Act();
+    this->Reconsider();
   });
 }
 
@@ -223,14 +218,19 @@
   return versions;
 }
 
-double FleetUpgrader::Overlap(std::int64_t server_count) const {
+FleetUpgradeOptions FleetUpgrader::Options() const {
   FleetUpgradeOptions options;
-  const double seconds_per_load =
-      std::chrono::duration<double>(this->load_time).count();
-  const double at_once = std::max(
-      std::round(static_cast<double>(server_count) * options.concurrent_share),
-      1.0);
-  const double usable = at_once / seconds_per_load * kUsableLoads;
+  options.allowed_lag = this->environment.settings.allowed_version_lag;
+  return options;
+}
+
+double FleetUpgrader::Overlap(std::int64_t server_count) const {
+  const FleetUpgradeOptions options = this->Options();
+  const auto at_once = static_cast<double>(MostLoadsAtOnce(
+      static_cast<std::size_t>(server_count), options.concurrent_share));
+  const double usable = at_once /
+                        std::chrono::duration<double>(this->load_time).count() *
+                        kUsableLoads;
   double needed = 0;
   for (const auto& [model, pace] : this->naming) {
     const auto share = this->shares.find(model);
@@ -240,8 +240,7 @@
     // Every server loads each (allowed lag + 1)th version.
     needed += static_cast<double>(server_count) /
               static_cast<double>(this->shares.size()) /
-              static_cast<double>(
-                  this->environment.settings.allowed_version_lag + 1) /
+              static_cast<double>(options.allowed_lag + 1) /
               std::chrono::duration<double>(*pace.interval).count();
   }
   return ShareOverlap(usable, needed, this->shares.size());
@@ -269,7 +268,7 @@
                               complete, this->shares);
 }
 
-void FleetUpgrader::Act() {
+void FleetUpgrader::Reconsider() {
   if (!this->environment.configuration || !this->Holding()) {
     return;
   }
@@ -284,10 +283,8 @@
   }
   const ModelNumbers versions = this->VersionsToServe(candidates);
   this->ShareOut(static_cast<std::int64_t>(candidates.size()), versions);
-  FleetUpgradeOptions options;
-  options.allowed_lag = this->environment.settings.allowed_version_lag;
   for (const UpgradeOrder& order :
-       PlanUpgrades(candidates, versions, this->shares, options)) {
+       PlanUpgrades(candidates, versions, this->shares, this->Options())) {
     if (const auto* server = this->environment.fleet.Find(order.server_id)) {
       this->Order(*server, order);
     }
@@ -350,7 +347,7 @@
     return;
   }
   this->TakeStatus(id, server, status.Value());
-  this->Act();
+  this->Reconsider();
 }
 
 void FleetUpgrader::TakeStatus(const std::string& id,
@@ -369,13 +366,11 @@
   const FleetServer* const known = this->environment.fleet.Find(id);
   const bool done = known != nullptr && known->VersionOf(server.order->model) >=
                                             server.order->version;
-  const bool not_taken = !status.busy &&
-                         now - server.ordered_at > kUnansweredPatience &&
-                         status.orders_accepted == server.orders_accepted;
-  const bool passed_over = !status.busy &&
-                           now - server.ordered_at > kUnansweredPatience &&
-                           status.orders_accepted > server.orders_accepted;
-  if (done || not_taken || passed_over) {
+  // Not taken, or taken without reaching the version.
+  const bool without_effect = !status.busy &&
+                              now - server.ordered_at > kUnansweredPatience &&
+                              status.orders_accepted >= server.orders_accepted;
+  if (done || without_effect) {
     const auto took =
         std::chrono::duration_cast<Milliseconds>(now - server.ordered_at);
     if (done) {
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -69,8 +69,8 @@
   void Claim();
   ModelNumbers VersionsToServe(std::span<const UpgradableServer> servers) const;
   void Tick();
-  void Act();
   std::vector<UpgradableServer> Candidates() const;
+  FleetUpgradeOptions Options() const;
   void ShareOut(std::int64_t server_count, const ModelNumbers& versions);
   // How many times over the fleet can be kept current, by the pace at which
   // versions are named and loaded.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -94,7 +94,7 @@
       metrics(this->clock),
       client(HttpClient::Create(this->loop, ClientOptions(kBackendIdleTime))),
       log_client(HttpClient::Create(this->loop, ClientOptions(kLogWait * 30))),
-      log(make_log(this->loop, *this->log_client)),
+      log(make_log(*this->log_client)),
       environment{
           this->settings, dialect,       this->clock,        this->random,
           this->loop,     *this->client, *this->log,         this->metrics,
@@ -251,27 +251,35 @@
       std::make_shared<const TrafficConfiguration>(std::move(decoded.Value()));
   WriteLog(LogLevel::kInfo, "configuration in force",
            {{"version", std::to_string(this->configuration->version)}});
-  this->runner.ReconsiderAll();
+  this->runner.PumpSoon();
   this->upgrader.Reconsider();
 }
 
+// Nothing when the record names no server to use.
+std::optional<FleetServer> Gateway::DecodeServer(const KeyedRecord& record) {
+  Outcome<FleetServer> decoded =
+      this->dialect.DecodeServer(record.key, record.value);
+  if (!decoded.Ok()) {
+    WriteLog(LogLevel::kWarning, "server entry not usable",
+             {{"server", record.key}, {"error", decoded.GetError().Text()}});
+    return std::nullopt;
+  }
+  return std::move(decoded.Value());
+}
+
 void Gateway::TakeServerRecord(const KeyedLogRecord& record) {
   const KeyedRecord& keyed = record.record;
-  this->server_records[keyed.key] = record;
   if (keyed.value.empty()) {
     this->server_records.erase(keyed.key);
     this->fleet.Drop(keyed.key, this->clock.BootNow());
     return;
   }
-  Outcome<FleetServer> decoded =
-      this->dialect.DecodeServer(keyed.key, keyed.value);
-  if (!decoded.Ok()) {
-    WriteLog(LogLevel::kWarning, "server entry not usable",
-             {{"server", keyed.key}, {"error", decoded.GetError().Text()}});
+  this->server_records[keyed.key] = record;
+  if (std::optional<FleetServer> server = this->DecodeServer(keyed)) {
+    this->fleet.Put(std::move(*server));
+  } else {
     this->fleet.Drop(keyed.key, this->clock.BootNow());
-    return;
   }
-  this->fleet.Put(std::move(decoded.Value()));
 }
 
 void Gateway::ReplaceServers(std::span<const KeyedLogRecord> records) {
@@ -282,21 +290,15 @@
       continue;
     }
     this->server_records[record.record.key] = record;
-    Outcome<FleetServer> decoded =
-        this->dialect.DecodeServer(record.record.key, record.record.value);
-    if (decoded.Ok()) {
-      listed.push_back(std::move(decoded.Value()));
-      continue;
+    if (std::optional<FleetServer> server = this->DecodeServer(record.record)) {
+      listed.push_back(std::move(*server));
     }
-    WriteLog(
-        LogLevel::kWarning, "server entry not usable",
-        {{"server", record.record.key}, {"error", decoded.GetError().Text()}});
   }
   this->fleet.Replace(std::move(listed), this->clock.BootNow());
 }
 
 void Gateway::ServersChanged() {
-  this->runner.ReconsiderAll();
+  this->runner.PumpSoon();
   this->upgrader.Reconsider();
 }
 
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -17,10 +17,9 @@
 
 namespace carobbank {
 
-// Makes the platform's log on the gateway's loop.
+// Makes the platform's log over a client on the gateway's loop.
 using LogFactory =
-    std::function<std::unique_ptr<PartitionedLog>(EventLoop& loop,
-                                                  HttpClient& client)>;
+    std::function<std::unique_ptr<PartitionedLog>(HttpClient& client)>;
 
 class Gateway {
  public:
@@ -43,6 +42,7 @@
   LogFollowerHandlers ServersHandlers();
   void TakeOperatorRecord(const KeyedLogRecord& record);
   void TakeConfiguration(std::string_view text);
+  std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void TakeServerRecord(const KeyedLogRecord& record);
   void ReplaceServers(std::span<const KeyedLogRecord> records);
   void NoteReachable(std::string_view what, bool reachable);
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -49,15 +49,11 @@
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
 
-bool Contains(const std::vector<std::string>& list, const std::string& item) {
-  return std::find(list.begin(), list.end(), item) != list.end();
-}
-
 // A server is passed over for a sample that it has just failed or refused, but
 // only as long as others were not tried as well.
 void RememberAvoided(std::vector<std::string>& avoided, std::string server) {
   constexpr std::size_t kMostAvoided = 3;
-  if (Contains(avoided, server)) {
+  if (std::find(avoided.begin(), avoided.end(), server) != avoided.end()) {
     return;
   }
   if (avoided.size() == kMostAvoided) {
@@ -66,6 +62,14 @@
   avoided.push_back(std::move(server));
 }
 
+// Lets the passed-over servers be tried again; false when there were none, so
+// that no server has room at all.
+bool ForgetAvoided(std::vector<std::string>& avoided) {
+  const bool any = !avoided.empty();
+  avoided.clear();
+  return any;
+}
+
 // Samples of a group share their prompt, so they go to one service.
 const std::string& ServiceOf(const HostRoute& route, const JobSample& sample) {
   return ChooseService(
@@ -113,10 +117,6 @@
   std::erase_if(this->jobs, [this](const auto& entry) {
     return !this->owned.contains(entry.second->partition->Number());
   });
-  this->ReconsiderAll();
-}
-
-void JobRunner::ReconsiderAll() {
   for (const std::int64_t partition : this->owned) {
     this->Reconsider(partition);
   }
@@ -401,36 +401,36 @@
                                            const std::string& service) {
   const std::vector<const FleetServer*> servers =
       this->UsableEngines(state, service);
+  const JobSample& sample = state.job.samples[index];
+  const Progress& progress = job.samples[index];
+  const std::string preferred =
+      sample.group.empty() ? "" : job.group_servers[sample.group];
   // What is left of a long text when its step ends fits the next step if all of
   // it came from the newer version.
-  if (state.job.samples[index].expected_output_tokens > job.long_tokens &&
-      job.samples[index].events == 0) {
+  if (sample.expected_output_tokens > job.long_tokens && progress.events == 0) {
     std::vector<const FleetServer*> newest = servers;
     std::erase_if(newest, [&state](const FleetServer* server) {
       return server->VersionOf(state.job.model) <= state.job.min_version;
     });
-    if (const FleetServer* const server =
-            this->ChooseAmong(newest, job, state, index)) {
+    if (const FleetServer* const server = this->Choose(
+            newest, progress.avoided, preferred, kSampleRoomPerSlot)) {
       return server;
     }
   }
-  return this->ChooseAmong(servers, job, state, index);
+  return this->Choose(servers, progress.avoided, preferred, kSampleRoomPerSlot);
 }
 
-const FleetServer* JobRunner::ChooseAmong(
+const FleetServer* JobRunner::Choose(
     std::span<const FleetServer* const> servers,
-    ActiveJob& job,
-    const JobState& state,
-    std::size_t index) {
+    std::span<const std::string> excluded,
+    std::string_view preferred_id,
+    double room_per_slot) const {
   BackendQuery query;
   query.servers = servers;
-  query.excluded = job.samples[index].avoided;
+  query.excluded = excluded;
   query.data_center = this->environment.settings.data_center;
-  query.room_per_slot = kSampleRoomPerSlot;
-  const std::string& group = state.job.samples[index].group;
-  if (!group.empty()) {
-    query.preferred_id = job.group_servers[group];
-  }
+  query.preferred_id = preferred_id;
+  query.room_per_slot = room_per_slot;
   return ChooseBackend(query, this->environment.loads,
                        this->environment.clock.Now(), this->environment.random);
 }
@@ -450,9 +450,7 @@
   const FleetServer* const server =
       this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
   if (server == nullptr) {
-    const bool only_avoided = !progress.avoided.empty();
-    progress.avoided.clear();
-    return only_avoided;
+    return ForgetAvoided(progress.avoided);
   }
   const std::optional<std::string> body = DecodeBase64(sample.body_base64);
   if (!body) {
@@ -621,18 +619,10 @@
   const std::vector<const FleetServer*> servers =
       this->environment.fleet.Serving(
           ChooseService(*route, FastHash(reward.id)));
-  BackendQuery query;
-  query.servers = servers;
-  query.excluded = progress.avoided;
-  query.data_center = this->environment.settings.data_center;
-  query.room_per_slot = kRewardRoomPerSlot;
   const FleetServer* const server =
-      ChooseBackend(query, this->environment.loads,
-                    this->environment.clock.Now(), this->environment.random);
+      this->Choose(servers, progress.avoided, "", kRewardRoomPerSlot);
   if (server == nullptr) {
-    const bool only_avoided = !progress.avoided.empty();
-    progress.avoided.clear();
-    return only_avoided;
+    return ForgetAvoided(progress.avoided);
   }
   BackendRequest request;
   request.method = "POST";
@@ -762,47 +752,47 @@
   if (route == nullptr) {
     return;
   }
+  // By service; what is known of the servers' pace doesn't change meanwhile.
+  struct Engines {
+    std::vector<const FleetServer*> servers;
+    double typical_ms = 0;
+  };
+  std::map<std::string_view, Engines> engines_of;
   std::size_t moves = 0;
-  for (std::size_t index = 0; index < job.samples.size(); ++index) {
-    Progress& progress = job.samples[index];
-    if (!progress.stream || !progress.stream->HasBegun()) {
+  for (std::size_t index = 0;
+       index < job.samples.size() && moves < kMovesPerTick; ++index) {
+    SampleStream* const stream = job.samples[index].stream.get();
+    if (stream == nullptr || !stream->HasBegun()) {
       continue;
     }
-    if (moves == kMovesPerTick) {
-      return;
+    const std::string& service = ServiceOf(*route, state->job.samples[index]);
+    const auto [entry, is_new] = engines_of.try_emplace(service);
+    Engines& engines = entry->second;
+    if (is_new) {
+      engines.servers = this->UsableEngines(*state, service);
+      engines.typical_ms =
+          TypicalWorkTimeMs(engines.servers, this->environment.loads);
     }
-    if (this->FasterServerHasRoom(job, *state, index, *route)) {
+    if (this->FasterServerHasRoom(stream->ServerId(), engines.servers,
+                                  engines.typical_ms)) {
       ++moves;
-      progress.stream->GiveUp(SendOutcome::kCancelled,
-                              "a faster server has room");
+      stream->GiveUp(SendOutcome::kCancelled, "a faster server has room");
     }
   }
 }
 
-bool JobRunner::FasterServerHasRoom(ActiveJob& job,
-                                    const JobState& state,
-                                    std::size_t index,
-                                    const HostRoute& route) {
-  const std::string& server_id = job.samples[index].stream->ServerId();
-  const std::vector<const FleetServer*> servers =
-      this->UsableEngines(state, ServiceOf(route, state.job.samples[index]));
-  const double typical = TypicalWorkTimeMs(servers, this->environment.loads);
+bool JobRunner::FasterServerHasRoom(const std::string& server_id,
+                                    std::span<const FleetServer* const> servers,
+                                    double typical_ms) const {
   const FleetServer* const current = this->environment.fleet.Find(server_id);
   if (current == nullptr ||
-      SlownessOf(*current, this->environment.loads, typical) < kSlowEnough) {
+      SlownessOf(*current, this->environment.loads, typical_ms) < kSlowEnough) {
     return false;
   }
-  const std::vector<std::string> excluded = {server_id};
-  BackendQuery query;
-  query.servers = servers;
-  query.excluded = excluded;
-  query.data_center = this->environment.settings.data_center;
-  query.room_per_slot = kSampleRoomPerSlot;
   const FleetServer* const other =
-      ChooseBackend(query, this->environment.loads,
-                    this->environment.clock.Now(), this->environment.random);
+      this->Choose(servers, std::span(&server_id, 1), "", kSampleRoomPerSlot);
   return other != nullptr &&
-         SlownessOf(*other, this->environment.loads, typical) < kSlowEnough;
+         SlownessOf(*other, this->environment.loads, typical_ms) < kSlowEnough;
 }
 
 void JobRunner::GiveUpExpired(ActiveJob& job, const JobState& state) {
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -28,9 +28,10 @@
   // The partitions whose jobs this instance runs from now on.
   void SetOwned(std::set<std::int64_t> partitions);
   const std::set<std::int64_t>& Owned() const { return this->owned; }
-  // The jobs of the partition, the servers or the configuration changed.
+  // Jobs of the partition changed.
   void Reconsider(std::int64_t partition);
-  void ReconsiderAll();
+  // Servers or the configuration changed: samples may find a place now.
+  void PumpSoon();
 
   std::size_t RunningSamples() const;
 
@@ -109,7 +110,6 @@
   bool StillOpen(const JobState& state) const;
   void LogOver(const JobState& state, const ActiveJob& job) const;
   void Pump();
-  void PumpSoon();
   std::vector<ActiveJob*> JobsInOrder() const;
   void StartSamples(ActiveJob& job, const JobState& state);
   // False when no server has room.
@@ -121,10 +121,10 @@
   std::vector<const FleetServer*> UsableEngines(
       const JobState& state,
       const std::string& service) const;
-  const FleetServer* ChooseAmong(std::span<const FleetServer* const> servers,
-                                 ActiveJob& job,
-                                 const JobState& state,
-                                 std::size_t index);
+  const FleetServer* Choose(std::span<const FleetServer* const> servers,
+                            std::span<const std::string> excluded,
+                            std::string_view preferred_id,
+                            double room_per_slot) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool TakeEvent(ActiveJob& job,
@@ -149,10 +149,9 @@
   void Tick();
   void CheckSilence(ActiveJob& job);
   void LeaveSlowServers(ActiveJob& job);
-  bool FasterServerHasRoom(ActiveJob& job,
-                           const JobState& state,
-                           std::size_t index,
-                           const HostRoute& route);
+  bool FasterServerHasRoom(const std::string& server_id,
+                           std::span<const FleetServer* const> servers,
+                           double typical_ms) const;
   void ForgetOld();
 
   GatewayEnvironment& environment;
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -22,11 +22,10 @@
                            std::string request_id,
                            StreamHandlers handlers)
     : environment(environment),
-      server_id(std::move(server_id)),
+      account(environment, std::move(server_id)),
       request_id(std::move(request_id)),
       handlers(std::move(handlers)),
-      began(environment.clock.Now()),
-      last_news(this->began) {}
+      last_news(this->account.Began()) {}
 
 std::unique_ptr<SampleStream> SampleStream::Start(
     GatewayEnvironment& environment,
@@ -42,19 +41,11 @@
     sent.headers.push_back(
         {std::string(names.last_event_id), std::string(last_event_id)});
   }
-  environment.loads.Begin(server.id);
   stream->exchange =
       environment.client.Start(std::move(sent), stream->ClientHandlers());
   return stream;
 }
 
-SampleStream::~SampleStream() {
-  if (this->handlers.on_end) {
-    this->environment.loads.End(this->server_id, SendOutcome::kCancelled,
-                                Milliseconds(0), this->environment.clock.Now());
-  }
-}
-
 HttpClientHandlers SampleStream::ClientHandlers() {
   HttpClientHandlers client_handlers;
   client_handlers.on_headers = [this](int answered,
@@ -117,7 +108,8 @@
   const auto span =
       std::chrono::duration_cast<Milliseconds>(now - this->event_times.front());
   this->event_times.pop_front();
-  this->environment.loads.NoteEvent(this->server_id, span / kEventsOfPace, now);
+  this->environment.loads.NoteEvent(this->ServerId(), span / kEventsOfPace,
+                                    now);
 }
 
 bool SampleStream::TakeEvent(const ServerSentEvent& event) {
@@ -186,10 +178,7 @@
   if (!this->handlers.on_end) {
     return;
   }
-  const MonotonicTime now = this->environment.clock.Now();
-  this->environment.loads.End(
-      this->server_id, outcome,
-      std::chrono::duration_cast<Milliseconds>(now - this->began), now);
+  this->account.End(outcome);
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -47,11 +47,11 @@
                                              const BackendRequest& request,
                                              std::string_view last_event_id,
                                              StreamHandlers handlers);
-  ~SampleStream();
+  ~SampleStream() = default;
   SampleStream(const SampleStream&) = delete;
   SampleStream& operator=(const SampleStream&) = delete;
 
-  const std::string& ServerId() const { return this->server_id; }
+  const std::string& ServerId() const { return this->account.ServerId(); }
   // When the server last sent something, or the run began.
   MonotonicTime LastNews() const { return this->last_news; }
   bool HasBegun() const { return this->begun; }
@@ -74,11 +74,10 @@
   void EndByStatus();
 
   GatewayEnvironment& environment;
-  std::string server_id;
+  SendAccount account;
   std::string request_id;
   StreamHandlers handlers;
   ServerSentEventReader reader;
-  MonotonicTime began;
   MonotonicTime last_news;
   // Arrival of the last few events.
   std::deque<MonotonicTime> event_times;
--- /dev/null
+++ b/Services/Gateway/send_account.h
@@ -0,0 +1,47 @@
+// Accounts one send to a backend server in this gateway's view of its load.
+
+#pragma once
+
+#include <string>
+
+#include "gateway_environment.h"
+
+namespace carobbank {
+
+// Counts the send as in flight until End(), or until it is destroyed, which
+// counts as ending it from this side.
+class SendAccount {
+ public:
+  SendAccount(GatewayEnvironment& environment, std::string server_id)
+      : environment(environment),
+        server_id(std::move(server_id)),
+        began(environment.clock.Now()) {
+    environment.loads.Begin(this->server_id);
+  }
+  ~SendAccount() { this->End(SendOutcome::kCancelled); }
+  SendAccount(const SendAccount&) = delete;
+  SendAccount& operator=(const SendAccount&) = delete;
+
+  // Only the first call counts.
+  void End(SendOutcome outcome) {
+    if (this->ended) {
+      return;
+    }
+    this->ended = true;
+    const MonotonicTime now = this->environment.clock.Now();
+    this->environment.loads.End(
+        this->server_id, outcome,
+        std::chrono::duration_cast<Milliseconds>(now - this->began), now);
+  }
+
+  const std::string& ServerId() const { return this->server_id; }
+  MonotonicTime Began() const { return this->began; }
+
+ private:
+  GatewayEnvironment& environment;
+  std::string server_id;
+  MonotonicTime began;
+  bool ended = false;
+};
+
+}  // namespace carobbank
--- a/Services/Sidecar/work_request.cc
+++ b/Services/Sidecar/work_request.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 namespace carobbank {
@@ -60,15 +59,13 @@
   if (!text || text->empty()) {
     return std::optional<std::int64_t>();
   }
-  std::int64_t value = 0;
-  const char* end = text->data() + text->size();
-  const auto parsed = std::from_chars(text->data(), end, value);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
+  const auto value = ParseInteger<std::int64_t>(*text);
+  if (!value) {
     return Fail(ErrorKind::kInvalidArgument,
                 "not a whole number: header " + std::string(name),
                 "send decimal digits");
   }
-  return std::optional<std::int64_t>(value);
+  return value;
 }
 
 std::uint32_t Tokens(std::int64_t count) {
