Sidecar: Blame a crash also on work that broke off shortly before it

Change: what ended early within a second before a crash is part of its evidence. What ended whole, or longer ago, is not.

Shown: WorkGate.ACrashBlamesWhatBrokeOffShortlyBefore failed before (1 digest instead of 2) and passes.

--- a/Services/Sidecar/work_gate.h
+++ b/Services/Sidecar/work_gate.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -128,8 +129,9 @@
   void OnEnd(WorkHandle handle,
              StreamEnd end,
              const std::optional<Problem>& problem);
-  // Everything that runs now may be the cause.
+  // Everything that runs now, or broke off shortly before, may be the cause.
   void BlameRunning();
+  void NoteBrokenOff(const WorkRequest& request);
   void OnProbed(WorkHandle handle, const Problem& problem, bool crashed);
   void Forget(WorkHandle handle, std::string_view outcome);
   void OnCallerGone(WorkHandle handle);
@@ -147,6 +149,13 @@
   // By the handle's slot. Invariant: holds exactly what the scheduler holds.
   std::unordered_map<std::uint32_t, GatedWork> works;
   CrashSuspects suspects;
+  // Work that ended early: a server may crash on it a moment later. Invariant:
+  // by age, none blamed yet, at most kMostBrokenOff.
+  struct BrokenOffWork {
+    std::string digest;
+    MonotonicTime ended;
+  };
+  std::deque<BrokenOffWork> broken_off;
   std::set<std::string, std::less<>> barred;
   // A work that must run with nothing else at risk.
   std::optional<WorkHandle> alone;
--- a/Services/Sidecar/work_gate_run.cc
+++ b/Services/Sidecar/work_gate_run.cc
@@ -15,6 +15,12 @@
 
 constexpr std::string_view kWholeOutcome = "whole";
 
+// A server that lost the caller of a request drops it within this time; until
+// then a crash may be that request's.
+constexpr Milliseconds kBlameTime{1'000};
+// More than a server has places for within that time.
+constexpr std::size_t kMostBrokenOff = 256;
+
 }  // namespace
 
 WorkGate::GatedWork* WorkGate::Find(WorkHandle handle) {
@@ -258,11 +264,28 @@
       evidence.digests.push_back(digest);
     }
   }
+  const MonotonicTime now = this->environment.clock.Now();
+  for (const BrokenOffWork& work : std::exchange(this->broken_off, {})) {
+    if (now - work.ended <= kBlameTime) {
+      this->suspects.Add(work.digest);
+      evidence.digests.push_back(work.digest);
+    }
+  }
   if (!evidence.digests.empty()) {
     this->environment.on_crash(evidence);
   }
 }
 
+void WorkGate::NoteBrokenOff(const WorkRequest& request) {
+  if (request.digest.empty()) {
+    return;
+  }
+  this->broken_off.push_back({request.digest, this->environment.clock.Now()});
+  if (this->broken_off.size() > kMostBrokenOff) {
+    this->broken_off.pop_front();
+  }
+}
+
 void WorkGate::Forget(WorkHandle handle, std::string_view outcome) {
   GatedWork* work = this->Find(handle);
   const MonotonicTime now = this->environment.clock.Now();
@@ -275,6 +298,9 @@
   if (outcome != kWholeOutcome && work->reply->Started()) {
     this->environment.recorder.OnCut(*work->request, outcome, work->tokens);
   }
+  if (outcome != kWholeOutcome && work->stream != nullptr && !work->blamed) {
+    this->NoteBrokenOff(*work->request);
+  }
   this->NoteLive(*work->request);
   if (this->alone == handle) {
     this->alone.reset();
--- a/Tests/Sidecar/work_gate_test.cc
+++ b/Tests/Sidecar/work_gate_test.cc
@@ -3,6 +3,8 @@
 
 #include "gate_harness.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 namespace carobbank {
@@ -217,6 +219,40 @@
   CHECK_TRUE(harness.crashed[0].complete);
 }
 
+TEST(WorkGate, ACrashBlamesWhatBrokeOffShortlyBefore) {
+  GateHarness harness;
+  harness.Send({.attempt = "a1", .digest = "fatal"});
+  harness.Head(0);
+  harness.Chunk(0, "another-attempt", 0);
+  harness.Send({.attempt = "a2", .digest = "bystander"});
+  harness.clock.Advance(Milliseconds(100));
+  harness.engine.outage = true;
+  harness.Break(1, SendState::kMayHaveBeenSent);
+  LONGS_EQUAL(1, harness.crashed.size());
+  const std::vector<std::string>& digests = harness.crashed[0].digests;
+  LONGS_EQUAL(2, digests.size());
+  CHECK_TRUE(std::find(digests.begin(), digests.end(), "fatal") !=
+             digests.end());
+}
+
+TEST(WorkGate, ACrashBlamesNothingThatEndedLongBeforeOrWell) {
+  GateHarness harness;
+  harness.Send({.attempt = "a1", .digest = "long ago"});
+  harness.Head(0);
+  harness.Chunk(0, "another-attempt", 0);
+  harness.clock.Advance(Milliseconds(5'000));
+  harness.Send({.attempt = "a2", .digest = "whole"});
+  harness.Head(1);
+  harness.Chunk(1, "a2", 0);
+  harness.EndWell(1, "a2");
+  harness.Send({.attempt = "a3", .digest = "fatal"});
+  harness.engine.outage = true;
+  harness.Break(2, SendState::kMayHaveBeenSent);
+  LONGS_EQUAL(1, harness.crashed.size());
+  LONGS_EQUAL(1, harness.crashed[0].digests.size());
+  STRCMP_EQUAL("fatal", harness.crashed[0].digests[0].c_str());
+}
+
 TEST(WorkGate, NothingStartsBesideAWorkThatRunsAlone) {
   GateHarness harness;
   harness.Send({.attempt = "a1", .alone = true});
