--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -36,6 +36,10 @@
       {"job_partitions", kOptional, "partitions",
        "partitions of the topic of batch jobs; the same on every instance",
        Integer(&S::job_partitions, 1, 1'000)},
+      {"follow_all_jobs", kOptional, "",
+       "whether each instance reads all batch jobs instead of asking their "
+       "owners",
+       Boolean(&S::follow_all_jobs)},
       {"log_record_bytes", kOptional, "bytes", "longest record of the log",
        Integer(&S::log_record_bytes, 4'096, 16'777'216)},
       {"log_append_bytes", kOptional, "bytes",
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -180,6 +180,8 @@
   TrafficLimits limits;
   // Partitions of the topic of batch jobs.
   std::int64_t job_partitions = 8;
+  // Every instance reads all batch jobs, instead of asking their owners.
+  bool follow_all_jobs = false;
   std::int64_t log_record_bytes = 262'144;
   std::int64_t log_append_bytes = 2'097'152;
   // An instance that was silent for so long loses its partitions.
--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -69,6 +69,12 @@
   std::vector<LogPart> parts;
 };
 
+// Which member of a group a partition is shared out to.
+struct PartOwner {
+  LogPart part;
+  std::string member;
+};
+
 class PartitionedLog {
  public:
   virtual ~PartitionedLog() = default;
@@ -103,6 +109,10 @@
                     std::int64_t generation,
                     JoinCallback callback) = 0;
   virtual void Leave(std::string_view group, std::string_view member) = 0;
+
+  using OwnersCallback = std::function<void(Outcome<std::vector<PartOwner>>)>;
+  // Partitions without an owner are left out. Errors: kUnavailable, kCorrupt.
+  virtual void ReadOwners(std::string_view group, OwnersCallback callback) = 0;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -21,6 +21,7 @@
 constexpr std::int64_t kElectingPartition = 0;
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
@@ -99,8 +100,23 @@
           this->settings, dialect,       this->clock,        this->random,
           this->loop,     *this->client, *this->log,         this->metrics,
           this->fleet,    this->loads,   this->configuration},
-      runner(this->environment, this->partitions),
-      job_calls(this->environment, this->partitions),
+      partitions(this->environment,
+                 std::string(kJobsTopic),
+                 [this](std::int64_t number) {
+                   this->runner.Reconsider(number);
+                   this->job_calls.Changed(number);
+                 }),
+      owners(this->environment, std::string(kGroup), std::string(kJobsTopic)),
+      runner(this->environment, this->partitions.All()),
+      job_calls(this->environment),
+      job_relay(this->environment,
+                this->partitions,
+                this->owners,
+                [this](JobPartition& partition,
+                       const HttpRequest& request,
+                       std::shared_ptr<HttpResponder> responder) {
+                  this->HandleJobCall(partition, request, std::move(responder));
+                }),
       upgrader(this->environment, {std::string(kClaimsTopic), 0}),
       operator_follower(this->loop,
                         this->clock,
@@ -165,20 +181,7 @@
 }
 
 void Gateway::Follow() {
-  for (std::int64_t number = 0; number < this->settings.job_partitions;
-       ++number) {
-    this->partitions.push_back(std::make_unique<JobPartition>(
-        this->loop, this->clock, *this->log,
-        LogPart{std::string(kJobsTopic), number},
-        static_cast<std::size_t>(this->settings.log_append_bytes),
-        [this, number] {
-          this->runner.Reconsider(number);
-          this->job_calls.Changed(number);
-        }));
-  }
-  for (const auto& partition : this->partitions) {
-    partition->Start();
-  }
+  this->ReviewPartitions();
   this->operator_follower.Start();
   this->servers_follower.Start();
   this->Join();
@@ -303,7 +306,8 @@
 }
 
 void Gateway::Join() {
-  this->log->Join(kGroup, this->settings.instance, kJobsTopic, this->generation,
+  this->log->Join(kGroup, OwnerDirectory::MemberName(this->settings),
+                  kJobsTopic, this->generation,
                   [this](const Outcome<GroupMembership>& outcome) {
                     this->Joined(outcome);
                   });
@@ -321,6 +325,7 @@
     return;
   }
   this->generation = outcome.Value().generation;
+  this->owners.NoteGeneration(this->generation);
   std::set<std::int64_t> owned;
   for (const LogPart& part : outcome.Value().parts) {
     owned.insert(part.part);
@@ -336,11 +341,28 @@
   }
   this->upgrader.SetElected(owned.contains(kElectingPartition));
   this->runner.SetOwned(std::move(owned));
+  this->ReviewPartitions();
+}
+
+void Gateway::ReviewPartitions() {
+  std::set<std::int64_t> needed = this->runner.Owned();
+  // The holder shares servers out by the steps of all models.
+  if (this->settings.follow_all_jobs || this->settings.peer_listen.empty() ||
+      this->upgrader.Holding()) {
+    for (const auto& partition : this->partitions.All()) {
+      needed.insert(partition->Number());
+    }
+  }
+  this->partitions.SetNeeded(std::move(needed));
+  this->partitions.Review([this](const JobPartition& partition) {
+    return this->job_calls.WaitingFor(partition);
+  });
 }
 
 void Gateway::Housekeep() {
   this->housekeeping = this->loop.CallAfter(kHousekeepingPeriod, [this] {
     this->Housekeep();
+    this->ReviewPartitions();
     this->fleet.Expire(this->servers_follower.ConfirmedAt());
     this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.Forget([this](const std::string& id) {
@@ -353,7 +375,7 @@
   // Single steps differ; a few of them tell what is usual.
   constexpr std::int64_t kStepsAveraged = 4;
   ModelNumbers newest_step;
-  for (const auto& partition : this->partitions) {
+  for (const auto& partition : this->partitions.All()) {
     for (const JobState* const state : partition->Fold().Jobs()) {
       std::int64_t& newest = newest_step[state->job.model];
       newest = std::max(newest, state->job.step);
@@ -361,7 +383,7 @@
   }
   ModelNumbers tokens;
   ModelNumbers steps;
-  for (const auto& partition : this->partitions) {
+  for (const auto& partition : this->partitions.All()) {
     for (const JobState* const state : partition->Fold().Jobs()) {
       const BatchJob& job = state->job;
       if (job.step <= newest_step[job.model] - kStepsAveraged) {
@@ -429,6 +451,11 @@
 
 void Gateway::HandlePeer(const HttpRequest& request,
                          const std::shared_ptr<HttpResponder>& responder) {
+  if (JobRelay::IsRelayed(request)) {
+    const auto call = this->dialect.RecognizeJobCall(request);
+    this->job_relay.HandleRelayed(request, call ? call->job_id : "", responder);
+    return;
+  }
   if (request.Path() != PeerExchange::kPath) {
     responder->Send(Reject(kNotFound, "no_such_path", "nothing is here",
                            "ask for the state of a peer"));
@@ -459,7 +486,8 @@
     return;
   }
   if (std::optional<JobCall> call = this->dialect.RecognizeJobCall(request)) {
-    this->job_calls.Handle(std::move(*call), std::move(responder));
+    this->job_relay.Ask(std::move(request), std::move(call->job_id),
+                        std::move(responder));
     return;
   }
   const std::string host(FindHeader(request.headers, "host").value_or(""));
@@ -472,13 +500,7 @@
     return;
   }
   if (route->use == RouteUse::kBatchJobs) {
-    if (this->peer_exchange.CutOff()) {
-      responder->Send(RefuseNotRun("cut_off",
-                                   "only other instances reach the log now",
-                                   kElsewhereRetryAfter));
-      return;
-    }
-    this->job_calls.Submit(*route, request, std::move(responder));
+    this->Submit(std::move(request), std::move(responder));
     return;
   }
   const std::shared_ptr<ForwardedCall> call = ForwardedCall::Start(
@@ -491,6 +513,47 @@
   }
 }
 
+void Gateway::Submit(HttpRequest request,
+                     std::shared_ptr<HttpResponder> responder) {
+  const Outcome<BatchJob> job = this->dialect.DecodeSubmission(request);
+  if (!job.Ok()) {
+    responder->Send(Reject(kBadRequest, "invalid_job", job.GetError().message,
+                           job.GetError().remedy));
+    return;
+  }
+  this->job_relay.Submit(std::move(request),
+                         this->partitions.ForJob(job.Value()),
+                         std::move(responder));
+}
+
+void Gateway::HandleJobCall(JobPartition& partition,
+                            const HttpRequest& request,
+                            std::shared_ptr<HttpResponder> responder) {
+  if (const auto call = this->dialect.RecognizeJobCall(request)) {
+    this->job_calls.Handle(*call, partition, std::move(responder));
+    return;
+  }
+  const HostRoute* const route =
+      this->configuration
+          ? this->configuration->routes.Find(
+                FindHeader(request.headers, "host").value_or(""),
+                request.Path())
+          : nullptr;
+  if (route == nullptr || route->use != RouteUse::kBatchJobs) {
+    responder->Send(RefuseNotRun(
+        "no_such_route", "this instance knows no such route of batch jobs",
+        kRetryAfter));
+    return;
+  }
+  if (this->peer_exchange.CutOff()) {
+    responder->Send(RefuseNotRun("cut_off",
+                                 "only other instances reach the log now",
+                                 kElsewhereRetryAfter));
+    return;
+  }
+  this->job_calls.Submit(*route, request, partition, std::move(responder));
+}
+
 void Gateway::Run() {
   this->loop.OnSignal(SIGTERM, [this] { this->BeginDrain(); });
   this->loop.OnSignal(SIGINT, [this] { this->BeginDrain(); });
@@ -516,7 +579,7 @@
        {"running_samples", std::to_string(this->runner.RunningSamples())}});
   this->server->AnnounceClosing();
   this->join_timer.reset();
-  this->log->Leave(kGroup, this->settings.instance);
+  this->log->Leave(kGroup, OwnerDirectory::MemberName(this->settings));
   this->upgrader.Retire();
   this->runner.SetOwned({});
   this->ContinueDrain();
@@ -533,7 +596,9 @@
   if (rotated) {
     this->job_calls.AnswerAll();
   }
-  const bool idle = this->server->RequestsInProgress() == 0;
+  const bool idle =
+      this->server->RequestsInProgress() == 0 &&
+      (!this->peer_server || this->peer_server->RequestsInProgress() == 0);
   if ((rotated && idle) || past >= limit) {
     this->loop.Stop();
     return;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -12,6 +12,8 @@
 #include "forwarded_call.h"
 #include "gateway_environment.h"
 #include "job_calls.h"
+#include "job_partitions.h"
+#include "job_relay.h"
 #include "job_runner.h"
 #include "peer_exchange.h"
 
@@ -55,9 +57,16 @@
   PeerExchangeHandlers PeerHandlers();
   void HandlePeer(const HttpRequest& request,
                   const std::shared_ptr<HttpResponder>& responder);
+  void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  // A call about batch jobs, from what this instance knows of the partition.
+  void HandleJobCall(JobPartition& partition,
+                     const HttpRequest& request,
+                     std::shared_ptr<HttpResponder> responder);
 
   void Join();
   void Joined(const Outcome<GroupMembership>& outcome);
+  // Follows the partitions that this instance has a part in.
+  void ReviewPartitions();
   void Housekeep();
   // Expected output tokens of the latest steps of each model, on average.
   ModelNumbers DemandOfModels() const;
@@ -81,9 +90,11 @@
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
   GatewayEnvironment environment;
-  std::vector<std::unique_ptr<JobPartition>> partitions;
+  JobPartitions partitions;
+  OwnerDirectory owners;
   JobRunner runner;
   JobCalls job_calls;
+  JobRelay job_relay;
   FleetUpgrader upgrader;
   LogFollower operator_follower;
   LogFollower servers_follower;
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -106,54 +106,32 @@
 
 }  // namespace
 
-JobCalls::JobCalls(GatewayEnvironment& environment,
-                   const std::vector<std::unique_ptr<JobPartition>>& partitions)
-    : environment(environment), partitions(partitions) {}
+JobCalls::JobCalls(GatewayEnvironment& environment)
+    : environment(environment) {}
 
 JobCalls::~JobCalls() {
   *this->alive = false;
 }
 
-JobPartition& JobCalls::PartitionFor(const BatchJob& job) const {
-  const std::string& key = job.model.empty() ? job.id : job.model;
-  return *this->partitions[FastHash(key) % this->partitions.size()];
-}
-
-JobPartition* JobCalls::FindPartition(std::string_view job_id) const {
-  for (const auto& partition : this->partitions) {
-    if (partition->Fold().Find(job_id) != nullptr) {
-      return partition.get();
-    }
-  }
-  return nullptr;
-}
-
-void JobCalls::WithFreshKnowledge(std::shared_ptr<HttpResponder> responder,
+void JobCalls::WithFreshKnowledge(JobPartition& partition,
+                                  std::shared_ptr<HttpResponder> responder,
                                   std::function<void()> then) {
-  struct Refreshing {
-    std::size_t open = 0;
-    bool fresh = true;
-  };
-  auto refreshing = std::make_shared<Refreshing>();
-  refreshing->open = this->partitions.size();
-  for (const auto& partition : this->partitions) {
-    partition->Refresh(
-        [kept = this->alive, refreshing, responder, then](bool fresh) {
-          refreshing->fresh = refreshing->fresh && fresh;
-          if (--refreshing->open > 0 || !*kept) {
-            return;
-          }
-          if (refreshing->fresh) {
-            then();
-          } else {
-            responder->Send(LogUnavailable());
-          }
-        });
-  }
+  partition.Refresh([kept = this->alive, responder = std::move(responder),
+                     then = std::move(then)](bool fresh) {
+    if (!*kept) {
+      return;
+    }
+    if (fresh) {
+      then();
+    } else {
+      responder->Send(LogUnavailable());
+    }
+  });
 }
 
 void JobCalls::Submit(const HostRoute& route,
                       const HttpRequest& request,
+                      JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder) {
   Outcome<BatchJob> decoded =
       this->environment.dialect.DecodeSubmission(request);
@@ -167,7 +145,6 @@
   job.accepted_at = this->environment.clock.WallNow();
   job.due = route.due;
   job.retention = route.retention;
-  JobPartition& partition = this->PartitionFor(job);
   if (partition.Fold().Find(job.id) != nullptr) {
     responder->Send({kAccepted, {}, ""});
     return;
@@ -205,32 +182,35 @@
   }
 }
 
-void JobCalls::Handle(JobCall call, std::shared_ptr<HttpResponder> responder) {
+void JobCalls::Handle(const JobCall& call,
+                      JobPartition& partition,
+                      std::shared_ptr<HttpResponder> responder) {
   switch (call.kind) {
     case JobCallKind::kReadResults:
-      this->ReadResults(call, responder);
+      this->ReadResults(call, partition, responder);
       return;
     case JobCallKind::kReadBody:
-      this->ReadBody(call, std::move(responder));
+      this->ReadBody(call, partition, std::move(responder));
       return;
     case JobCallKind::kEnd:
-      this->EndJob(call, std::move(responder));
+      this->EndJob(call, partition, std::move(responder));
       return;
   }
 }
 
-void JobCalls::WithJob(
-    const JobCall& call,
-    std::shared_ptr<HttpResponder> responder,
-    std::function<void(JobPartition&, const JobState&)> then) {
-  if (JobPartition* const partition = this->FindPartition(call.job_id)) {
-    then(*partition, *partition->Fold().Find(call.job_id));
+void JobCalls::WithJob(const JobCall& call,
+                       JobPartition& partition,
+                       std::shared_ptr<HttpResponder> responder,
+                       std::function<void(const JobState&)> then) {
+  if (const JobState* const state = partition.Fold().Find(call.job_id)) {
+    then(*state);
     return;
   }
   this->WithFreshKnowledge(
-      responder, [this, id = call.job_id, responder, then = std::move(then)] {
-        if (JobPartition* const partition = this->FindPartition(id)) {
-          then(*partition, *partition->Fold().Find(id));
+      partition, responder,
+      [&partition, id = call.job_id, responder, then = std::move(then)] {
+        if (const JobState* const state = partition.Fold().Find(id)) {
+          then(*state);
         } else {
           responder->Send(NoSuchJob());
         }
@@ -238,31 +218,29 @@
 }
 
 void JobCalls::ReadResults(const JobCall& call,
+                           JobPartition& partition,
                            const std::shared_ptr<HttpResponder>& responder) {
-  JobPartition* const partition = this->FindPartition(call.job_id);
-  if (partition != nullptr) {
-    if (this->TryAnswerRead(call, *partition, *responder)) {
+  if (const JobState* const state = partition.Fold().Find(call.job_id)) {
+    if (this->TryAnswerRead(call, partition, *responder)) {
       return;
     }
-    const JobState& state = *partition->Fold().Find(call.job_id);
-    const bool beyond = call.position > state.results.size();
-    const bool fresh = partition->Follower().Synced() &&
-                       this->environment.clock.BootNow() -
-                               partition->Follower().ConfirmedAt() <
-                           kFreshness;
+    const bool beyond = call.position > state->results.size();
+    const bool fresh = partition.Synced() && this->environment.clock.BootNow() -
+                                                     partition.ConfirmedAt() <
+                                                 kFreshness;
     if (!beyond && fresh) {
-      this->WaitForResults(call, *partition, responder);
+      this->WaitForResults(call, partition, responder);
       return;
     }
   }
-  this->WithFreshKnowledge(responder, [this, call, responder] {
-    JobPartition* const holder = this->FindPartition(call.job_id);
-    if (holder == nullptr) {
-      responder->Send(NoSuchJob());
-    } else if (!this->TryAnswerRead(call, *holder, *responder)) {
-      this->WaitForResults(call, *holder, responder);
-    }
-  });
+  this->WithFreshKnowledge(
+      partition, responder, [this, call, &partition, responder] {
+        if (partition.Fold().Find(call.job_id) == nullptr) {
+          responder->Send(NoSuchJob());
+        } else if (!this->TryAnswerRead(call, partition, *responder)) {
+          this->WaitForResults(call, partition, responder);
+        }
+      });
 }
 
 // Answers when there is a result at the position, or never will be.
@@ -329,6 +307,12 @@
       kOk, "application/json", this->environment.dialect.EncodeResults(page)));
 }
 
+bool JobCalls::WaitingFor(const JobPartition& partition) const {
+  return std::any_of(
+      this->reads.begin(), this->reads.end(),
+      [&](const auto& read) { return read->partition == &partition; });
+}
+
 void JobCalls::Changed(std::int64_t partition) {
   std::vector<std::shared_ptr<Read>> ready;
   for (const auto& read : this->reads) {
@@ -353,11 +337,11 @@
 }
 
 void JobCalls::ReadBody(const JobCall& call,
+                        JobPartition& partition,
                         std::shared_ptr<HttpResponder> responder) {
   this->WithJob(
-      call, responder,
-      [responder, sample_id = call.sample_id](JobPartition& /*partition*/,
-                                              const JobState& state) {
+      call, partition, responder,
+      [responder, sample_id = call.sample_id](const JobState& state) {
         const std::optional<std::size_t> index = state.IndexOf(sample_id);
         const std::optional<std::string> body =
             index && !state.listed[*index]
@@ -374,10 +358,11 @@
 }
 
 void JobCalls::EndJob(const JobCall& call,
+                      JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder) {
   this->WithJob(
-      call, responder,
-      [responder](JobPartition& partition, const JobState& state) {
+      call, partition, responder,
+      [responder, &partition](const JobState& state) {
         if (state.ended) {
           responder->Send({kOk, {}, ""});
           return;
--- a/Services/Gateway/job_calls.h
+++ b/Services/Gateway/job_calls.h
@@ -17,20 +17,24 @@
 
 class JobCalls {
  public:
-  JobCalls(GatewayEnvironment& environment,
-           const std::vector<std::unique_ptr<JobPartition>>& partitions);
+  explicit JobCalls(GatewayEnvironment& environment);
   ~JobCalls();
   JobCalls(const JobCalls&) = delete;
   JobCalls& operator=(const JobCalls&) = delete;
 
+  // The partition must be followed until the caller has its answer.
   void Submit(const HostRoute& route,
               const HttpRequest& request,
+              JobPartition& partition,
+              std::shared_ptr<HttpResponder> responder);
+  void Handle(const JobCall& call,
+              JobPartition& partition,
               std::shared_ptr<HttpResponder> responder);
-  void Handle(JobCall call, std::shared_ptr<HttpResponder> responder);
 
   // Jobs of this partition may have new results.
   void Changed(std::int64_t partition);
-  std::size_t Waiting() const { return this->reads.size(); }
+  // A caller waits for news of the partition.
+  bool WaitingFor(const JobPartition& partition) const;
   // Waiting reads are answered at once, for a shutdown.
   void AnswerAll();
 
@@ -43,23 +47,21 @@
     std::unique_ptr<Timer> timer;
   };
 
-  // Where a new job goes. Successive jobs of one model meet in one partition,
-  // so that their owner can carry texts over; a job that is submitted again
-  // goes to the same.
-  JobPartition& PartitionFor(const BatchJob& job) const;
-  // The partition that holds the job, or null when none is known to.
-  JobPartition* FindPartition(std::string_view job_id) const;
-  // Runs `then` with fresh knowledge of all partitions, or refuses.
-  void WithFreshKnowledge(std::shared_ptr<HttpResponder> responder,
+  // Runs `then` with fresh knowledge of the partition, or refuses.
+  void WithFreshKnowledge(JobPartition& partition,
+                          std::shared_ptr<HttpResponder> responder,
                           std::function<void()> then);
+  // Runs `then` with the job's state, or answers that there is none.
   void WithJob(const JobCall& call,
+               JobPartition& partition,
                std::shared_ptr<HttpResponder> responder,
-               std::function<void(JobPartition&, const JobState&)> then);
+               std::function<void(const JobState&)> then);
   void WriteJob(JobPartition& partition,
                 const BatchJob& job,
                 Milliseconds patience,
                 std::shared_ptr<HttpResponder> responder);
   void ReadResults(const JobCall& call,
+                   JobPartition& partition,
                    const std::shared_ptr<HttpResponder>& responder);
   bool TryAnswerRead(const JobCall& call,
                      const JobPartition& partition,
@@ -68,11 +70,14 @@
                       JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder);
   void AnswerRead(const std::shared_ptr<Read>& read);
-  void ReadBody(const JobCall& call, std::shared_ptr<HttpResponder> responder);
-  void EndJob(const JobCall& call, std::shared_ptr<HttpResponder> responder);
+  void ReadBody(const JobCall& call,
+                JobPartition& partition,
+                std::shared_ptr<HttpResponder> responder);
+  void EndJob(const JobCall& call,
+              JobPartition& partition,
+              std::shared_ptr<HttpResponder> responder);
 
   GatewayEnvironment& environment;
-  const std::vector<std::unique_ptr<JobPartition>>& partitions;
   std::set<std::shared_ptr<Read>> reads;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibProcess/process.h"
+
 namespace carobbank {
 
 namespace {
@@ -34,20 +36,46 @@
                            std::size_t max_append_bytes,
                            std::function<void()> on_batch)
     : loop(loop),
+      clock(clock),
       log(log),
+      part(std::move(part)),
       max_append_bytes(max_append_bytes),
-      on_batch(std::move(on_batch)),
-      follower(loop,
-               clock,
-               log,
-               std::move(part),
-               {.from_beginning = true},
-               this->FollowerHandlers()) {}
+      on_batch(std::move(on_batch)) {}
 
 JobPartition::~JobPartition() {
   *this->alive = false;
 }
 
+void JobPartition::Follow() {
+  if (this->follower) {
+    return;
+  }
+  this->follower = std::make_unique<LogFollower>(
+      this->loop, this->clock, this->log, this->part,
+      LogFollowerOptions{.from_beginning = true}, this->FollowerHandlers());
+  this->follower->Start();
+  WriteLog(LogLevel::kInfo, "job partition followed",
+           {{"partition", std::to_string(this->Number())}});
+}
+
+bool JobPartition::TryRest() {
+  if (!this->follower) {
+    return true;
+  }
+  if (this->appending || !this->queue.empty() || this->follower->Refreshing()) {
+    return false;
+  }
+  WriteLog(LogLevel::kInfo, "job partition rests",
+           {{"partition", std::to_string(this->Number())},
+            {"records", std::to_string(this->follower->Next())}});
+  this->flush_timer.reset();
+  this->backoff = Milliseconds(0);
+  this->marked = false;
+  this->follower.reset();
+  this->fold.Clear();
+  return true;
+}
+
 LogFollowerHandlers JobPartition::FollowerHandlers() {
   LogFollowerHandlers followed;
   followed.on_snapshot = [this](std::span<const KeyedLogRecord> records) {
@@ -70,14 +98,14 @@
 // A read that waits on a partition without records may not notice the first
 // one.
 void JobPartition::MarkEmpty() {
-  if (this->marked || this->follower.Next() > 0) {
+  if (this->marked || this->follower->Next() > 0) {
     return;
   }
   this->marked = true;
   JobWrite write;
   write.records.push_back(EncodeMark());
   write.is_redundant = [this](const JobFold& /*fold*/) {
-    return this->follower.Next() > 0;
+    return this->follower->Next() > 0;
   };
   this->Write(std::move(write));
 }
@@ -126,7 +154,7 @@
 }
 
 void JobPartition::Flush() {
-  if (this->appending || !this->follower.Synced()) {
+  if (this->appending || !this->Synced()) {
     return;
   }
   this->DropRedundant();
@@ -141,7 +169,7 @@
   }
   this->appending = true;
   this->log.Append(
-      this->follower.Part(), records, this->follower.Next(),
+      this->part, records, this->follower->Next(),
       [this, kept = this->alive, batch, records](const AppendOutcome& outcome) {
         if (*kept) {
           this->Appended(batch, records, outcome);
@@ -187,7 +215,7 @@
       for (const auto& pending : batch) {
         this->Remove(pending);
       }
-      this->follower.TakeOwn(records, outcome.offset, outcome.end);
+      this->follower->TakeOwn(records, outcome.offset, outcome.end);
       for (const auto& pending : batch) {
         this->Answer(*pending, WriteEnd::kDone);
       }
@@ -195,7 +223,7 @@
       return;
     case AppendResult::kConflict:
       // Another writer was first: read what it wrote, then decide again.
-      this->follower.Refresh([this](bool fresh) {
+      this->follower->Refresh([this](bool fresh) {
         if (fresh) {
           this->Flush();
         } else {
@@ -222,7 +250,7 @@
   this->backoff = std::clamp(this->backoff * 2, kFirstBackoff, kLongestBackoff);
   this->flush_timer = this->loop.CallAfter(this->backoff, [this] {
     const std::unique_ptr<Timer> done = std::move(this->flush_timer);
-    this->follower.Refresh([this](bool /*fresh*/) { this->Flush(); });
+    this->follower->Refresh([this](bool /*fresh*/) { this->Flush(); });
   });
 }
 
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -50,15 +50,27 @@
   JobPartition(const JobPartition&) = delete;
   JobPartition& operator=(const JobPartition&) = delete;
 
-  void Start() { this->follower.Start(); }
+  // Reads the partition from now on. Reading, refreshing and writing need it.
+  void Follow();
+  bool Following() const { return this->follower != nullptr; }
+  // Reads it no more and forgets what it holds; false, and nothing changes,
+  // while a write or a refresh is under way.
+  bool TryRest();
+
   void Refresh(std::function<void(bool fresh)> done) {
-    this->follower.Refresh(std::move(done));
+    this->follower->Refresh(std::move(done));
   }
   void Write(JobWrite write);
 
   const JobFold& Fold() const { return this->fold; }
-  const LogFollower& Follower() const { return this->follower; }
-  std::int64_t Number() const { return this->follower.Part().part; }
+  std::int64_t Number() const { return this->part.part; }
+  // Followed, and everything was read that it held at some moment since.
+  bool Synced() const { return this->follower && this->follower->Synced(); }
+  // When the last successful read began, by Clock::BootNow().
+  MonotonicTime ConfirmedAt() const {
+    return this->follower ? this->follower->ConfirmedAt()
+                          : MonotonicTime::min();
+  }
 
  private:
   struct Pending {
@@ -87,12 +99,15 @@
   void Remove(const std::shared_ptr<Pending>& pending);
 
   EventLoop& loop;
+  const Clock& clock;
   PartitionedLog& log;
+  LogPart part;
   std::size_t max_append_bytes;
   // After the records of one read, when any job may have changed.
   std::function<void()> on_batch;
   JobFold fold;
-  LogFollower follower;
+  // Null while it is not followed.
+  std::unique_ptr<LogFollower> follower;
 
   // Invariant: an append under way holds the first entries of the queue.
   std::deque<std::shared_ptr<Pending>> queue;
--- /dev/null
+++ b/Services/Gateway/job_partitions.cc
@@ -0,0 +1,78 @@
+// Following partitions while they are needed, and a little longer.
+
+#include "job_partitions.h"
+
+#include <utility>
+
+namespace carobbank {
+
+JobPartitions::JobPartitions(GatewayEnvironment& environment,
+                             const std::string& topic,
+                             const std::function<void(std::int64_t)>& on_batch)
+    : environment(environment) {
+  const GatewaySettings& settings = environment.settings;
+  for (std::int64_t number = 0; number < settings.job_partitions; ++number) {
+    this->partitions.push_back(std::make_unique<JobPartition>(
+        environment.loop, environment.clock, environment.log,
+        LogPart{topic, number},
+        static_cast<std::size_t>(settings.log_append_bytes),
+        [on_batch, number] { on_batch(number); }));
+  }
+  this->last_needed.resize(this->partitions.size(), MonotonicTime::min());
+}
+
+JobPartition* JobPartitions::Find(std::int64_t number) const {
+  const bool known =
+      number >= 0 && std::cmp_less(number, this->partitions.size());
+  return known ? this->partitions[static_cast<std::size_t>(number)].get()
+               : nullptr;
+}
+
+JobPartition& JobPartitions::ForJob(const BatchJob& job) const {
+  const std::string& key = job.model.empty() ? job.id : job.model;
+  return *this->partitions[FastHash(key) % this->partitions.size()];
+}
+
+JobPartition* JobPartitions::Holding(std::string_view job_id) const {
+  for (const auto& partition : this->partitions) {
+    if (partition->Fold().Find(job_id) != nullptr) {
+      return partition.get();
+    }
+  }
+  return nullptr;
+}
+
+void JobPartitions::SetNeeded(std::set<std::int64_t> numbers) {
+  this->needed = std::move(numbers);
+  for (const std::int64_t number : this->needed) {
+    if (JobPartition* const partition = this->Find(number)) {
+      this->Hold(*partition);
+    }
+  }
+}
+
+void JobPartitions::Hold(JobPartition& partition) {
+  this->last_needed[static_cast<std::size_t>(partition.Number())] =
+      this->environment.clock.Now();
+  partition.Follow();
+}
+
+void JobPartitions::Review(
+    const std::function<bool(const JobPartition&)>& in_use) {
+  const MonotonicTime now = this->environment.clock.Now();
+  for (const auto& partition : this->partitions) {
+    MonotonicTime& last =
+        this->last_needed[static_cast<std::size_t>(partition->Number())];
+    if (this->needed.contains(partition->Number())) {
+      last = now;
+      continue;
+    }
+    if (!partition->Following() || in_use(*partition) ||
+        now - last < kHoldTime) {
+      continue;
+    }
+    partition->TryRest();
+  }
+}
+
+}  // namespace carobbank
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -128,7 +128,7 @@
   }
   for (const auto& partition : this->partitions) {
     // Before all was read, an end that stands in the log may not be known.
-    if (partition->Number() != number || !partition->Follower().Synced()) {
+    if (partition->Number() != number || !partition->Synced()) {
       continue;
     }
     this->DropMissing(*partition);
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -63,6 +63,8 @@
   bool Synced() const { return this->synced; }
   // The offset of the next record; every lower one was handed over.
   std::uint64_t Next() const { return this->next; }
+  // A Refresh() has not called back yet.
+  bool Refreshing() const { return this->refreshing; }
   // No read has failed since the last one that was answered.
   bool Reachable() const { return this->reachable; }
   // When the last successful read began, by Clock::BootNow().
--- /dev/null
+++ b/Services/Gateway/owner_directory.h
@@ -0,0 +1,55 @@
+// Which instance owns which partition of the log of batch jobs, and where it
+// listens for other instances. May be behind: an instance that is asked in
+// error says so.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway_environment.h"
+
+namespace carobbank {
+
+class OwnerDirectory {
+ public:
+  // The group that shares out the topic's partitions.
+  OwnerDirectory(GatewayEnvironment& environment,
+                 std::string group,
+                 std::string topic);
+  ~OwnerDirectory();
+  OwnerDirectory(const OwnerDirectory&) = delete;
+  OwnerDirectory& operator=(const OwnerDirectory&) = delete;
+
+  // "10.1.0.10:8166"; empty while it is not known, or when the owner has no
+  // address.
+  std::string_view AddressOf(std::int64_t partition) const;
+  // The group has this generation: reads the owners when it is a new one.
+  void NoteGeneration(std::int64_t generation);
+  // Reads the owners again, soon.
+  void Refresh();
+
+  // The name under which an instance joins the group: it tells its address.
+  static std::string MemberName(const GatewaySettings& settings);
+
+ private:
+  void Ask();
+  void Asked(const Outcome<std::vector<PartOwner>>& outcome);
+
+  GatewayEnvironment& environment;
+  std::string group;
+  std::string topic;
+  std::map<std::int64_t, std::string> addresses;
+  std::int64_t generation = 0;
+  // Invariant: not both set; the timer runs for the pause after a read.
+  bool asking = false;
+  std::unique_ptr<Timer> timer;
+  // Wanted during a read or the pause after it.
+  bool again = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -23,7 +23,7 @@
   return {"orders", 0};
 }
 
-class FakeDialect final : public PlatformDialect {
+class FakeDialect : public PlatformDialect {
  public:
   // What DecodeSubmission() gives.
   BatchJob submission;
--- a/Tests/Gateway/job_calls_test.cc
+++ b/Tests/Gateway/job_calls_test.cc
@@ -17,11 +17,10 @@
     this->partitions.push_back(std::make_unique<JobPartition>(
         this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
         JobsPart(), 1'000'000, [this] { this->calls->Changed(0); }));
-    this->calls =
-        std::make_unique<JobCalls>(this->fixture.environment, this->partitions);
-    this->partitions[0]->Start();
+    this->calls = std::make_unique<JobCalls>(this->fixture.environment);
+    this->partitions[0]->Follow();
     CHECK_TRUE(this->fixture.runner.RunUntil(
-        [this] { return this->partitions[0]->Follower().Synced(); }));
+        [this] { return this->partitions[0]->Synced(); }));
   }
   void teardown() override {
     this->calls.reset();
@@ -33,14 +32,14 @@
     this->caller = CallerView();
     HostRoute route;
     route.retention = Milliseconds(60'000);
-    this->calls->Submit(route, HttpRequest(),
+    this->calls->Submit(route, HttpRequest(), *this->partitions[0],
                         std::make_shared<FakeResponder>(this->caller));
     return this->WaitForStatus();
   }
 
   int Handle(JobCall call) {
     this->caller = CallerView();
-    this->calls->Handle(std::move(call),
+    this->calls->Handle(call, *this->partitions[0],
                         std::make_shared<FakeResponder>(this->caller));
     return this->WaitForStatus();
   }
@@ -124,27 +123,27 @@
 
 TEST(JobCalls, AReadWaitsForTheNextResult) {
   this->Submit("a");
-  this->calls->Handle(Read("a", 0, Milliseconds(60'000)),
+  this->calls->Handle(Read("a", 0, Milliseconds(60'000)), *this->partitions[0],
                       std::make_shared<FakeResponder>(this->caller));
   this->caller = CallerView();
   this->fixture.runner.RunFor(Milliseconds(20));
   LONGS_EQUAL(0, this->caller.status);
-  LONGS_EQUAL(1, this->calls->Waiting());
+  CHECK_TRUE(this->calls->WaitingFor(*this->partitions[0]));
   this->PutResult("a-0", "x");
   LONGS_EQUAL(200, this->WaitForStatus());
   STRCMP_EQUAL("1/2:x;", this->caller.body.c_str());
-  LONGS_EQUAL(0, this->calls->Waiting());
+  CHECK_FALSE(this->calls->WaitingFor(*this->partitions[0]));
 }
 
 TEST(JobCalls, AWaitingReadEndsWithItsTimeOrItsCaller) {
   this->Submit("a");
   LONGS_EQUAL(200, this->Handle(Read("a", 0, Milliseconds(30))));
   STRCMP_EQUAL("0/2:", this->caller.body.c_str());
-  this->calls->Handle(Read("a", 0, Milliseconds(60'000)),
+  this->calls->Handle(Read("a", 0, Milliseconds(60'000)), *this->partitions[0],
                       std::make_shared<FakeResponder>(this->caller));
   this->fixture.runner.RunFor(Milliseconds(20));
   this->caller.close();
-  LONGS_EQUAL(0, this->calls->Waiting());
+  CHECK_FALSE(this->calls->WaitingFor(*this->partitions[0]));
 }
 
 TEST(JobCalls, WhatAnotherInstanceAcceptedIsFoundBeforeNothingIsSaid) {
--- a/Tests/Gateway/job_partition_test.cc
+++ b/Tests/Gateway/job_partition_test.cc
@@ -25,9 +25,9 @@
   std::vector<WriteEnd> ends;
 
   void setup() override {
-    this->partition.Start();
+    this->partition.Follow();
     CHECK_TRUE(this->fixture.runner.RunUntil(
-        [this] { return this->partition.Follower().Synced(); }));
+        [this] { return this->partition.Synced(); }));
   }
 
   void WriteJob(const std::string& id, Milliseconds patience) {
@@ -78,9 +78,8 @@
       [this] { return this->fixture.log.Records(JobsPart()).size() == 1; }));
   JobPartition second(this->fixture.runner.loop, this->fixture.clock,
                       this->fixture.log, JobsPart(), 1'000'000, [] {});
-  second.Start();
-  CHECK_TRUE(this->fixture.runner.RunUntil(
-      [&] { return second.Follower().Synced(); }));
+  second.Follow();
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] { return second.Synced(); }));
   this->fixture.runner.RunFor(Milliseconds(50));
   LONGS_EQUAL(1, this->fixture.log.Records(JobsPart()).size());
   LONGS_EQUAL(0, this->partition.Fold().Unreadable());
@@ -204,4 +203,18 @@
   CHECK_FALSE(fresh);
 }
 
+TEST(JobPartition, ARestingPartitionForgetsAndIsReadAgain) {
+  this->WriteJob("a", Milliseconds(60'000));
+  CHECK_FALSE(this->partition.TryRest());
+  this->WaitForEnds(1);
+  CHECK_TRUE(this->partition.TryRest());
+  CHECK_FALSE(this->partition.Following());
+  CHECK_FALSE(this->partition.Synced());
+  CHECK_TRUE(this->partition.Fold().Find("a") == nullptr);
+  this->partition.Follow();
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->partition.Synced(); }));
+  CHECK_TRUE(this->partition.Fold().Find("a") != nullptr);
+}
+
 }  // namespace carobbank
--- /dev/null
+++ b/Tests/Gateway/job_relay_test.cc
@@ -0,0 +1,373 @@
+// Several instances before one log: calls about jobs reach the instance that
+// holds the job, whichever instance the caller reaches.
+
+#include "Services/Gateway/job_relay.h"
+#include "Services/Gateway/job_calls.h"
+#include "gateway_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <numeric>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::string_view kTopic = "jobs";
+constexpr std::int64_t kPartitions = 2;
+
+// Path of calls about a job: "/job/ID".
+constexpr std::string_view kJobPath = "/job/";
+
+class RelayDialect final : public FakeDialect {
+ public:
+  std::optional<JobCall> RecognizeJobCall(
+      const HttpRequest& request) const override {
+    if (!request.target.starts_with(kJobPath)) {
+      return std::nullopt;
+    }
+    JobCall call;
+    call.kind = JobCallKind::kReadResults;
+    call.job_id = request.target.substr(kJobPath.size());
+    return call;
+  }
+  // The body is "ID MODEL".
+  Outcome<BatchJob> DecodeSubmission(
+      const HttpRequest& request) const override {
+    const std::size_t space = request.body.find(' ');
+    BatchJob job = MakeJob(request.body.substr(0, space), 2);
+    job.model = request.body.substr(space + 1);
+    return job;
+  }
+};
+
+struct RelayingInstance;
+
+// Connects instances by their addresses.
+class ClusterClient final : public HttpClient {
+ public:
+  explicit ClusterClient(EventLoop& loop) : loop(loop) {}
+
+  std::map<std::string, RelayingInstance*> listening;
+  // Requests to this address are carried out and not answered.
+  std::string silent;
+
+  std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
+                                      HttpClientHandlers handlers) override;
+
+ private:
+  class Exchange final : public HttpExchange {
+   public:
+    void Pause() override {}
+    void Resume() override {}
+  };
+  class Responder final : public HttpResponder {
+   public:
+    Responder(EventLoop& loop, HttpClientHandlers handlers)
+        : loop(loop), handlers(std::move(handlers)) {}
+    void Send(HttpResponse response) override {
+      this->loop.Post([handlers = this->handlers, response] {
+        handlers.on_headers(response.status, response.headers);
+        handlers.on_body(response.body);
+        handlers.on_done();
+      });
+    }
+    void Start(int /*status*/, HttpHeaders /*headers*/) override {}
+    void Write(std::string /*chunk*/,
+               std::function<void(bool)> /*written*/) override {}
+    void Finish() override {}
+    void Abort() override {}
+    void OnClosed(std::function<void()> /*closed*/) override {}
+
+   private:
+    EventLoop& loop;
+    HttpClientHandlers handlers;
+  };
+
+  EventLoop& loop;
+};
+
+// The parts of a gateway that a call about jobs meets.
+struct RelayingInstance {
+  RelayingInstance(GatewayFixture& fixture,
+                   HttpClient& client,
+                   std::string address)
+      : settings(fixture.settings),
+        environment{this->settings, this->dialect,        fixture.clock,
+                    fixture.random, fixture.runner.loop,  client,
+                    fixture.log,    fixture.metrics,      fixture.fleet,
+                    fixture.loads,  fixture.configuration},
+        partitions(
+            this->environment,
+            std::string(kTopic),
+            [this](std::int64_t number) { this->calls.Changed(number); }),
+        owners(this->environment, "group", std::string(kTopic)),
+        calls(this->environment),
+        relay(this->environment,
+              this->partitions,
+              this->owners,
+              [this](JobPartition& partition,
+                     const HttpRequest& request,
+                     std::shared_ptr<HttpResponder> responder) {
+                this->Answer(partition, request, std::move(responder));
+              }) {
+    this->settings.job_partitions = kPartitions;
+    this->settings.peer_listen = std::move(address);
+  }
+
+  void Answer(JobPartition& partition,
+              const HttpRequest& request,
+              std::shared_ptr<HttpResponder> responder) {
+    ++this->answered;
+    if (const auto call = this->dialect.RecognizeJobCall(request)) {
+      this->calls.Handle(*call, partition, std::move(responder));
+      return;
+    }
+    HostRoute route;
+    route.retention = Milliseconds(60'000);
+    this->calls.Submit(route, request, partition, std::move(responder));
+  }
+
+  RelayDialect dialect;
+  GatewaySettings settings;
+  GatewayEnvironment environment;
+  JobPartitions partitions;
+  OwnerDirectory owners;
+  JobCalls calls;
+  JobRelay relay;
+  std::size_t answered = 0;
+};
+
+std::unique_ptr<HttpExchange> ClusterClient::Start(
+    HttpClientRequest request,
+    HttpClientHandlers handlers) {
+  const std::string rest = request.url.substr(sizeof("http://") - 1);
+  const std::string address = rest.substr(0, rest.find('/'));
+  const auto found = this->listening.find(address);
+  if (found == this->listening.end()) {
+    this->loop.Post([handlers] {
+      handlers.on_failure(
+          {SendState::kNotSent, {ErrorKind::kUnavailable, "refused", "retry"}});
+    });
+    return std::make_unique<Exchange>();
+  }
+  HttpRequest received;
+  received.method = request.method;
+  received.target = rest.substr(rest.find('/'));
+  received.headers = request.headers;
+  received.body = request.body;
+  if (address == this->silent) {
+    this->loop.Post([handlers] {
+      handlers.on_failure({SendState::kMayHaveBeenSent,
+                           {ErrorKind::kOutcomeUnknown, "cut", "retry"}});
+    });
+    handlers = {[](int, const HttpHeaders&) {}, [](std::string_view) {}, [] {},
+                [](const HttpClientFailure&) {}};
+  }
+  RelayingInstance* const instance = found->second;
+  const auto call = instance->dialect.RecognizeJobCall(received);
+  instance->relay.HandleRelayed(
+      received, call ? call->job_id : "",
+      std::make_shared<Responder>(this->loop, std::move(handlers)));
+  return std::make_unique<Exchange>();
+}
+
+// A model whose jobs lie in the partition.
+std::string ModelIn(std::int64_t partition) {
+  std::string model = "m";
+  while (FastHash(model) % kPartitions !=
+         static_cast<std::uint64_t>(partition)) {
+    model += "x";
+  }
+  return model;
+}
+
+}  // namespace
+
+TEST_GROUP(JobRelay) {
+  GatewayFixture fixture;
+  std::unique_ptr<ClusterClient> client;
+  std::vector<std::unique_ptr<RelayingInstance>> instances;
+  CallerView caller;
+
+  void setup() override {
+    this->fixture.settings.job_partitions = kPartitions;
+    this->client = std::make_unique<ClusterClient>(this->fixture.runner.loop);
+  }
+  void teardown() override {
+    this->instances.clear();
+  }
+
+  static std::string Address(std::size_t index) {
+    return "10.0.0." + std::to_string(index) + ":1";
+  }
+  void Add() {
+    const std::string address = Address(this->instances.size());
+    this->instances.push_back(std::make_unique<RelayingInstance>(
+        this->fixture, *this->client, address));
+    this->client->listening[address] = this->instances.back().get();
+  }
+  // RelayingInstance `owners[i]` owns partition i, and everybody learns it.
+  void Share(const std::vector<std::size_t>& owners) {
+    this->fixture.log.owners.clear();
+    for (std::size_t part = 0; part < owners.size(); ++part) {
+      const auto number = static_cast<std::int64_t>(part);
+      this->fixture.log.owners.push_back(
+          {{std::string(kTopic), number}, "i@" + Address(owners[part])});
+      this->instances[owners[part]]->partitions.SetNeeded({number});
+    }
+    for (const auto& instance : this->instances) {
+      instance->owners.Refresh();
+    }
+    CHECK_TRUE(this->fixture.runner.RunUntil([&] { return this->Settled(); }));
+  }
+  bool Settled() const {
+    for (const PartOwner& owner : this->fixture.log.owners) {
+      const std::string address = owner.member.substr(2);
+      for (const auto& instance : this->instances) {
+        const bool knows =
+            instance->owners.AddressOf(owner.part.part) == address;
+        const bool ready = instance->settings.peer_listen != address ||
+                           instance->partitions.Find(owner.part.part)->Synced();
+        if (!knows || !ready) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  int Submit(std::size_t at, const std::string& id, std::int64_t partition) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/train/";
+    request.body = id + " " + ModelIn(partition);
+    RelayingInstance& instance = *this->instances[at];
+    const BatchJob job = instance.dialect.DecodeSubmission(request).Value();
+    this->caller = CallerView();
+    instance.relay.Submit(request, instance.partitions.ForJob(job),
+                          std::make_shared<FakeResponder>(this->caller));
+    return this->WaitForStatus();
+  }
+  int Read(std::size_t at, const std::string& id) {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = std::string(kJobPath) + id;
+    this->caller = CallerView();
+    this->instances[at]->relay.Ask(
+        request, id, std::make_shared<FakeResponder>(this->caller));
+    return this->WaitForStatus();
+  }
+  int WaitForStatus() {
+    CHECK_TRUE(this->fixture.runner.RunUntil(
+        [this] { return this->caller.status != 0; }));
+    return this->caller.status;
+  }
+};
+
+TEST(JobRelay, AJobIsSubmittedAndReadAtAnyInstance) {
+  for (int count = 0; count < 4; ++count) {
+    this->Add();
+  }
+  this->Share({0, 1});
+  LONGS_EQUAL(202, this->Submit(3, "a", 0));
+  LONGS_EQUAL(202, this->Submit(3, "b", 1));
+  // Submitted again at another instance: accepted already.
+  LONGS_EQUAL(202, this->Submit(2, "a", 0));
+  LONGS_EQUAL(1, this->fixture.log.Records({std::string(kTopic), 0}).size() -
+                     1);  // besides the mark
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    LONGS_EQUAL(200, this->Read(at, "a"));
+    STRCMP_EQUAL("0/2:", this->caller.body.c_str());
+    LONGS_EQUAL(200, this->Read(at, "b"));
+  }
+  for (const std::size_t outsider : {2, 3}) {
+    for (const auto& partition : this->instances[outsider]->partitions.All()) {
+      CHECK_FALSE(partition->Following());
+    }
+  }
+}
+
+TEST(JobRelay, AbsenceIsSaidOnlyAfterEveryOwnerLookedIntoTheLog) {
+  this->Add();
+  this->Add();
+  this->Add();
+  this->Share({0, 1});
+  LONGS_EQUAL(404, this->Read(2, "unknown"));
+  this->fixture.log.faults.outage = true;
+  LONGS_EQUAL(503, this->Read(2, "unknown"));
+}
+
+TEST(JobRelay, ANewOwnerAnswersWhenTheOldOneIsGone) {
+  this->Add();
+  this->Add();
+  this->Add();
+  this->Share({0, 1});
+  LONGS_EQUAL(202, this->Submit(2, "a", 0));
+  LONGS_EQUAL(200, this->Read(2, "a"));
+  this->client->listening.erase(Address(0));
+  // The log shares partition 0 out anew; instance 2 learns it by asking.
+  this->fixture.log.owners[0].member = "i@" + Address(1);
+  this->instances[1]->partitions.SetNeeded({0, 1});
+  LONGS_EQUAL(200, this->Read(2, "a"));
+  LONGS_EQUAL(202, this->Submit(2, "b", 0));
+}
+
+TEST(JobRelay, AnInstanceThatOwnsNothingSaysSo) {
+  this->Add();
+  this->Add();
+  this->Add();
+  this->Share({0, 1});
+  // The directory of instance 2 is behind: it names instance 1 for both.
+  this->fixture.log.owners[0].member = "i@" + Address(1);
+  this->instances[2]->owners.Refresh();
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [&] { return this->instances[2]->owners.AddressOf(0) == Address(1); }));
+  this->fixture.log.owners[0].member = "i@" + Address(0);
+  LONGS_EQUAL(202, this->Submit(2, "a", 0));
+  LONGS_EQUAL(0, this->instances[1]->answered);
+}
+
+TEST(JobRelay, ASubmissionWithoutAnAnswerPromisesNothing) {
+  this->Add();
+  this->Add();
+  this->Share({0, 0});
+  this->client->silent = Address(0);
+  LONGS_EQUAL(504, this->Submit(1, "a", 0));
+  this->client->silent.clear();
+  CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+    return this->instances[0]->partitions.Holding("a") != nullptr;
+  }));
+  LONGS_EQUAL(200, this->Read(1, "a"));
+}
+
+// All instances start at once, as after a loss of power, while callers read and
+// submit everywhere: the log is read once for each partition.
+TEST(JobRelay, AfterALossOfAllThePartitionsAreReadOnceEach) {
+  constexpr std::size_t kInstances = 28;
+  constexpr std::size_t kJobs = 20;
+  const LogPart parts[] = {{std::string(kTopic), 0}, {std::string(kTopic), 1}};
+  std::size_t records = 0;
+  for (std::size_t index = 0; index < kJobs; ++index) {
+    BatchJob job = MakeJob("old-" + std::to_string(index), 2);
+    const std::size_t part = index % kPartitions;
+    job.model = ModelIn(static_cast<std::int64_t>(part));
+    this->fixture.log.Put(parts[part], EncodeJob(job, 100'000));
+    ++records;
+  }
+  for (std::size_t count = 0; count < kInstances; ++count) {
+    this->Add();
+  }
+  this->Share({5, 9});
+  for (std::size_t index = 0; index < kJobs; ++index) {
+    LONGS_EQUAL(200, this->Read(index, "old-" + std::to_string(index)));
+    LONGS_EQUAL(202, this->Submit(index, "new-" + std::to_string(index),
+                                  static_cast<std::int64_t>(index) % 2));
+  }
+  const std::size_t read = this->fixture.log.records_read[parts[0]] +
+                           this->fixture.log.records_read[parts[1]];
+  // Nothing is read twice, and own records are not read back.
+  CHECK_TRUE(read <= records + kJobs);
+}
+
+}  // namespace carobbank
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -31,7 +31,7 @@
         JobsPart(), 1'000'000, [this] { this->runner->Reconsider(0); }));
     this->runner = std::make_unique<JobRunner>(this->fixture.environment,
                                                this->partitions);
-    this->partitions[0]->Start();
+    this->partitions[0]->Follow();
     this->runner->SetOwned({0});
   }
   void teardown() override {
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -202,4 +202,16 @@
   CHECK_FALSE(DecodeNewestPage("[]", snapshot).Ok());
 }
 
+TEST(StoreCodecs, OwnersAreReadAndOtherRowsLeftOut) {
+  const auto owners = DecodeOwners(
+      R"({"generation":6,"parts":[["jobs",3,"a@10.0.0.1:1",0],["jobs",4,7,0],)"
+      R"("jobs",["jobs","x","b",0]]})");
+  CHECK_TRUE(owners.Ok());
+  LONGS_EQUAL(1, owners.Value().size());
+  CHECK_TRUE(owners.Value()[0].part == (LogPart{"jobs", 3}));
+  STRCMP_EQUAL("a@10.0.0.1:1", owners.Value()[0].member.c_str());
+  CHECK_FALSE(DecodeOwners("[]").Ok());
+  CHECK_FALSE(DecodeOwners("{").Ok());
+}
+
 }  // namespace carobbank
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -34,7 +34,12 @@
   FakePartitionedLogFaults faults;
   // What the next Join() answers with.
   GroupMembership membership;
+  // What ReadOwners() answers with.
+  std::vector<PartOwner> owners;
   std::size_t appends = 0;
+  std::size_t owner_reads = 0;
+  // Records that reads have brought, to all readers together.
+  std::map<LogPart, std::size_t> records_read;
 
   void Append(const LogPart& part,
               const std::vector<KeyedRecord>& records,
@@ -116,6 +121,16 @@
   void Leave(std::string_view /*group*/, std::string_view /*member*/) override {
   }
 
+  void ReadOwners(std::string_view /*group*/,
+                  OwnersCallback callback) override {
+    ++this->owner_reads;
+    if (this->faults.outage) {
+      this->Answer(std::move(callback), Unavailable());
+      return;
+    }
+    this->Answer(std::move(callback), this->owners);
+  }
+
   // Another writer's records.
   void Put(const LogPart& part, const std::vector<KeyedRecord>& records) {
     this->Store(part, records, this->parts[part].size());
@@ -200,6 +215,7 @@
     page.records.assign(stored.begin() + static_cast<std::ptrdiff_t>(first),
                         stored.begin() + static_cast<std::ptrdiff_t>(last));
     page.next = std::max<std::uint64_t>(from, last);
+    this->records_read[part] += page.records.size();
     page.end = stored.size();
     return page;
   }
