LibMembership: Choose the fittest instances as owners of job partitions

Change: as many gateways as there are pairs of partitions offer themselves, the fittest first by the scarcest of cores, link and memory; weaker ones wait and step back. The group's part of the gateway is a class of its own.

Tests: PartitionOwners (5).

--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -11,6 +11,20 @@
 
 }  // namespace
 
+template <>
+const std::vector<Field<MachineSettings>>& FieldsOf() {
+  using S = MachineSettings;
+  static const std::vector<Field<S>> fields = {
+      {"cores", kOptional, "cores", "cores, or a share of one",
+       Real(&S::cores, 0.01, 1'024)},
+      {"link_mbps", kOptional, "Mbit/s", "bandwidth of its link",
+       Real(&S::link_mbps, 1, 1'000'000)},
+      {"memory_mb", kOptional, "MB", "memory of this process",
+       Real(&S::memory_mb, 1, 16'777'216)},
+  };
+  return fields;
+}
+
 template <>
 const std::vector<Field<GatewaySettings>>& FieldsOf() {
   using S = GatewaySettings;
@@ -33,6 +47,9 @@
       {"log", kOptional, "", "log lines", Map(&S::log)},
       {"limits", kOptional, "", "bounds of what callers may send",
        Map(&S::limits)},
+      {"machine", kOptional, "",
+       "what the platform gives this instance; the largest own job partitions",
+       Map(&S::machine)},
       {"job_partitions", kOptional, "partitions",
        "partitions of the topic of batch jobs; the same on every instance",
        Integer(&S::job_partitions, 1, 1'000)},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -161,6 +161,14 @@
   std::int64_t seed = 0;
 };
 
+// What the platform gives one instance.
+struct MachineSettings {
+  // Cores, or a share of one.
+  double cores = 1;
+  double link_mbps = 1'000;
+  double memory_mb = 1'024;
+};
+
 // An entry that speaks to backend servers directly, on a platform whose dialect
 // it is built with.
 struct GatewaySettings {
@@ -174,6 +182,9 @@
   std::string platform_address;
   // Where other gateways ask; empty for nowhere.
   std::string peer_listen;
+  // What the platform gives this instance; owners of partitions are chosen by
+  // it.
+  MachineSettings machine;
   // "10.1.0.10:8166,10.2.0.40:8166": gateways to ask while the log is lost.
   std::string peers;
   LogSettings log;
--- a/Libraries/LibContract/settings_fields.h
+++ b/Libraries/LibContract/settings_fields.h
@@ -19,6 +19,8 @@
 template <>
 const std::vector<Field<TrafficLimits>>& FieldsOf();
 template <>
+const std::vector<Field<MachineSettings>>& FieldsOf();
+template <>
 const std::vector<Field<DataCenterSettings>>& FieldsOf();
 template <>
 const std::vector<Field<RoutingSettings>>& FieldsOf();
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -8,5 +8,6 @@
 #include "LibMembership/fleet.h"
 #include "LibMembership/instance.h"
 #include "LibMembership/link.h"
+#include "LibMembership/partition_owners.h"
 #include "LibMembership/server_view.h"
 #include "LibMembership/watched_subset.h"
--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -111,7 +111,8 @@
   virtual void Leave(std::string_view group, std::string_view member) = 0;
 
   using OwnersCallback = std::function<void(Outcome<std::vector<PartOwner>>)>;
-  // Partitions without an owner are left out. Errors: kUnavailable, kCorrupt.
+  // Partitions without an owner are left out. Errors: kNotFound for a group
+  // that never had a member, kUnavailable, kCorrupt.
   virtual void ReadOwners(std::string_view group, OwnersCallback callback) = 0;
 };
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -25,8 +25,6 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
-// Joins within one time to live, so that lost ones cost no partition.
-constexpr std::int64_t kJoinsPerTtl = 4;
 constexpr Milliseconds kHousekeepingPeriod{500};
 // Server entries change with every heartbeat of every server; their records
 // are read several at a time.
@@ -107,6 +105,13 @@
                    this->job_calls.Changed(number);
                  }),
       owners(this->environment, std::string(kGroup), std::string(kJobsTopic)),
+      membership(this->environment,
+                 this->owners,
+                 std::string(kGroup),
+                 std::string(kJobsTopic),
+                 [this](const std::set<std::int64_t>& owned) {
+                   this->TakeOwned(owned);
+                 }),
       runner(this->environment, this->partitions.All()),
       job_calls(this->environment),
       job_relay(this->environment,
@@ -184,7 +189,7 @@
   this->ReviewPartitions();
   this->operator_follower.Start();
   this->servers_follower.Start();
-  this->Join();
+  this->membership.Start();
   this->Housekeep();
 }
 
@@ -305,42 +310,9 @@
   this->upgrader.Reconsider();
 }
 
-void Gateway::Join() {
-  this->log->Join(kGroup, OwnerDirectory::MemberName(this->settings),
-                  kJobsTopic, this->generation,
-                  [this](const Outcome<GroupMembership>& outcome) {
-                    this->Joined(outcome);
-                  });
-}
-
-void Gateway::Joined(const Outcome<GroupMembership>& outcome) {
-  if (this->draining) {
-    return;
-  }
-  this->join_timer = this->loop.CallAfter(
-      Milliseconds(this->settings.member_ttl_ms / kJoinsPerTtl),
-      [this] { this->Join(); });
-  if (!outcome.Ok()) {
-    // What is known of ownership stays: nobody else can learn better.
-    return;
-  }
-  this->generation = outcome.Value().generation;
-  this->owners.NoteGeneration(this->generation);
-  std::set<std::int64_t> owned;
-  for (const LogPart& part : outcome.Value().parts) {
-    owned.insert(part.part);
-  }
-  if (owned != this->runner.Owned()) {
-    std::string list;
-    for (const std::int64_t part : owned) {
-      list += (list.empty() ? "" : ",") + std::to_string(part);
-    }
-    WriteLog(LogLevel::kInfo, "owns job partitions",
-             {{"partitions", list},
-              {"generation", std::to_string(this->generation)}});
-  }
+void Gateway::TakeOwned(const std::set<std::int64_t>& owned) {
   this->upgrader.SetElected(owned.contains(kElectingPartition));
-  this->runner.SetOwned(std::move(owned));
+  this->runner.SetOwned(owned);
   this->ReviewPartitions();
 }
 
@@ -578,10 +550,8 @@
       {{"requests", std::to_string(this->forwarded.size())},
        {"running_samples", std::to_string(this->runner.RunningSamples())}});
   this->server->AnnounceClosing();
-  this->join_timer.reset();
-  this->log->Leave(kGroup, OwnerDirectory::MemberName(this->settings));
+  this->membership.Retire();
   this->upgrader.Retire();
-  this->runner.SetOwned({});
   this->ContinueDrain();
 }
 
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "job_partitions.h"
 #include "job_relay.h"
 #include "job_runner.h"
+#include "partition_membership.h"
 #include "peer_exchange.h"
 
 namespace carobbank {
@@ -63,8 +64,8 @@
                      const HttpRequest& request,
                      std::shared_ptr<HttpResponder> responder);
 
-  void Join();
-  void Joined(const Outcome<GroupMembership>& outcome);
+  // The partitions whose jobs this instance runs from now on.
+  void TakeOwned(const std::set<std::int64_t>& owned);
   // Follows the partitions that this instance has a part in.
   void ReviewPartitions();
   void Housekeep();
@@ -92,6 +93,7 @@
   GatewayEnvironment environment;
   JobPartitions partitions;
   OwnerDirectory owners;
+  PartitionMembership membership;
   JobRunner runner;
   JobCalls job_calls;
   JobRelay job_relay;
@@ -108,8 +110,6 @@
   // Null without an address for it.
   std::unique_ptr<HttpServer> peer_server;
 
-  std::int64_t generation = 0;
-  std::unique_ptr<Timer> join_timer;
   std::unique_ptr<Timer> housekeeping;
   bool draining = false;
   MonotonicTime drain_began{};
--- a/Services/Gateway/owner_directory.cc
+++ b/Services/Gateway/owner_directory.cc
@@ -2,6 +2,8 @@
 
 #include "owner_directory.h"
 
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -13,8 +15,29 @@
 // Many calls may find an owner gone at the same moment; the log is asked once.
 constexpr Milliseconds kPauseBetweenReads{100};
 
-// Separates an instance's name from its address in the name of a member.
+// Before the address and the fitness in the name of a member.
 constexpr char kAddressMark = '@';
+constexpr char kFitnessMark = '#';
+
+struct OwnerName {
+  std::string_view address;
+  std::int64_t fitness = 0;
+};
+
+// Nothing when the name has another form.
+std::optional<OwnerName> ParseOwnerName(std::string_view name) {
+  const std::size_t address = name.rfind(kAddressMark);
+  const std::size_t fitness = name.rfind(kFitnessMark);
+  if (address == std::string_view::npos || fitness == std::string_view::npos ||
+      fitness < address) {
+    return std::nullopt;
+  }
+  const auto number = ParseInteger<std::int64_t>(name.substr(fitness + 1));
+  if (!number) {
+    return std::nullopt;
+  }
+  return OwnerName{name.substr(address + 1, fitness - address - 1), *number};
+}
 
 }  // namespace
 
@@ -29,8 +52,14 @@
   *this->alive = false;
 }
 
+std::int64_t OwnerDirectory::Fitness(const GatewaySettings& settings) {
+  const MachineSettings& machine = settings.machine;
+  return OwnerFitness({machine.cores, machine.link_mbps, machine.memory_mb});
+}
+
 std::string OwnerDirectory::MemberName(const GatewaySettings& settings) {
-  return settings.instance + kAddressMark + settings.peer_listen;
+  return settings.instance + kAddressMark + settings.peer_listen +
+         kFitnessMark + std::to_string(Fitness(settings));
 }
 
 std::string_view OwnerDirectory::AddressOf(std::int64_t partition) const {
@@ -66,13 +95,10 @@
 void OwnerDirectory::Asked(const Outcome<std::vector<PartOwner>>& outcome) {
   this->asking = false;
   if (outcome.Ok()) {
-    this->addresses.clear();
-    for (const PartOwner& owner : outcome.Value()) {
-      const std::size_t mark = owner.member.rfind(kAddressMark);
-      if (owner.part.topic == this->topic && mark != std::string::npos) {
-        this->addresses[owner.part.part] = owner.member.substr(mark + 1);
-      }
-    }
+    this->Take(outcome.Value());
+  } else if (outcome.GetError().kind == ErrorKind::kNotFound) {
+    // The group begins with its first member.
+    this->Take({});
   } else {
     WriteLog(LogLevel::kWarning, "owners of job partitions not read",
              {{"error", outcome.GetError().Text()}});
@@ -85,4 +111,22 @@
   });
 }
 
+void OwnerDirectory::Take(std::span<const PartOwner> rows) {
+  this->known = true;
+  this->addresses.clear();
+  this->other_owners.clear();
+  const std::string own = MemberName(this->environment.settings);
+  std::set<std::string_view> counted = {own};
+  for (const PartOwner& row : rows) {
+    const std::optional<OwnerName> member = ParseOwnerName(row.member);
+    if (row.part.topic != this->topic || !member) {
+      continue;
+    }
+    this->addresses[row.part.part] = member->address;
+    if (counted.insert(row.member).second) {
+      this->other_owners.push_back(member->fitness);
+    }
+  }
+}
+
 }  // namespace carobbank
--- a/Services/Gateway/owner_directory.h
+++ b/Services/Gateway/owner_directory.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway_environment.h"
 
@@ -31,18 +33,29 @@
   void NoteGeneration(std::int64_t generation);
   // Reads the owners again, soon.
   void Refresh();
+  // They have been read at least once.
+  bool Known() const { return this->known; }
+  // Fitness of each owner but this instance.
+  const std::vector<std::int64_t>& OtherOwners() const {
+    return this->other_owners;
+  }
 
-  // The name under which an instance joins the group: it tells its address.
+  static std::int64_t Fitness(const GatewaySettings& settings);
+  // The name under which an instance joins the group: it tells its address and
+  // its fitness, "front-1@10.1.0.10:8166#250".
   static std::string MemberName(const GatewaySettings& settings);
 
  private:
   void Ask();
   void Asked(const Outcome<std::vector<PartOwner>>& outcome);
+  void Take(std::span<const PartOwner> rows);
 
   GatewayEnvironment& environment;
   std::string group;
   std::string topic;
   std::map<std::int64_t, std::string> addresses;
+  std::vector<std::int64_t> other_owners;
+  bool known = false;
   std::int64_t generation = 0;
   // Invariant: not both set; the timer runs for the pause after a read.
   bool asking = false;
--- /dev/null
+++ b/Tests/LibMembership/partition_owners_test.cc
@@ -0,0 +1,75 @@
+// Who offers itself as an owner of partitions, and in which order.
+
+#include "LibMembership/partition_owners.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace carobbank {
+
+TEST_GROUP(PartitionOwners){};
+
+TEST(PartitionOwners, TheScarcestPartOfAMachineDecides) {
+  LONGS_EQUAL(100, OwnerFitness({0.2, 200, 128}));
+  LONGS_EQUAL(45, OwnerFitness({0.09, 600, 512}));
+  LONGS_EQUAL(30, OwnerFitness({0.5, 60, 512}));
+  LONGS_EQUAL(50, OwnerFitness({0.5, 600, 64}));
+  LONGS_EQUAL(1, OwnerFitness({0, 0, 0}));
+}
+
+TEST(PartitionOwners, TheFitterOfferThemselvesEarlier) {
+  CHECK_TRUE(OfferDelay(250) < OfferDelay(100));
+  CHECK_TRUE(OfferDelay(100) < OfferDelay(30));
+  LONGS_EQUAL(2'000, OfferDelay(1).count());
+}
+
+TEST(PartitionOwners, NobodyIsMissingWhileThereAreTooFew) {
+  const std::int64_t others[] = {250, 250};
+  CHECK_TRUE(ShouldOwn(1, false, others, 3));
+  CHECK_FALSE(ShouldOwn(1, false, others, 2));
+  CHECK_FALSE(ShouldOwn(1, true, others, 2));
+}
+
+TEST(PartitionOwners, AmongEqualsAnOwnerStays) {
+  const std::int64_t others[] = {100, 100};
+  CHECK_TRUE(ShouldOwn(100, true, others, 2));
+  CHECK_FALSE(ShouldOwn(100, false, others, 2));
+}
+
+// Machines of unequal size decide in turn, the fitter ones first, then in any
+// order as often as they like.
+TEST(PartitionOwners, TheFittestEndUpAsOwnersAndStay) {
+  constexpr std::size_t kWanted = 4;
+  const std::vector<std::int64_t> fitness = {30, 30,  250, 250, 30, 250,
+                                             45, 250, 250, 250, 30, 45};
+  std::vector<bool> owns(fitness.size(), false);
+  const auto decide = [&](std::size_t index) {
+    std::vector<std::int64_t> others;
+    for (std::size_t other = 0; other < fitness.size(); ++other) {
+      if (owns[other] && other != index) {
+        others.push_back(fitness[other]);
+      }
+    }
+    owns[index] = ShouldOwn(fitness[index], owns[index], others, kWanted);
+  };
+  // Weak ones are first, as after a delay that was too short.
+  for (std::size_t index = 0; index < fitness.size(); ++index) {
+    decide(index);
+  }
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t index = fitness.size(); index-- > 0;) {
+      decide(index);
+    }
+  }
+  const std::vector<bool> settled = owns;
+  LONGS_EQUAL(kWanted, std::count(owns.begin(), owns.end(), true));
+  for (std::size_t index = 0; index < fitness.size(); ++index) {
+    CHECK_TRUE(!owns[index] || fitness[index] == 250);
+    decide(index);
+  }
+  CHECK_TRUE(owns == settled);
+}
+
+}  // namespace carobbank
