Gateway: Hand texts in progress to the next owner of their partition

Cause: an owner that was terminated, or lost a partition to another member, dropped its running texts, and the next owner had them generated from the start.

Change: when a partition is given back, the unfinished texts of its jobs go to its next owner over the peers' address, which goes on after their last event. Best effort: without them they are generated again.

--- a/Libraries/LibMembership/partition_owners.cc
+++ b/Libraries/LibMembership/partition_owners.cc
@@ -3,6 +3,7 @@
 #include "LibMembership/partition_owners.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace carobbank {
 
@@ -24,8 +25,7 @@
   const double scarcest = std::min({machine.cores / kOwnerNeeds.cores,
                                     machine.link_mbps / kOwnerNeeds.link_mbps,
                                     machine.memory_mb / kOwnerNeeds.memory_mb});
-  return std::max<std::int64_t>(1,
-                                static_cast<std::int64_t>(scarcest * kPercent));
+  return std::max<std::int64_t>(1, std::llround(scarcest * kPercent));
 }
 
 Milliseconds OfferDelay(std::int64_t fitness) {
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -23,6 +23,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 
 constexpr Milliseconds kHousekeepingPeriod{500};
@@ -112,7 +113,13 @@
                  [this](const std::set<std::int64_t>& owned) {
                    this->TakeOwned(owned);
                  }),
-      runner(this->environment, this->partitions.All()),
+      handover(this->environment, this->owners),
+      runner(
+          this->environment,
+          this->partitions.All(),
+          [this](std::int64_t partition, const std::vector<SampleText>& texts) {
+            this->handover.Give(partition, texts);
+          }),
       job_calls(this->environment),
       job_relay(this->environment,
                 this->partitions,
@@ -428,6 +435,10 @@
     this->job_relay.HandleRelayed(request, call ? call->job_id : "", responder);
     return;
   }
+  if (request.Path() == TextHandover::kPath) {
+    this->HandleTexts(request, *responder);
+    return;
+  }
   if (request.Path() != PeerExchange::kPath) {
     responder->Send(Reject(kNotFound, "no_such_path", "nothing is here",
                            "ask for the state of a peer"));
@@ -485,6 +496,30 @@
   }
 }
 
+void Gateway::HandleTexts(const HttpRequest& request,
+                          HttpResponder& responder) {
+  const auto partition = ParseInteger<std::int64_t>(
+      request.Query(TextHandover::kPartitionQuery).value_or(""));
+  if (!partition || !this->runner.Owned().contains(*partition)) {
+    responder.Send(Reject(kMisdirected, "not_the_owner",
+                          "this instance does not own the partition",
+                          "ask the log for its owner"));
+    return;
+  }
+  std::optional<std::vector<SampleText>> texts =
+      DecodeSampleTexts(request.body);
+  if (!texts) {
+    WriteLog(LogLevel::kWarning, "texts of another instance not readable",
+             {{"peer", request.peer}});
+    responder.Send(Reject(kBadRequest, "invalid_texts",
+                          "the texts can't be read",
+                          "compare the versions of the instances"));
+    return;
+  }
+  this->runner.TakeTexts(std::move(*texts));
+  responder.Send({kOk, {}, ""});
+}
+
 void Gateway::Submit(HttpRequest request,
                      std::shared_ptr<HttpResponder> responder) {
   const Outcome<BatchJob> job = this->dialect.DecodeSubmission(request);
@@ -569,7 +604,7 @@
   const bool idle =
       this->server->RequestsInProgress() == 0 &&
       (!this->peer_server || this->peer_server->RequestsInProgress() == 0);
-  if ((rotated && idle) || past >= limit) {
+  if ((rotated && idle && this->handover.Idle()) || past >= limit) {
     this->loop.Stop();
     return;
   }
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -59,6 +59,7 @@
   void HandlePeer(const HttpRequest& request,
                   const std::shared_ptr<HttpResponder>& responder);
   void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void HandleTexts(const HttpRequest& request, HttpResponder& responder);
   // A call about batch jobs, from what this instance knows of the partition.
   void HandleJobCall(JobPartition& partition,
                      const HttpRequest& request,
@@ -94,6 +95,7 @@
   JobPartitions partitions;
   OwnerDirectory owners;
   PartitionMembership membership;
+  TextHandover handover;
   JobRunner runner;
   JobCalls job_calls;
   JobRelay job_relay;
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -100,8 +100,11 @@
 
 JobRunner::JobRunner(
     GatewayEnvironment& environment,
-    const std::vector<std::unique_ptr<JobPartition>>& partitions)
-    : environment(environment), partitions(partitions) {
+    const std::vector<std::unique_ptr<JobPartition>>& partitions,
+    GiveTexts give_texts)
+    : environment(environment),
+      partitions(partitions),
+      give_texts(std::move(give_texts)) {
   this->Tick();
 }
 
@@ -113,15 +116,66 @@
   if (owned_now == this->owned) {
     return;
   }
-  this->owned = std::move(owned_now);
-  std::erase_if(this->jobs, [this](const auto& entry) {
-    return !this->owned.contains(entry.second->partition->Number());
-  });
+  const std::set<std::int64_t> before =
+      std::exchange(this->owned, std::move(owned_now));
+  for (const std::int64_t partition : before) {
+    if (!this->owned.contains(partition)) {
+      this->GiveUp(partition);
+    }
+  }
   for (const std::int64_t partition : this->owned) {
     this->Reconsider(partition);
   }
 }
 
+void JobRunner::GiveUp(std::int64_t partition) {
+  std::vector<SampleText> texts;
+  for (const auto& [id, job] : this->jobs) {
+    const JobState* const state = job->State();
+    if (job->partition->Number() != partition || state == nullptr) {
+      continue;
+    }
+    for (std::size_t index = 0; index < job->samples.size(); ++index) {
+      if (auto text =
+              TextOf(job->samples[index], state->job.samples[index].id)) {
+        texts.push_back(std::move(*text));
+      }
+    }
+  }
+  std::erase_if(this->jobs, [partition](const auto& entry) {
+    return entry.second->partition->Number() == partition;
+  });
+  if (this->give_texts) {
+    this->give_texts(partition, texts);
+  }
+}
+
+std::optional<SampleText> JobRunner::TextOf(Progress& progress,
+                                            const std::string& sample_id) {
+  if (progress.events == 0 || progress.stage == Stage::kFinished) {
+    return std::nullopt;
+  }
+  const bool whole = progress.stage == Stage::kWaitingForScore ||
+                     progress.stage == Stage::kScoring;
+  return SampleText{sample_id,         std::move(progress.text),
+                    progress.events,   progress.last_event_id,
+                    progress.versions, whole};
+}
+
+void JobRunner::TakeTexts(std::vector<SampleText> texts) {
+  const MonotonicTime now = this->environment.clock.Now();
+  for (SampleText& text : texts) {
+    const std::string sample_id = text.sample_id;
+    this->carried[sample_id] = {std::move(text), now};
+  }
+  for (const auto& [id, job] : this->jobs) {
+    if (const JobState* const state = job->State()) {
+      this->TakeCarried(*job, *state);
+    }
+  }
+  this->PumpSoon();
+}
+
 void JobRunner::Reconsider(std::int64_t number) {
   if (!this->owned.contains(number)) {
     return;
@@ -220,63 +274,36 @@
   }
   const MonotonicTime now = this->environment.clock.Now();
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
-    Progress& progress = job.samples[index];
-    const bool unfinished =
-        progress.events > 0 && progress.stage != Stage::kFinished;
-    if (unfinished) {
-      const bool whole = progress.stage == Stage::kWaitingForScore ||
-                         progress.stage == Stage::kScoring;
-      this->carried[state.job.samples[index].id] = {
-          std::move(progress.text), progress.events, progress.last_event_id,
-          progress.versions,        whole,           now};
+    const std::string& sample_id = state.job.samples[index].id;
+    if (auto text = TextOf(job.samples[index], sample_id)) {
+      this->carried[sample_id] = {std::move(*text), now};
     }
   }
   for (const JobResult& result : state.results) {
     const std::size_t index = *state.IndexOf(result.sample_id);
     if (result.completed &&
         open_groups.contains(state.job.samples[index].group)) {
-      this->carried[result.sample_id] = {
-          result.output,
-          1,
-          "",
-          std::set<std::int64_t>(result.versions.begin(),
-                                 result.versions.end()),
-          true,
-          now};
+      SampleText text;
+      text.sample_id = result.sample_id;
+      text.text = result.output;
+      text.events = 1;
+      text.versions = {result.versions.begin(), result.versions.end()};
+      text.whole = true;
+      this->carried[result.sample_id] = {std::move(text), now};
     }
   }
 }
 
 void JobRunner::TakeCarried(ActiveJob& job, const JobState& state) {
-  const HostRoute* const route =
-      this->environment.configuration ? this->RouteOf(state) : nullptr;
-  const bool single_version = route != nullptr && route->single_version;
   std::size_t taken = 0;
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
     const auto found = this->carried.find(state.job.samples[index].id);
     if (found == this->carried.end()) {
       continue;
     }
-    CarriedText& text = found->second;
-    const bool fits =
-        (text.versions.empty() ||
-         *text.versions.begin() >= state.job.min_version) &&
-        !(single_version && (!text.whole || text.versions.size() > 1));
-    if (fits) {
-      Progress& progress = job.samples[index];
-      progress.text = std::move(text.text);
-      progress.events = text.events;
-      progress.last_event_id = std::move(text.last_event_id);
-      progress.versions = std::move(text.versions);
-      if (text.whole && state.job.samples[index].reward) {
-        progress.stage = Stage::kWaitingForScore;
-        ++job.waiting_for_score;
-      } else if (text.whole) {
-        this->Finish(job, state, index, true, "");
-      }
-      ++taken;
-    }
+    SampleText text = std::move(found->second.text);
     this->carried.erase(found);
+    taken += this->TakeText(job, state, index, std::move(text)) ? 1 : 0;
   }
   if (taken > 0) {
     WriteLog(LogLevel::kInfo, "texts carried over",
@@ -284,6 +311,38 @@
   }
 }
 
+bool JobRunner::TakeText(ActiveJob& job,
+                         const JobState& state,
+                         std::size_t index,
+                         SampleText text) {
+  const HostRoute* const route =
+      this->environment.configuration ? this->RouteOf(state) : nullptr;
+  const bool single_version = route != nullptr && route->single_version;
+  Progress& progress = job.samples[index];
+  const bool open =
+      progress.stage == Stage::kWaiting || progress.stage == Stage::kGenerating;
+  const bool fits =
+      (text.versions.empty() ||
+       *text.versions.begin() >= state.job.min_version) &&
+      !(single_version && (!text.whole || text.versions.size() > 1));
+  if (!open || state.listed[index] || !fits ||
+      (!text.whole && text.events <= progress.events)) {
+    return false;
+  }
+  progress = Progress();
+  progress.text = std::move(text.text);
+  progress.events = text.events;
+  progress.last_event_id = std::move(text.last_event_id);
+  progress.versions = std::move(text.versions);
+  if (text.whole && state.job.samples[index].reward) {
+    progress.stage = Stage::kWaitingForScore;
+    ++job.waiting_for_score;
+  } else if (text.whole) {
+    this->Finish(job, state, index, true, "");
+  }
+  return true;
+}
+
 void JobRunner::TakeListed(ActiveJob& job, const JobState& state) {
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
     Progress& progress = job.samples[index];
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -8,19 +8,26 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "job_partition.h"
 #include "sample_stream.h"
+#include "text_handover.h"
 
 namespace carobbank {
 
 class JobRunner {
  public:
+  // Takes the texts in progress of a partition that is run no longer.
+  using GiveTexts = std::function<void(std::int64_t partition,
+                                       const std::vector<SampleText>& texts)>;
+
   JobRunner(GatewayEnvironment& environment,
-            const std::vector<std::unique_ptr<JobPartition>>& partitions);
+            const std::vector<std::unique_ptr<JobPartition>>& partitions,
+            GiveTexts give_texts);
   ~JobRunner();
   JobRunner(const JobRunner&) = delete;
   JobRunner& operator=(const JobRunner&) = delete;
@@ -28,6 +35,8 @@
   // The partitions whose jobs this instance runs from now on.
   void SetOwned(std::set<std::int64_t> partitions);
   const std::set<std::int64_t>& Owned() const { return this->owned; }
+  // What an earlier owner of one of the partitions has come to.
+  void TakeTexts(std::vector<SampleText> texts);
   // Jobs of the partition changed.
   void Reconsider(std::int64_t partition);
   // Servers or the configuration changed: samples may find a place now.
@@ -88,14 +97,10 @@
 
     const JobState* State() const { return partition->Fold().Find(id); }
   };
-  // A text of a job that has ended, for a later job with the same sample.
+  // A text that no job has use for now: of one that has ended, for a later job
+  // with the same sample, or of one that is not taken up yet.
   struct CarriedText {
-    std::string text;
-    std::size_t events = 0;
-    std::string last_event_id;
-    std::set<std::int64_t> versions;
-    // Nothing follows; only its reward call may be missing.
-    bool whole = false;
+    SampleText text;
     MonotonicTime kept_at;
   };
   using JobMap = std::map<std::string, std::unique_ptr<ActiveJob>, std::less<>>;
@@ -103,8 +108,18 @@
   void Adopt(JobPartition& partition, const JobState& state);
   // Keeps the texts of groups that are not complete.
   void CarryOver(const JobState& state, ActiveJob& job);
-  // Takes up a carried text whose versions fit the job.
+  // Takes up the carried texts that fit the job.
   void TakeCarried(ActiveJob& job, const JobState& state);
+  // False when the job is better off without it.
+  bool TakeText(ActiveJob& job,
+                const JobState& state,
+                std::size_t index,
+                SampleText text);
+  // The unfinished text of one sample, or nothing.
+  static std::optional<SampleText> TextOf(Progress& progress,
+                                          const std::string& sample_id);
+  // Hands the texts of a partition's jobs on.
+  void GiveUp(std::int64_t partition);
   void DropMissing(const JobPartition& partition);
   void TakeListed(ActiveJob& job, const JobState& state);
   bool StillOpen(const JobState& state) const;
@@ -156,6 +171,7 @@
 
   GatewayEnvironment& environment;
   const std::vector<std::unique_ptr<JobPartition>>& partitions;
+  GiveTexts give_texts;
   std::set<std::int64_t> owned;
   JobMap jobs;
   // By sample id.
--- /dev/null
+++ b/Services/Gateway/text_handover.cc
@@ -0,0 +1,157 @@
+// Codec and delivery of texts in progress.
+
+#include "text_handover.h"
+
+#include <utility>
+
+#include "LibProcess/process.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kOk = 200;
+
+// The next owner learns of its partition with its next join.
+constexpr Milliseconds kPatience{2'000};
+constexpr Milliseconds kRetryPause{100};
+constexpr Milliseconds kCallTimeout{1'000};
+
+Json::Value ToJson(const SampleText& text) {
+  Json::Value value;
+  value["sample"] = text.sample_id;
+  value["text"] = text.text;
+  value["events"] = Json::UInt64(text.events);
+  value["last_event_id"] = text.last_event_id;
+  value["versions"] = Json::arrayValue;
+  for (const std::int64_t version : text.versions) {
+    value["versions"].append(Json::Int64(version));
+  }
+  value["whole"] = text.whole;
+  return value;
+}
+
+std::optional<SampleText> FromJson(const Json::Value& value) {
+  if (!value.isObject() || !value["sample"].isString() ||
+      !value["text"].isString() || !value["events"].isUInt64() ||
+      !value["last_event_id"].isString() || !value["versions"].isArray() ||
+      !value["whole"].isBool()) {
+    return std::nullopt;
+  }
+  SampleText text;
+  text.sample_id = value["sample"].asString();
+  text.text = value["text"].asString();
+  text.events = value["events"].asUInt64();
+  text.last_event_id = value["last_event_id"].asString();
+  for (const Json::Value& version : value["versions"]) {
+    if (!version.isInt64()) {
+      return std::nullopt;
+    }
+    text.versions.insert(version.asInt64());
+  }
+  text.whole = value["whole"].asBool();
+  return text;
+}
+
+}  // namespace
+
+std::string EncodeSampleTexts(const std::vector<SampleText>& texts) {
+  Json::Value body;
+  body["texts"] = Json::arrayValue;
+  for (const SampleText& text : texts) {
+    body["texts"].append(ToJson(text));
+  }
+  return WriteJson(body);
+}
+
+std::optional<std::vector<SampleText>> DecodeSampleTexts(
+    std::string_view text) {
+  const auto body = Capture([&] { return ParseJson(text); });
+  if (!body.Ok() || !body.Value().isObject() ||
+      !body.Value()["texts"].isArray()) {
+    return std::nullopt;
+  }
+  std::vector<SampleText> texts;
+  for (const Json::Value& value : body.Value()["texts"]) {
+    if (std::optional<SampleText> one = FromJson(value)) {
+      texts.push_back(std::move(*one));
+    }
+  }
+  return texts;
+}
+
+TextHandover::TextHandover(GatewayEnvironment& environment,
+                           OwnerDirectory& owners)
+    : environment(environment), owners(owners) {}
+
+TextHandover::~TextHandover() {
+  *this->alive = false;
+}
+
+void TextHandover::Give(std::int64_t partition,
+                        const std::vector<SampleText>& texts) {
+  if (texts.empty()) {
+    return;
+  }
+  auto gift = std::make_shared<Gift>();
+  gift->partition = partition;
+  gift->body = EncodeSampleTexts(texts);
+  gift->texts = texts.size();
+  gift->deadline = this->environment.clock.Now() + kPatience;
+  this->gifts.insert(gift);
+  this->AttemptLater(gift);
+}
+
+void TextHandover::Attempt(const GiftPointer& gift) {
+  const std::string address(this->owners.AddressOf(gift->partition));
+  if (address.empty() || address == this->environment.settings.peer_listen) {
+    this->AttemptLater(gift);
+    return;
+  }
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + address + std::string(kPath) + "?" +
+                std::string(kPartitionQuery) + "=" +
+                std::to_string(gift->partition);
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = gift->body;
+  request.timeout = kCallTimeout;
+  request.connect_timeout = kCallTimeout;
+  this->environment.client.Fetch(
+      std::move(request),
+      [this, kept = this->alive, gift](const Outcome<HttpResponse>& outcome) {
+        if (!*kept) {
+          return;
+        }
+        if (outcome.Ok() && outcome.Value().status == kOk) {
+          this->End(gift, true);
+        } else {
+          this->AttemptLater(gift);
+        }
+      });
+}
+
+void TextHandover::AttemptLater(const GiftPointer& gift) {
+  if (this->environment.clock.Now() > gift->deadline) {
+    this->End(gift, false);
+    return;
+  }
+  this->owners.Refresh();
+  gift->retry = this->environment.loop.CallAfter(
+      kRetryPause, [this, kept = this->alive, gift] {
+        const std::unique_ptr<Timer> done = std::move(gift->retry);
+        if (*kept) {
+          this->Attempt(gift);
+        }
+      });
+}
+
+void TextHandover::End(const GiftPointer& gift, bool taken) {
+  this->gifts.erase(gift);
+  WriteLog(taken ? LogLevel::kInfo : LogLevel::kWarning,
+           taken ? "texts handed over" : "texts in progress are lost",
+           {{"partition", std::to_string(gift->partition)},
+            {"texts", std::to_string(gift->texts)}});
+}
+
+}  // namespace carobbank
--- a/Tests/Gateway/job_relay_test.cc
+++ b/Tests/Gateway/job_relay_test.cc
@@ -213,7 +213,8 @@
     for (std::size_t part = 0; part < owners.size(); ++part) {
       const auto number = static_cast<std::int64_t>(part);
       this->fixture.log.owners.push_back(
-          {{std::string(kTopic), number}, "i@" + Address(owners[part])});
+          {{std::string(kTopic), number},
+           "i@" + Address(owners[part]) + "#100"});
       this->instances[owners[part]]->partitions.SetNeeded({number});
     }
     for (const auto& instance : this->instances) {
@@ -223,7 +224,8 @@
   }
   bool Settled() const {
     for (const PartOwner& owner : this->fixture.log.owners) {
-      const std::string address = owner.member.substr(2);
+      const std::string address =
+          owner.member.substr(2, owner.member.size() - 6);
       for (const auto& instance : this->instances) {
         const bool knows =
             instance->owners.AddressOf(owner.part.part) == address;
@@ -307,7 +309,7 @@
   LONGS_EQUAL(200, this->Read(2, "a"));
   this->client->listening.erase(Address(0));
   // The log shares partition 0 out anew; instance 2 learns it by asking.
-  this->fixture.log.owners[0].member = "i@" + Address(1);
+  this->fixture.log.owners[0].member = "i@" + Address(1) + "#100";
   this->instances[1]->partitions.SetNeeded({0, 1});
   LONGS_EQUAL(200, this->Read(2, "a"));
   LONGS_EQUAL(202, this->Submit(2, "b", 0));
@@ -319,11 +321,11 @@
   this->Add();
   this->Share({0, 1});
   // The directory of instance 2 is behind: it names instance 1 for both.
-  this->fixture.log.owners[0].member = "i@" + Address(1);
+  this->fixture.log.owners[0].member = "i@" + Address(1) + "#100";
   this->instances[2]->owners.Refresh();
   CHECK_TRUE(this->fixture.runner.RunUntil(
       [&] { return this->instances[2]->owners.AddressOf(0) == Address(1); }));
-  this->fixture.log.owners[0].member = "i@" + Address(0);
+  this->fixture.log.owners[0].member = "i@" + Address(0) + "#100";
   LONGS_EQUAL(202, this->Submit(2, "a", 0));
   LONGS_EQUAL(0, this->instances[1]->answered);
 }
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -20,6 +20,12 @@
   GatewayFixture fixture;
   std::vector<std::unique_ptr<JobPartition>> partitions;
   std::unique_ptr<JobRunner> runner;
+  // What was handed on for partitions that are run no longer.
+  std::vector<SampleText> given;
+  JobRunner::GiveTexts give = [this](std::int64_t /*partition*/,
+                                     const std::vector<SampleText>& texts) {
+    this->given.insert(this->given.end(), texts.begin(), texts.end());
+  };
 
   void setup() override {
     this->Start();
@@ -30,7 +36,7 @@
         this->fixture.runner.loop, this->fixture.clock, this->fixture.log,
         JobsPart(), 1'000'000, [this] { this->runner->Reconsider(0); }));
     this->runner = std::make_unique<JobRunner>(this->fixture.environment,
-                                               this->partitions);
+                                               this->partitions, this->give);
     this->partitions[0]->Follow();
     this->runner->SetOwned({0});
   }
@@ -349,4 +355,50 @@
   CHECK_FALSE(this->State()->results[0].completed);
 }
 
+TEST(JobRunner, TextsInProgressAreHandedOnAndTakenUp) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    ScriptedAnswer answer = Stream(request);
+    if (this->fixture.client.seen.size() == 1) {
+      answer.body = EventText(1);
+      answer.ending = ScriptedAnswer::Ending::kCut;
+    }
+    return answer;
+  };
+  this->PutJob(this->JobOf(1));
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->fixture.client.seen.size() == 1; }));
+  this->fixture.runner.RunFor(Milliseconds(5));
+  this->runner->SetOwned({});
+  LONGS_EQUAL(1, this->given.size());
+  STRCMP_EQUAL("e1", this->given[0].text.c_str());
+  STRCMP_EQUAL("1", this->given[0].last_event_id.c_str());
+
+  this->runner->SetOwned({0});
+  const auto texts = DecodeSampleTexts(EncodeSampleTexts(this->given));
+  this->runner->TakeTexts(*texts);
+  this->RunUntilComplete();
+  STRCMP_EQUAL("e1\ne2", this->State()->results[0].output.c_str());
+  CHECK_TRUE(FindHeader(this->fixture.client.seen.back().headers,
+                        "After-Event") == "1");
+}
+
+TEST(JobRunner, ATextOfAnOlderVersionIsNotTakenUp) {
+  this->fixture.client.answer = &Stream;
+  this->PutJob(this->JobOf(1));
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->State() != nullptr; }));
+  SampleText text;
+  text.sample_id = "j-0";
+  text.text = "old";
+  text.events = 1;
+  text.last_event_id = "1";
+  text.versions = {2};
+  this->runner->TakeTexts({text});
+  this->fixture.AddServer("a", "llm", 3);
+  this->runner->PumpSoon();
+  this->RunUntilComplete();
+  STRCMP_EQUAL("e1\ne2", this->State()->results[0].output.c_str());
+}
+
 }  // namespace carobbank
