LibRouting: Let paces of servers age, and move texts by what they gain

Cause: the window of a server's pace began at the earliest time there is, and the difference to now overflowed, so that it never ended: the pace was the shortest gap ever seen. A server that turned slow kept its texts (12 s for 132 events beside 6.6 s elsewhere, pace shown 42 ms, real 180 ms). Texts also stayed on servers a quarter slower than the others, where the longest ones miss the due time of their step.

Change: the window begins with the first event. A text moves when what is probably left of it gains more than a move costs, and then starts only where it would stay. Two more comparisons with the earliest time were mended (a gateway that had read nothing told its peers that it reached the log; a lapsed entry could be dropped before the first reading).

Tests: BackendChoice.AServerThatTurnsSlow.. failed before (40 instead of 180); ATextMoves.., TheLongestTextOfAStepIsInTime, ServerFleet.NothingLapsesBeforeTheFirstReading.

--- a/Libraries/LibMembership/fleet.cc
+++ b/Libraries/LibMembership/fleet.cc
@@ -51,7 +51,7 @@
 
 void ServerFleet::Expire(MonotonicTime confirmed_at) {
   if (this->last_outage != MonotonicTime::min() &&
-      confirmed_at - this->last_outage < kLapseGrace) {
+      confirmed_at < this->last_outage + kLapseGrace) {
     return;
   }
   std::erase_if(this->servers,
--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -66,6 +66,18 @@
   return *middle;
 }
 
+bool WorthMoving(std::size_t events, double own_ms, double other_ms) {
+  // A request, the wait for a place in the batch, and what the text that is read
+  // in again costs the others there.
+  constexpr double kMoveCostMs = 500;
+  // Times of an event are known to the millisecond.
+  constexpr double kLeastRatio = 1.15;
+  if (own_ms <= 0 || other_ms <= 0 || own_ms < other_ms * kLeastRatio) {
+    return false;
+  }
+  return static_cast<double>(events) * (own_ms - other_ms) > kMoveCostMs;
+}
+
 double SlownessOf(const FleetServer& server,
                   const BackendLoads& loads,
                   double typical_ms) {
@@ -132,7 +144,7 @@
                              Milliseconds gap,
                              MonotonicTime now) {
   State& state = this->states[std::string(server_id)];
-  if (now - state.window_began > kPaceWindow) {
+  if (!state.window_began || now - *state.window_began > kPaceWindow) {
     state.last_gap = state.current_gap;
     state.current_gap.reset();
     state.window_began = now;
--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -74,7 +74,7 @@
     // Shortest gaps between events in the window before and in this one.
     std::optional<Milliseconds> last_gap;
     std::optional<Milliseconds> current_gap;
-    MonotonicTime window_began = MonotonicTime::min();
+    std::optional<MonotonicTime> window_began;
   };
   std::map<std::string, State, std::less<>> states;
 };
@@ -102,6 +102,11 @@
                   const BackendLoads& loads,
                   double typical_ms);
 
+// Whether a text of that many events, which probably has as many to come, is
+// whole earlier at a server with the other time for an event, the new start
+// there included. Unknown times (0) are no reason to move.
+bool WorthMoving(std::size_t events, double own_ms, double other_ms);
+
 // The server with the most room, or null when none has any. A slow server has
 // room for less.
 const FleetServer* ChooseBackend(const BackendQuery& query,
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -447,8 +447,7 @@
   PeerState state;
   state.reaches_log =
       this->operator_follower.Reachable() &&
-      this->clock.BootNow() - this->operator_follower.ConfirmedAt() <
-          PeerState::kFreshness;
+      this->operator_follower.ConfirmedWithin(PeerState::kFreshness);
   if (request.Query("records")) {
     for (const auto& [key, record] : this->operator_records) {
       state.operator_records.push_back(record);
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -225,9 +225,8 @@
       return;
     }
     const bool beyond = call.position > state->results.size();
-    const bool fresh = partition.Synced() && this->environment.clock.BootNow() -
-                                                     partition.ConfirmedAt() <
-                                                 kFreshness;
+    const bool fresh =
+        partition.Synced() && partition.ConfirmedWithin(kFreshness);
     if (!beyond && fresh) {
       this->WaitForResults(call, partition, responder);
       return;
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -66,10 +66,9 @@
   std::int64_t Number() const { return this->part.part; }
   // Followed, and everything was read that it held at some moment since.
   bool Synced() const { return this->follower && this->follower->Synced(); }
-  // When the last successful read began, by Clock::BootNow().
-  MonotonicTime ConfirmedAt() const {
-    return this->follower ? this->follower->ConfirmedAt()
-                          : MonotonicTime::min();
+  // The last successful read began no longer ago.
+  bool ConfirmedWithin(Milliseconds age) const {
+    return this->follower && this->follower->ConfirmedWithin(age);
   }
 
  private:
--- a/Services/Gateway/job_partitions.cc
+++ b/Services/Gateway/job_partitions.cc
@@ -18,7 +18,7 @@
         static_cast<std::size_t>(settings.log_append_bytes),
         [on_batch, number] { on_batch(number); }));
   }
-  this->last_needed.resize(this->partitions.size(), MonotonicTime::min());
+  this->last_needed.resize(this->partitions.size());
 }
 
 JobPartition* JobPartitions::Find(std::int64_t number) const {
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -39,9 +39,6 @@
 // job are the ones that may be left over.
 constexpr double kLongSample = 1.5;
 
-// A server is left by running texts when it takes so many times as long as the
-// others: reading the text in again elsewhere costs a few events' time.
-constexpr double kSlowEnough = 1.7;
 // Texts of one job that are moved at once, so that they don't all meet at the
 // same server.
 constexpr std::size_t kMovesPerTick = 6;
@@ -462,6 +459,14 @@
       this->UsableEngines(state, service);
   const JobSample& sample = state.job.samples[index];
   const Progress& progress = job.samples[index];
+  if (progress.events > 0) {
+    // It would only leave a slow server again.
+    if (const FleetServer* const server =
+            this->Choose(this->FastEnough(progress.events, servers),
+                         progress.avoided, "", kSampleRoomPerSlot)) {
+      return server;
+    }
+  }
   const std::string preferred =
       sample.group.empty() ? "" : job.group_servers[sample.group];
   // What is left of a long text when its step ends fits the next step if all of
@@ -800,8 +805,8 @@
   }
 }
 
-// A text on a server that is much slower than the others goes on at one of
-// them, a few at a time: the step ends with its slowest sample.
+// A text goes on at a faster server when that makes it whole earlier, a few at
+// a time: the step ends with its slowest sample.
 void JobRunner::LeaveSlowServers(ActiveJob& job) {
   const JobState* const state = job.State();
   const HostRoute* const route =
@@ -811,47 +816,51 @@
   if (route == nullptr) {
     return;
   }
-  // By service; what is known of the servers' pace doesn't change meanwhile.
-  struct Engines {
-    std::vector<const FleetServer*> servers;
-    double typical_ms = 0;
-  };
-  std::map<std::string_view, Engines> engines_of;
+  // By service.
+  std::map<std::string_view, std::vector<const FleetServer*>> engines_of;
   std::size_t moves = 0;
   for (std::size_t index = 0;
        index < job.samples.size() && moves < kMovesPerTick; ++index) {
-    SampleStream* const stream = job.samples[index].stream.get();
-    if (stream == nullptr || !stream->HasBegun()) {
+    const Progress& progress = job.samples[index];
+    if (progress.stream == nullptr || !progress.stream->HasBegun()) {
       continue;
     }
     const std::string& service = ServiceOf(*route, state->job.samples[index]);
     const auto [entry, is_new] = engines_of.try_emplace(service);
-    Engines& engines = entry->second;
     if (is_new) {
-      engines.servers = this->UsableEngines(*state, service);
-      engines.typical_ms =
-          TypicalWorkTimeMs(engines.servers, this->environment.loads);
+      entry->second = this->UsableEngines(*state, service);
     }
-    if (this->FasterServerHasRoom(stream->ServerId(), engines.servers,
-                                  engines.typical_ms)) {
+    if (this->FasterServerHasRoom(progress, entry->second)) {
       ++moves;
-      stream->GiveUp(SendOutcome::kCancelled, "a faster server has room");
+      progress.stream->GiveUp(SendOutcome::kCancelled,
+                              "a faster server has room");
     }
   }
 }
 
-bool JobRunner::FasterServerHasRoom(const std::string& server_id,
-                                    std::span<const FleetServer* const> servers,
-                                    double typical_ms) const {
-  const FleetServer* const current = this->environment.fleet.Find(server_id);
-  if (current == nullptr ||
-      SlownessOf(*current, this->environment.loads, typical_ms) < kSlowEnough) {
-    return false;
-  }
-  const FleetServer* const other =
-      this->Choose(servers, std::span(&server_id, 1), "", kSampleRoomPerSlot);
-  return other != nullptr &&
-         SlownessOf(*other, this->environment.loads, typical_ms) < kSlowEnough;
+std::vector<const FleetServer*> JobRunner::FastEnough(
+    std::size_t events,
+    std::span<const FleetServer* const> servers) const {
+  const BackendLoads& loads = this->environment.loads;
+  const double typical_ms = TypicalWorkTimeMs(servers, loads);
+  std::vector<const FleetServer*> fast(servers.begin(), servers.end());
+  std::erase_if(fast, [&](const FleetServer* server) {
+    return WorthMoving(events, loads.WorkTimeMs(server->id), typical_ms);
+  });
+  return fast;
+}
+
+bool JobRunner::FasterServerHasRoom(
+    const Progress& progress,
+    std::span<const FleetServer* const> servers) const {
+  const BackendLoads& loads = this->environment.loads;
+  const double own_ms = loads.WorkTimeMs(progress.stream->ServerId());
+  std::vector<const FleetServer*> faster(servers.begin(), servers.end());
+  std::erase_if(faster, [&](const FleetServer* server) {
+    return !WorthMoving(progress.events, own_ms, loads.WorkTimeMs(server->id));
+  });
+  return this->Choose(faster, progress.avoided, "", kSampleRoomPerSlot) !=
+         nullptr;
 }
 
 void JobRunner::GiveUpExpired(ActiveJob& job, const JobState& state) {
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -164,9 +164,12 @@
   void Tick();
   void CheckSilence(ActiveJob& job);
   void LeaveSlowServers(ActiveJob& job);
-  bool FasterServerHasRoom(const std::string& server_id,
-                           std::span<const FleetServer* const> servers,
-                           double typical_ms) const;
+  // Those at which a text of that many events would stay.
+  std::vector<const FleetServer*> FastEnough(
+      std::size_t events,
+      std::span<const FleetServer* const> servers) const;
+  bool FasterServerHasRoom(const Progress& progress,
+                           std::span<const FleetServer* const> servers) const;
   void ForgetOld();
 
   GatewayEnvironment& environment;
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -67,8 +67,13 @@
   bool Refreshing() const { return this->refreshing; }
   // No read has failed since the last one that was answered.
   bool Reachable() const { return this->reachable; }
-  // When the last successful read began, by Clock::BootNow().
+  // When the last successful read began, by Clock::BootNow(); the earliest time
+  // before the first one.
   MonotonicTime ConfirmedAt() const { return this->confirmed_at; }
+  // The last successful read began no longer ago.
+  bool ConfirmedWithin(Milliseconds age) const {
+    return this->confirmed_at >= this->clock.BootNow() - age;
+  }
 
  private:
   using Waiters = std::vector<std::function<void(bool)>>;
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -50,6 +50,14 @@
   CHECK_TRUE(this->Has("b"));
 }
 
+TEST(ServerFleet, NothingLapsesBeforeTheFirstReading) {
+  this->fleet.NoteOutage(this->clock.Now());
+  this->fleet.Put(Server("a"));
+  this->fleet.Drop("a", this->clock.Now());
+  this->fleet.Expire(MonotonicTime::min());
+  CHECK_TRUE(this->Has("a"));
+}
+
 TEST(ServerFleet, ASecondOutageBeginsTheGraceAnew) {
   this->fleet.Put(Server("a"));
   this->fleet.NoteOutage(this->clock.Now());
--- a/Tests/LibRouting/backend_choice_test.cc
+++ b/Tests/LibRouting/backend_choice_test.cc
@@ -119,6 +119,64 @@
   DOUBLES_EQUAL(40.0, this->loads.WorkTimeMs("a"), 1e-9);
 }
 
+TEST(BackendChoice, AServerThatTurnsSlowIsSeenWithinTwoWindows) {
+  this->loads.NoteEvent("a", Milliseconds(40), this->clock.Now());
+  for (int window = 0; window < 2; ++window) {
+    this->clock.Advance(BackendLoads::kPaceWindow + Milliseconds(1));
+    this->loads.NoteEvent("a", Milliseconds(180), this->clock.Now());
+  }
+  DOUBLES_EQUAL(180.0, this->loads.WorkTimeMs("a"), 1e-9);
+}
+
+TEST(BackendChoice, ATextMovesWhenThatMakesItWholeEarlier) {
+  struct Case {
+    std::size_t events;
+    double own_ms;
+    double other_ms;
+    bool moves;
+  };
+  const Case cases[] = {
+      {4, 170, 50, false}, {5, 170, 50, true},   {35, 64, 50, false},
+      {36, 64, 50, true},  {100, 55, 50, false}, {100, 50, 64, false},
+      {100, 0, 50, false}, {100, 64, 0, false},
+  };
+  for (const Case& row : cases) {
+    CHECK_EQUAL(row.moves, WorthMoving(row.events, row.own_ms, row.other_ms));
+  }
+}
+
+// Texts of a step on servers of which some are a quarter slower and some turn
+// slow for a while: moving brings the longest one home before it is due.
+TEST(BackendChoice, TheLongestTextOfAStepIsInTime) {
+  constexpr double kFast = 50;
+  constexpr double kSlower = 64;
+  constexpr double kVerySlow = 175;
+  // The pause before the next start, a connection, and the text read in.
+  constexpr double kMoveMs = 100;
+  constexpr double kDueMs = 7'500;
+  constexpr std::size_t kLongest = 132;
+  const auto run = [](double pace_ms, std::size_t events, bool may_move) {
+    double elapsed = 0;
+    for (std::size_t made = 0; made < events; ++made) {
+      if (may_move && WorthMoving(made, pace_ms, kFast)) {
+        elapsed += kMoveMs;
+        pace_ms = kFast;
+      }
+      elapsed += pace_ms;
+    }
+    return elapsed;
+  };
+  for (const double pace : {kFast, kSlower, kVerySlow}) {
+    for (const std::size_t events :
+         {std::size_t{6}, std::size_t{20}, kLongest}) {
+      const double moving = run(pace, events, true);
+      CHECK_TRUE(moving < kDueMs);
+      CHECK_TRUE(moving <= run(pace, events, false) + kMoveMs);
+    }
+  }
+  CHECK_TRUE(run(kSlower, kLongest, false) > kDueMs);
+}
+
 TEST(BackendChoice, ASlowServerGetsLessWork) {
   for (int i = 0; i < 30; ++i) {
     for (const char* id : {"a", "b", "c"}) {
