--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -67,8 +67,8 @@
 }
 
 bool WorthMoving(std::size_t events, double own_ms, double other_ms) {
-  // A request, the wait for a place in the batch, and what the text that is read
-  // in again costs the others there.
+  // A request, the wait for a place in the batch, and what the text that is
+  // read in again costs the others there.
   constexpr double kMoveCostMs = 500;
   // Times of an event are known to the millisecond.
   constexpr double kLeastRatio = 1.15;
