--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "avoided_servers.h"
 #include "job_partition.h"
 #include "sample_stream.h"
 #include "text_handover.h"
@@ -45,6 +46,9 @@
   std::size_t RunningSamples() const;
 
  private:
+  // Before a sample that no server could take is offered again.
+  static constexpr Milliseconds kRefusedPause{40};
+
   enum class Stage {
     // Waits for a backend server.
     kWaiting,
@@ -67,7 +71,7 @@
     std::int64_t failures = 0;
     std::int64_t reward_failures = 0;
     // Servers that just failed or refused it.
-    std::vector<std::string> avoided;
+    AvoidedServers avoided;
     // Not before this time.
     MonotonicTime not_before = MonotonicTime::min();
     std::unique_ptr<SampleStream> stream;
--- /dev/null
+++ b/Services/Gateway/job_runner_scores.cc
@@ -0,0 +1,110 @@
+// Reward calls for whole texts.
+
+#include "job_runner.h"
+
+#include <utility>
+
+namespace carobbank {
+
+namespace {
+
+// Reward calls leave places for plain calls to the same service.
+constexpr double kRewardRoomPerSlot = 0.7;
+constexpr int kInternalServerError = 500;
+constexpr int kFirstFailureStatus = 300;
+
+}  // namespace
+
+void JobRunner::StartScores(ActiveJob& job, const JobState& state) {
+  if (job.waiting_for_score == 0) {
+    return;
+  }
+  const MonotonicTime now = this->environment.clock.Now();
+  for (std::size_t place = job.first_open; place < job.order.size(); ++place) {
+    const std::size_t index = job.order[place];
+    const Progress& progress = job.samples[index];
+    if (progress.stage != Stage::kWaitingForScore ||
+        progress.not_before > now) {
+      continue;
+    }
+    if (!this->StartScore(job, state, index)) {
+      return;
+    }
+  }
+}
+
+bool JobRunner::StartScore(ActiveJob& job,
+                           const JobState& state,
+                           std::size_t index) {
+  const RewardCall& reward = *state.job.samples[index].reward;
+  Progress& progress = job.samples[index];
+  const HostRoute* const route =
+      this->environment.configuration->routes.Find(reward.host, reward.path);
+  const std::optional<std::string> body = DecodeBase64(reward.body_base64);
+  if (route == nullptr || !body) {
+    --job.waiting_for_score;
+    this->Finish(job, state, index, false, "");
+    return true;
+  }
+  const std::vector<const FleetServer*> servers =
+      this->environment.fleet.Serving(
+          ChooseService(*route, FastHash(reward.id)));
+  const FleetServer* const server =
+      this->Choose(servers, progress.avoided.Ids(), "", kRewardRoomPerSlot);
+  if (server == nullptr) {
+    return progress.avoided.Forget();
+  }
+  BackendRequest request;
+  request.method = "POST";
+  request.target = reward.path;
+  request.headers = {
+      {"Host", reward.host},
+      {std::string(this->environment.dialect.Headers().request_id), reward.id}};
+  request.body = *body;
+  request.request_id = reward.id;
+  request.time_left = route->timeout;
+  --job.waiting_for_score;
+  progress.stage = Stage::kScoring;
+  progress.reward =
+      BackendCall::Start(this->environment, *server, request,
+                         [this, &job, index](BackendAnswer answer) {
+                           this->Scored(job, index, std::move(answer));
+                         });
+  return true;
+}
+
+void JobRunner::Scored(ActiveJob& job,
+                       std::size_t index,
+                       BackendAnswer answer) {
+  Progress& progress = job.samples[index];
+  const std::string server_id = progress.reward->ServerId();
+  this->ended_calls.push_back(std::move(progress.reward));
+  this->PumpSoon();
+  const JobState* const state = job.State();
+  if (state == nullptr) {
+    return;
+  }
+  const WireHeaders& names = this->environment.dialect.Headers();
+  const bool answered = answer.verdict == BackendVerdict::kAnswer;
+  if (answered && answer.response.status < kFirstFailureStatus) {
+    const auto signature = FindHeader(answer.response.headers, names.signature);
+    this->Finish(job, *state, index, true, std::string(signature.value_or("")));
+    return;
+  }
+  const RewardCall& reward = *state->job.samples[index].reward;
+  const HostRoute* const route =
+      this->environment.configuration->routes.Find(reward.host, reward.path);
+  if (answered && answer.response.status == kInternalServerError) {
+    ++progress.reward_failures;
+  }
+  if (route != nullptr && progress.reward_failures >= route->max_attempts) {
+    this->Finish(job, *state, index, false, "");
+    return;
+  }
+  progress.stage = Stage::kWaitingForScore;
+  ++job.waiting_for_score;
+  progress.not_before = this->environment.clock.Now() + kRefusedPause;
+  progress.avoided.Add(server_id);
+}
+
+}  // namespace carobbank
