--- a/Services/Gateway/job_relay.cc
+++ b/Services/Gateway/job_relay.cc
@@ -324,7 +324,12 @@
 }
 
 void JobRelay::NoteOwner(const std::string& address, bool reached) {
-  if (reached) {
+  const auto& all = this->partitions.All();
+  const bool owns_one =
+      std::any_of(all.begin(), all.end(), [&](const auto& partition) {
+        return this->owners.AddressOf(partition->Number()) == address;
+      });
+  if (reached || !owns_one) {
     this->unreached_since.erase(address);
     return;
   }
@@ -334,7 +339,7 @@
   if (now - since < kUnreachedTime) {
     return;
   }
-  for (const auto& partition : this->partitions.All()) {
+  for (const auto& partition : all) {
     if (this->owners.AddressOf(partition->Number()) == address) {
       WriteLog(LogLevel::kWarning, "owner of a job partition not reached",
                {{"partition", std::to_string(partition->Number())},
--- a/Services/Gateway/job_relay.h
+++ b/Services/Gateway/job_relay.h
@@ -103,7 +103,8 @@
   // Invariant: `holder_order` holds the same ids by age, at most kMostHolders.
   std::map<std::string, std::string, std::less<>> holders;
   std::deque<std::string> holder_order;
-  // Owners' addresses that no call has reached since.
+  // Addresses that no call has reached since. Invariant: owners' only, as the
+  // directory named them then.
   std::map<std::string, MonotonicTime, std::less<>> unreached_since;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -37,6 +37,8 @@
   // What ReadOwners() answers with.
   std::vector<PartOwner> owners;
   std::size_t appends = 0;
+  std::size_t joins = 0;
+  std::size_t leaves = 0;
   std::size_t owner_reads = 0;
   // Records that reads have brought, to all readers together.
   std::map<LogPart, std::size_t> records_read;
@@ -111,6 +113,7 @@
             std::string_view /*topic*/,
             std::int64_t /*generation*/,
             JoinCallback callback) override {
+    ++this->joins;
     if (this->faults.outage) {
       this->Answer(std::move(callback), Unavailable());
       return;
@@ -119,6 +122,7 @@
   }
 
   void Leave(std::string_view /*group*/, std::string_view /*member*/) override {
+    ++this->leaves;
   }
 
   void ReadOwners(std::string_view /*group*/,
