Sidecar: Blame a crash on nothing that had left before the run began

Change: only what broke off beside the work that ran is part of the evidence. The first test now lets the bystander run beside the fatal request, as in the run that it was taken from.

Shown: WorkGate.ACrashBlamesNothingThatEndedBeforeTheRunBegan failed before (2 digests instead of 1) and passes.

--- a/Services/Sidecar/work_gate.h
+++ b/Services/Sidecar/work_gate.h
@@ -91,6 +91,8 @@
     WorkHandle handle;
     // Set while it runs.
     std::shared_ptr<WorkStream> stream;
+    // When it began to run.
+    MonotonicTime began{};
     // The engine's, when the work began.
     std::optional<std::uint64_t> incarnation;
     std::optional<std::uint64_t> version;
@@ -129,7 +131,8 @@
   void OnEnd(WorkHandle handle,
              StreamEnd end,
              const std::optional<Problem>& problem);
-  // Everything that runs now, or broke off shortly before, may be the cause.
+  // Everything that runs now, or broke off beside it shortly before, may be the
+  // cause.
   void BlameRunning();
   void NoteBrokenOff(const WorkRequest& request);
   void OnProbed(WorkHandle handle, const Problem& problem, bool crashed);
--- a/Services/Sidecar/work_gate_run.cc
+++ b/Services/Sidecar/work_gate_run.cc
@@ -185,6 +185,7 @@
   const auto stream = std::make_shared<WorkStream>(
       this->environment.backend, work.request, work.reply, std::move(handlers));
   work.stream = stream;
+  work.began = now;
   stream->Begin();
 }
 
@@ -252,11 +253,14 @@
 void WorkGate::BlameRunning() {
   CrashEvidence evidence;
   evidence.complete = true;
+  const MonotonicTime now = this->environment.clock.Now();
+  MonotonicTime earliest_began = now;
   for (auto& [slot, work] : this->works) {
     if (work.stream == nullptr || work.blamed) {
       continue;
     }
     work.blamed = true;
+    earliest_began = std::min(earliest_began, work.began);
     const std::string& digest = work.request->digest;
     evidence.complete = evidence.complete && !digest.empty();
     if (!digest.empty()) {
@@ -264,9 +268,9 @@
       evidence.digests.push_back(digest);
     }
   }
-  const MonotonicTime now = this->environment.clock.Now();
+  // What ended before any of these began had left the server already.
   for (const BrokenOffWork& work : std::exchange(this->broken_off, {})) {
-    if (now - work.ended <= kBlameTime) {
+    if (work.ended > earliest_began && now - work.ended <= kBlameTime) {
       this->suspects.Add(work.digest);
       evidence.digests.push_back(work.digest);
     }
--- a/Tests/Sidecar/work_gate_test.cc
+++ b/Tests/Sidecar/work_gate_test.cc
@@ -222,9 +222,10 @@
 TEST(WorkGate, ACrashBlamesWhatBrokeOffShortlyBefore) {
   GateHarness harness;
   harness.Send({.attempt = "a1", .digest = "fatal"});
+  harness.Send({.attempt = "a2", .digest = "bystander"});
+  harness.clock.Advance(Milliseconds(10));
   harness.Head(0);
   harness.Chunk(0, "another-attempt", 0);
-  harness.Send({.attempt = "a2", .digest = "bystander"});
   harness.clock.Advance(Milliseconds(100));
   harness.engine.outage = true;
   harness.Break(1, SendState::kMayHaveBeenSent);
@@ -235,6 +236,20 @@
              digests.end());
 }
 
+TEST(WorkGate, ACrashBlamesNothingThatEndedBeforeTheRunBegan) {
+  GateHarness harness;
+  harness.Send({.attempt = "a1", .digest = "bystander"});
+  harness.Head(0);
+  harness.Chunk(0, "another-attempt", 0);
+  harness.Send({.attempt = "a2", .digest = "fatal", .alone = true});
+  harness.clock.Advance(Milliseconds(50));
+  harness.engine.outage = true;
+  harness.Break(1, SendState::kMayHaveBeenSent);
+  LONGS_EQUAL(1, harness.crashed.size());
+  LONGS_EQUAL(1, harness.crashed[0].digests.size());
+  STRCMP_EQUAL("fatal", harness.crashed[0].digests[0].c_str());
+}
+
 TEST(WorkGate, ACrashBlamesNothingThatEndedLongBeforeOrWell) {
   GateHarness harness;
   harness.Send({.attempt = "a1", .digest = "long ago"});
