--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -18,9 +18,9 @@
       {"cores", kOptional, "cores", "cores, or a share of one",
        Real(&S::cores, 0.01, 1'024)},
       {"link_mbps", kOptional, "Mbit/s", "bandwidth of its link",
-       Real(&S::link_mbps, 1, 1'000'000)},
+       Real(&S::link_mbps, 1, 65'536)},
       {"memory_mb", kOptional, "MB", "memory of this process",
-       Real(&S::memory_mb, 1, 16'777'216)},
+       Real(&S::memory_mb, 1, 1'048'576)},
   };
   return fields;
 }
