platform: Let no member of another type end the process

Cause: JsonCpp throws when a member is looked up in a value that is no object, and when an array is asked for its text.

--- a/Libraries/LibLedger/batch_job.cc
+++ b/Libraries/LibLedger/batch_job.cc
@@ -204,6 +204,9 @@
   job.due = Milliseconds(JsonInteger(value, "due_ms"));
   job.retention = Milliseconds(JsonInteger(value, "retention_ms"));
   for (const Json::Value& sample : value["samples"]) {
+    if (!sample.isObject()) {
+      return std::nullopt;
+    }
     job.samples.push_back(DecodeSample(sample));
   }
   if (!IsJobIdentifier(job.id) || job.samples.empty()) {
--- a/Tests/LibLedger/job_fold_test.cc
+++ b/Tests/LibLedger/job_fold_test.cc
@@ -125,4 +125,15 @@
   LONGS_EQUAL(sizeof(cases) / sizeof(cases[0]), this->fold.Unreadable());
 }
 
+TEST(JobFold, JobsThatCannotBeReadAreCounted) {
+  std::size_t unreadable = 0;
+  for (const char* text :
+       {"[]", R"({"id":"a"})", R"({"id":"a","samples":[]})",
+        R"({"id":"a","samples":[7]})", R"({"id":"a","samples":["x"]})"}) {
+    this->fold.Apply(PieceKey("a", 0, 1), text);
+    LONGS_EQUAL(++unreadable, this->fold.Unreadable());
+  }
+  CHECK_TRUE(this->fold.Find("a") == nullptr);
+}
+
 }  // namespace carobbank
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -125,7 +125,9 @@
   for (const char* body :
        {"", "[]", "{}", R"({"items":[]})", R"({"items":[7]})",
         R"({"items":[{"id":"a"}]})", R"({"items":[{"id":"a/b","path":"/x"}]})",
-        R"({"items":[{"id":"a","path":"x"}]})"}) {
+        R"({"items":[{"id":"a","path":"x"}]})",
+        R"({"items":[{"id":"a","path":"/x","headers":{"h":[1]}}]})",
+        R"({"items":[{"id":"a","path":"/x","headers":{"h":{}}}]})"}) {
     request.body = body;
     CHECK_FALSE_TEXT(this->words.DecodeSubmission(request).Ok(), body);
   }
@@ -202,6 +204,16 @@
   CHECK_FALSE(DecodeNewestPage("[]", snapshot).Ok());
 }
 
+TEST(StoreCodecs, ItemsOfANewestPageThatCannotBeReadAreLeftOut) {
+  KeyedSnapshot snapshot;
+  snapshot.end = 100;
+  const auto next = DecodeNewestPage(
+      R"({"items":[7,"x",[],{"key":"a","value":"eA==","offset":4}],"end":10})",
+      snapshot);
+  CHECK_TRUE(next.Ok());
+  LONGS_EQUAL(1, snapshot.records.size());
+}
+
 TEST(StoreCodecs, OwnersAreReadAndOtherRowsLeftOut) {
   const auto owners = DecodeOwners(
       R"({"generation":6,"parts":[["jobs",3,"a@10.0.0.1:1",0],["jobs",4,7,0],)"
