LibCore: Parse a JSON object and write an array of integers in one place

The decoder of a logged job no longer copies the whole parsed job. Two older parsers of whole numbers call ParseInteger().

--- a/Libraries/LibContract/configuration_record.cc
+++ b/Libraries/LibContract/configuration_record.cc
@@ -101,14 +101,12 @@
 
 ConfigurationRecord ParseConfigurationRecord(std::string_view payload) {
   ConfigurationRecord record;
-  const auto value = Capture([&] { return ParseJson(payload); });
-  const bool is_record = value.Ok() && value.Value().isObject() &&
-                         value.Value()["entries"].isArray();
-  if (!is_record) {
+  const std::optional<Json::Value> value = ParseJsonObject(payload);
+  if (!value || !(*value)["entries"].isArray()) {
     record.malformed = 1;
     return record;
   }
-  for (const Json::Value& entry : value.Value()["entries"]) {
+  for (const Json::Value& entry : (*value)["entries"]) {
     ParseEntry(entry, record);
   }
   return record;
--- a/Libraries/LibCore/json.cc
+++ b/Libraries/LibCore/json.cc
@@ -54,6 +54,14 @@
   return value;
 }
 
+std::optional<Json::Value> ParseJsonObject(std::string_view text) {
+  Outcome<Json::Value> parsed = Capture([&] { return ParseJson(text); });
+  if (!parsed.Ok() || !parsed.Value().isObject()) {
+    return std::nullopt;
+  }
+  return std::move(parsed.Value());
+}
+
 std::string WriteJson(const Json::Value& value) {
   std::ostringstream text;
   ThreadWriter().write(value, &text);
--- a/Libraries/LibCore/json.h
+++ b/Libraries/LibCore/json.h
@@ -5,6 +5,7 @@
 #include <json/json.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,9 +17,22 @@
 // Fails with kInvalidArgument that names the first problem.
 Result<Json::Value> ParseJson(std::string_view text);
 
+// The object that the text holds; nothing when it is no JSON or no object.
+std::optional<Json::Value> ParseJsonObject(std::string_view text);
+
 // One line, no white space; keys in alphabetical order.
 std::string WriteJson(const Json::Value& value);
 
+// An array of the integers in a container, in its order.
+template <typename Integers>
+Json::Value JsonIntegers(const Integers& integers) {
+  Json::Value array(Json::arrayValue);
+  for (const std::int64_t integer : integers) {
+    array.append(Json::Int64(integer));
+  }
+  return array;
+}
+
 // Members of an object; the fallback stands in for a missing or mistyped one.
 std::string JsonString(const Json::Value& object,
                        const char* key,
--- a/Libraries/LibLedger/batch_job.cc
+++ b/Libraries/LibLedger/batch_job.cc
@@ -89,14 +89,6 @@
   return WriteJson(value);
 }
 
-std::optional<Json::Value> ParseObject(std::string_view text) {
-  const auto parsed = Capture([&] { return ParseJson(text); });
-  if (!parsed.Ok() || !parsed.Value().isObject()) {
-    return std::nullopt;
-  }
-  return parsed.Value();
-}
-
 // Cuts the text up to the next slash off `rest`.
 std::string_view TakePart(std::string_view& rest) {
   const std::size_t slash = std::min(rest.find('/'), rest.size());
@@ -168,11 +160,7 @@
   if (result.completed) {
     value["output"] = result.output;
     value["score"] = result.score;
-    Json::Value versions(Json::arrayValue);
-    for (const std::int64_t version : result.versions) {
-      versions.append(Json::Int64(version));
-    }
-    value["versions"] = std::move(versions);
+    value["versions"] = JsonIntegers(result.versions);
   }
   return {ResultKey(job_id, result.sample_id), WriteJson(value)};
 }
@@ -187,7 +175,7 @@
 }
 
 std::optional<BatchJob> DecodeJob(std::string_view text) {
-  const std::optional<Json::Value> parsed = ParseObject(text);
+  const std::optional<Json::Value> parsed = ParseJsonObject(text);
   if (!parsed) {
     return std::nullopt;
   }
@@ -217,7 +205,7 @@
 
 std::optional<JobResult> DecodeResult(std::string_view sample_id,
                                       std::string_view text) {
-  const std::optional<Json::Value> value = ParseObject(text);
+  const std::optional<Json::Value> value = ParseJsonObject(text);
   if (!value) {
     return std::nullopt;
   }
--- a/Libraries/LibLedger/log_position.cc
+++ b/Libraries/LibLedger/log_position.cc
@@ -2,8 +2,6 @@
 
 #include "LibLedger/log_position.h"
 
-#include <charconv>
-
 namespace carobbank {
 
 namespace {
@@ -14,9 +12,9 @@
   if (text.empty() || (text.size() > 1 && text.front() == '0')) {
     return false;
   }
-  const char* end = text.data() + text.size();
-  const auto [stop, problem] = std::from_chars(text.data(), end, number);
-  return problem == std::errc() && stop == end;
+  const auto parsed = ParseInteger<Number>(text);
+  number = parsed.value_or(number);
+  return parsed.has_value();
 }
 
 }  // namespace
--- a/Libraries/LibLedger/record_codec.cc
+++ b/Libraries/LibLedger/record_codec.cc
@@ -17,13 +17,13 @@
 }
 
 std::optional<Json::Value> DecodeRecordEntries(std::string_view payload) {
-  Outcome<Json::Value> parsed = Capture([&] { return ParseJson(payload); });
-  if (!parsed.Ok() || !parsed.Value().isObject()) {
+  std::optional<Json::Value> parsed = ParseJsonObject(payload);
+  if (!parsed) {
     return std::nullopt;
   }
   // Swapped out, because a copy of the array costs as much as parsing it.
   Json::Value entries;
-  parsed.Value()["entries"].swap(entries);
+  (*parsed)["entries"].swap(entries);
   if (!entries.isArray()) {
     return std::nullopt;
   }
--- a/Libraries/LibLedger/rollout_entries.cc
+++ b/Libraries/LibLedger/rollout_entries.cc
@@ -2,7 +2,6 @@
 
 #include "LibLedger/rollout_entries.h"
 
-#include <charconv>
 #include <set>
 
 #include "LibLedger/entry_reader.h"
@@ -298,17 +297,14 @@
   if (slash == std::string_view::npos) {
     return false;
   }
-  const std::string_view number_text = sample_id.substr(slash + 1);
-  std::uint32_t number = 0;
-  const char* end = number_text.data() + number_text.size();
-  const auto [stop, problem] = std::from_chars(number_text.data(), end, number);
-  if (problem != std::errc() || stop != end) {
+  const auto number = ParseInteger<std::uint32_t>(sample_id.substr(slash + 1));
+  if (!number) {
     return false;
   }
   for (const PromptGroup& group : this->groups) {
     if (group.group_id == sample_id.substr(0, slash)) {
-      return number < group.samples &&
-             SampleId(group.group_id, number) == sample_id;
+      return *number < group.samples &&
+             SampleId(group.group_id, *number) == sample_id;
     }
   }
   return false;
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -3,7 +3,6 @@
 #include "job_calls.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "LibProcess/process.h"
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -55,15 +55,14 @@
 }
 
 std::optional<PeerState> DecodePeerState(std::string_view text) {
-  const auto body = Capture([&] { return ParseJson(text); });
-  if (!body.Ok() || !body.Value().isObject() ||
-      !body.Value()["reaches_log"].isBool()) {
+  const std::optional<Json::Value> body = ParseJsonObject(text);
+  if (!body || !(*body)["reaches_log"].isBool()) {
     return std::nullopt;
   }
   PeerState state;
-  state.reaches_log = body.Value()["reaches_log"].asBool();
-  state.operator_records = DecodeRecords(body.Value()["operator"]);
-  state.server_records = DecodeRecords(body.Value()["servers"]);
+  state.reaches_log = (*body)["reaches_log"].asBool();
+  state.operator_records = DecodeRecords((*body)["operator"]);
+  state.server_records = DecodeRecords((*body)["servers"]);
   return state;
 }
 
--- a/Services/Gateway/text_handover.cc
+++ b/Services/Gateway/text_handover.cc
@@ -23,10 +23,7 @@
   value["text"] = text.text;
   value["events"] = Json::UInt64(text.events);
   value["last_event_id"] = text.last_event_id;
-  value["versions"] = Json::arrayValue;
-  for (const std::int64_t version : text.versions) {
-    value["versions"].append(Json::Int64(version));
-  }
+  value["versions"] = JsonIntegers(text.versions);
   value["whole"] = text.whole;
   return value;
 }
@@ -66,13 +63,12 @@
 
 std::optional<std::vector<SampleText>> DecodeSampleTexts(
     std::string_view text) {
-  const auto body = Capture([&] { return ParseJson(text); });
-  if (!body.Ok() || !body.Value().isObject() ||
-      !body.Value()["texts"].isArray()) {
+  const std::optional<Json::Value> body = ParseJsonObject(text);
+  if (!body || !(*body)["texts"].isArray()) {
     return std::nullopt;
   }
   std::vector<SampleText> texts;
-  for (const Json::Value& value : body.Value()["texts"]) {
+  for (const Json::Value& value : (*body)["texts"]) {
     if (std::optional<SampleText> one = FromJson(value)) {
       texts.push_back(std::move(*one));
     }
--- a/Services/Sidecar/answer_inspector.cc
+++ b/Services/Sidecar/answer_inspector.cc
@@ -56,11 +56,11 @@
     this->done = true;
     return std::nullopt;
   }
-  const auto chunk = Capture([&] { return ParseJson(event.data); });
-  if (!chunk.Ok() || !chunk.Value().isObject()) {
+  const std::optional<Json::Value> chunk = ParseJsonObject(event.data);
+  if (!chunk) {
     return BackendFailedProblem("an event is not a completion chunk");
   }
-  return this->InspectChunk(chunk.Value(), result);
+  return this->InspectChunk(*chunk, result);
 }
 
 std::optional<Problem> AnswerInspector::InspectChunk(const Json::Value& chunk,
--- a/Services/Sidecar/work_request.cc
+++ b/Services/Sidecar/work_request.cc
@@ -79,11 +79,11 @@
       work.forward.Path() != "/v1/completions") {
     return;
   }
-  const auto body = Capture([&] { return ParseJson(work.forward.body); });
-  if (!body.Ok() || !body.Value().isObject()) {
+  const std::optional<Json::Value> body = ParseJsonObject(work.forward.body);
+  if (!body) {
     return;
   }
-  const Json::Value& completion = body.Value();
+  const Json::Value& completion = *body;
   const std::size_t characters = JsonString(completion, "prompt").size();
   work.streamed = JsonBoolean(completion, "stream", false);
   work.resumed_tokens = static_cast<std::uint64_t>(
--- a/Tests/LibCore/json_test.cc
+++ b/Tests/LibCore/json_test.cc
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 namespace carobbank {
 
 TEST_GROUP(Json){};
@@ -35,4 +37,19 @@
   STRCMP_EQUAL("x", JsonString(Json::Value(4), "name", "x").c_str());
 }
 
+TEST(Json, OnlyObjectsAreObjects) {
+  CHECK_TRUE((*ParseJsonObject(R"({"a":[1]})"))["a"].isArray());
+  for (const char* text : {"", "[1]", "7", "null", "{", "\"x\""}) {
+    CHECK_FALSE(ParseJsonObject(text).has_value());
+  }
+}
+
+TEST(Json, IntegersKeepTheirOrder) {
+  STRCMP_EQUAL(
+      "[7,-1,3]",
+      WriteJson(JsonIntegers(std::vector<std::int64_t>{7, -1, 3})).c_str());
+  STRCMP_EQUAL("[]",
+               WriteJson(JsonIntegers(std::vector<std::int64_t>())).c_str());
+}
+
 }  // namespace carobbank
