Gateway: Decode a request about jobs once, and ask one place who owns what

A submission was decoded twice where its owner took it, and paths of calls were taken apart twice: the relay hands on what it has decoded. That the owner of a partition is another instance was asked in four places, and which partitions an address owns was looked up twice for one call: OtherOwner() and PartitionsOf() of the directory answer both. Timers that fire are let go with reset(): the loop allows it, and says so now; a comment said that it doesn't.

No change in behaviour. The tests follow the new arguments and keep their assertions; ASubmissionThatCannotBeReadIsRejectedByAnyInstance is new.

--- a/Libraries/LibHTTP/event_loop.h
+++ b/Libraries/LibHTTP/event_loop.h
@@ -30,7 +30,7 @@
   void Stop();
   // Safe from any thread.
   void Post(std::function<void()> task);
-  // From the loop's own thread only.
+  // From the loop's own thread only. The task may destroy its own timer.
   [[nodiscard]] std::unique_ptr<Timer> CallAfter(Milliseconds delay,
                                                  std::function<void()> task);
   // Calls `task` on the loop when the process receives `signal_number`.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -125,9 +125,10 @@
                 this->partitions,
                 this->owners,
                 [this](JobPartition& partition,
-                       const HttpRequest& request,
+                       JobRequest asked,
                        std::shared_ptr<HttpResponder> responder) {
-                  this->HandleJobCall(partition, request, std::move(responder));
+                  this->Answer(partition, std::move(asked),
+                               std::move(responder));
                 }),
       upgrader(this->environment, {std::string(kClaimsTopic), 0}),
       operator_follower(this->loop,
@@ -431,8 +432,7 @@
 void Gateway::HandlePeer(const HttpRequest& request,
                          const std::shared_ptr<HttpResponder>& responder) {
   if (JobRelay::IsRelayed(request)) {
-    const auto call = this->dialect.RecognizeJobCall(request);
-    this->job_relay.HandleRelayed(request, call ? call->job_id : "", responder);
+    this->job_relay.HandleRelayed(request, responder);
     return;
   }
   if (request.Path() == TextHandover::kPath) {
@@ -468,7 +468,7 @@
     return;
   }
   if (std::optional<JobCall> call = this->dialect.RecognizeJobCall(request)) {
-    this->job_relay.Ask(std::move(request), std::move(call->job_id),
+    this->job_relay.Ask(std::move(request), std::move(*call),
                         std::move(responder));
     return;
   }
@@ -482,7 +482,7 @@
     return;
   }
   if (route->use == RouteUse::kBatchJobs) {
-    this->Submit(std::move(request), std::move(responder));
+    this->job_relay.Submit(std::move(request), std::move(responder));
     return;
   }
   const std::shared_ptr<ForwardedCall> call = ForwardedCall::Start(
@@ -519,32 +519,17 @@
   responder.Send({kOk, {}, ""});
 }
 
-void Gateway::Submit(HttpRequest request,
+void Gateway::Answer(JobPartition& partition,
+                     JobRequest asked,
                      std::shared_ptr<HttpResponder> responder) {
-  const Outcome<BatchJob> job = this->dialect.DecodeSubmission(request);
-  if (!job.Ok()) {
-    responder->Send(Reject(kBadRequest, "invalid_job", job.GetError().message,
-                           job.GetError().remedy));
-    return;
-  }
-  this->job_relay.Submit(std::move(request),
-                         this->partitions.ForJob(job.Value()),
-                         std::move(responder));
-}
-
-void Gateway::HandleJobCall(JobPartition& partition,
-                            const HttpRequest& request,
-                            std::shared_ptr<HttpResponder> responder) {
-  if (const auto call = this->dialect.RecognizeJobCall(request)) {
+  if (const auto* const call = std::get_if<JobCall>(&asked)) {
     this->job_calls.Handle(*call, partition, std::move(responder));
     return;
   }
+  BatchJob& job = std::get<BatchJob>(asked);
   const HostRoute* const route =
-      this->configuration
-          ? this->configuration->routes.Find(
-                FindHeader(request.headers, "host").value_or(""),
-                request.Path())
-          : nullptr;
+      this->configuration ? this->configuration->routes.Find(job.host, job.path)
+                          : nullptr;
   if (route == nullptr || route->use != RouteUse::kBatchJobs) {
     responder->Send(RefuseNotRun(
         "no_such_route", "this instance knows no such route of batch jobs",
@@ -557,7 +542,8 @@
                                  kElsewhereRetryAfter));
     return;
   }
-  this->job_calls.Submit(*route, request, partition, std::move(responder));
+  this->job_calls.Submit(*route, std::move(job), partition,
+                         std::move(responder));
 }
 
 void Gateway::Run() {
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -58,12 +58,11 @@
   PeerExchangeHandlers PeerHandlers();
   void HandlePeer(const HttpRequest& request,
                   const std::shared_ptr<HttpResponder>& responder);
-  void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
   void HandleTexts(const HttpRequest& request, HttpResponder& responder);
-  // A call about batch jobs, from what this instance knows of the partition.
-  void HandleJobCall(JobPartition& partition,
-                     const HttpRequest& request,
-                     std::shared_ptr<HttpResponder> responder);
+  // A request about batch jobs, from what this instance knows of the partition.
+  void Answer(JobPartition& partition,
+              JobRequest asked,
+              std::shared_ptr<HttpResponder> responder);
 
   // The partitions whose jobs this instance runs from now on.
   void TakeOwned(const std::set<std::int64_t>& owned);
--- a/Services/Gateway/job_calls.cc
+++ b/Services/Gateway/job_calls.cc
@@ -14,7 +14,6 @@
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
-constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kGatewayTimeout = 504;
 
@@ -129,18 +128,9 @@
 }
 
 void JobCalls::Submit(const HostRoute& route,
-                      const HttpRequest& request,
+                      BatchJob job,
                       JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder) {
-  Outcome<BatchJob> decoded =
-      this->environment.dialect.DecodeSubmission(request);
-  if (!decoded.Ok()) {
-    responder->Send(Reject(kBadRequest, "invalid_job",
-                           decoded.GetError().message,
-                           decoded.GetError().remedy));
-    return;
-  }
-  BatchJob job = std::move(decoded.Value());
   job.accepted_at = this->environment.clock.WallNow();
   job.due = route.due;
   job.retention = route.retention;
--- a/Services/Gateway/job_calls.h
+++ b/Services/Gateway/job_calls.h
@@ -24,7 +24,7 @@
 
   // The partition must be followed until the caller has its answer.
   void Submit(const HostRoute& route,
-              const HttpRequest& request,
+              BatchJob job,
               JobPartition& partition,
               std::shared_ptr<HttpResponder> responder);
   void Handle(const JobCall& call,
--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -135,8 +135,7 @@
 
 void JobPartition::FlushAfter(Milliseconds delay) {
   this->flush_timer = this->loop.CallAfter(delay, [this] {
-    // Moved out first: the timer's own callback must not destroy it.
-    const std::unique_ptr<Timer> done = std::move(this->flush_timer);
+    this->flush_timer.reset();
     this->Flush();
   });
 }
@@ -249,7 +248,7 @@
 void JobPartition::Retry() {
   this->backoff = std::clamp(this->backoff * 2, kFirstBackoff, kLongestBackoff);
   this->flush_timer = this->loop.CallAfter(this->backoff, [this] {
-    const std::unique_ptr<Timer> done = std::move(this->flush_timer);
+    this->flush_timer.reset();
     this->follower->Refresh([this](bool /*fresh*/) { this->Flush(); });
   });
 }
@@ -265,7 +264,7 @@
 }
 
 void JobPartition::OutOfPatience(const std::shared_ptr<Pending>& pending) {
-  const std::unique_ptr<Timer> fired = std::move(pending->patience);
+  pending->patience.reset();
   const bool in_flight = this->appending;
   if (!in_flight) {
     this->Remove(pending);
--- a/Services/Gateway/job_relay.cc
+++ b/Services/Gateway/job_relay.cc
@@ -3,7 +3,6 @@
 
 #include "job_relay.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -20,6 +19,7 @@
 // The receiver answers if it holds the job, in whichever partition.
 constexpr std::string_view kAnyPartition = "any";
 
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
 constexpr int kGatewayTimeout = 504;
@@ -76,54 +76,67 @@
 }
 
 void JobRelay::Submit(HttpRequest request,
-                      JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder) {
-  auto call = std::make_shared<Call>();
-  call->request = std::move(request);
-  call->responder = std::move(responder);
-  call->partition = &partition;
-  this->Start(call, kSubmissionPatience);
+  std::optional<BatchJob> job = this->ReadSubmission(request, *responder);
+  if (job) {
+    this->Start(std::move(request), std::move(*job), std::move(responder),
+                kSubmissionPatience);
+  }
 }
 
 void JobRelay::Ask(HttpRequest request,
-                   std::string job_id,
+                   JobCall asked,
                    std::shared_ptr<HttpResponder> responder) {
+  this->Start(std::move(request), std::move(asked), std::move(responder),
+              kQuestionPatience);
+}
+
+std::optional<BatchJob> JobRelay::ReadSubmission(
+    const HttpRequest& request,
+    HttpResponder& responder) const {
+  Outcome<BatchJob> job = this->environment.dialect.DecodeSubmission(request);
+  if (!job.Ok()) {
+    responder.Send(Reject(kBadRequest, "invalid_job", job.GetError().message,
+                          job.GetError().remedy));
+    return std::nullopt;
+  }
+  return std::move(job.Value());
+}
+
+void JobRelay::Start(HttpRequest request,
+                     JobRequest asked,
+                     std::shared_ptr<HttpResponder> responder,
+                     Milliseconds patience) {
   auto call = std::make_shared<Call>();
   call->request = std::move(request);
+  call->asked = std::move(asked);
   call->responder = std::move(responder);
-  call->job_id = std::move(job_id);
-  this->Start(call, kQuestionPatience);
-}
-
-void JobRelay::Start(const CallPointer& call, Milliseconds patience) {
   call->deadline = this->environment.clock.Now() + patience;
   this->Attempt(call);
 }
 
 void JobRelay::Attempt(const CallPointer& call) {
-  if (call->partition != nullptr) {
-    this->AttemptSubmission(call);
+  if (const BatchJob* const job = call->Submitted()) {
+    this->AttemptSubmission(call, this->partitions.ForJob(*job));
   } else {
     this->AttemptQuestion(call);
   }
 }
 
-void JobRelay::AttemptSubmission(const CallPointer& call) {
-  JobPartition& partition = *call->partition;
-  const std::string address(this->owners.AddressOf(partition.Number()));
-  const bool own = address == this->environment.settings.peer_listen;
+void JobRelay::AttemptSubmission(const CallPointer& call,
+                                 JobPartition& partition) {
+  const std::string_view owner = this->owners.OtherOwner(partition.Number());
   // A submission waits until the partition was read.
-  if (partition.Synced() ||
-      (partition.Following() && (own || address.empty()))) {
+  if (partition.Synced() || (partition.Following() && owner.empty())) {
     this->AnswerHere(call, partition);
     return;
   }
-  if (own || address.empty()) {
+  if (owner.empty()) {
     this->AttemptLater(call);
     return;
   }
   this->Send(
-      call, address, std::to_string(partition.Number()),
+      call, owner, std::to_string(partition.Number()),
       [this, call](const Outcome<HttpResponse>& outcome) {
         if (IsElsewhere(outcome) || NotReached(outcome)) {
           this->AttemptLater(call);
@@ -137,12 +150,12 @@
 }
 
 void JobRelay::AttemptQuestion(const CallPointer& call) {
-  JobPartition* const partition = this->partitions.Holding(call->job_id);
+  JobPartition* const partition = this->partitions.Holding(call->JobId());
   if (partition != nullptr && partition->Synced()) {
     this->AnswerHere(call, *partition);
     return;
   }
-  const auto known = this->holders.find(call->job_id);
+  const auto known = this->holders.find(call->JobId());
   if (known == this->holders.end() || known->second.empty()) {
     this->Search(call);
     return;
@@ -153,7 +166,7 @@
                  this->PassOn(call, outcome.Value());
                  return;
                }
-               this->RememberHolder(call->job_id, "");
+               this->RememberHolder(call->JobId(), "");
                this->Search(call);
              });
 }
@@ -161,13 +174,11 @@
 void JobRelay::Search(const CallPointer& call) {
   std::set<std::string> addresses;
   for (const auto& partition : this->partitions.All()) {
-    const std::string_view address =
-        this->owners.AddressOf(partition->Number());
-    if (!address.empty() && !partition->Synced()) {
-      addresses.emplace(address);
+    const std::string_view owner = this->owners.OtherOwner(partition->Number());
+    if (!owner.empty() && !partition->Synced()) {
+      addresses.emplace(owner);
     }
   }
-  addresses.erase(this->environment.settings.peer_listen);
   call->answered = false;
   call->unsure = false;
   // One more than there are questions, so that none of them ends the round
@@ -177,23 +188,18 @@
     this->Send(call, address, std::string(kAnyPartition),
                [this, call, address](const Outcome<HttpResponse>& outcome) {
                  const bool answered = outcome.Ok() && !IsElsewhere(outcome);
-                 if (answered && !call->answered) {
-                   call->answered = true;
-                   this->RememberHolder(call->job_id, address);
+                 if (answered && !std::exchange(call->answered, true)) {
+                   this->RememberHolder(call->JobId(), address);
                    this->PassOn(call, outcome.Value());
                  }
-                 if (--call->open == 0) {
-                   this->EndSearch(call);
-                 }
+                 this->EndSearchQuestion(call);
                });
   }
-  if (--call->open == 0) {
-    this->EndSearch(call);
-  }
+  this->EndSearchQuestion(call);
 }
 
-void JobRelay::EndSearch(const CallPointer& call) {
-  if (!call->answered) {
+void JobRelay::EndSearchQuestion(const CallPointer& call) {
+  if (--call->open == 0 && !call->answered) {
     this->Confirm(call);
   }
 }
@@ -209,12 +215,12 @@
       });
       continue;
     }
-    const std::string address(this->owners.AddressOf(partition->Number()));
-    if (address.empty() || address == this->environment.settings.peer_listen) {
+    const std::string_view owner = this->owners.OtherOwner(partition->Number());
+    if (owner.empty()) {
       this->EndQuestion(call, true);
       continue;
     }
-    this->Send(call, address, std::to_string(partition->Number()),
+    this->Send(call, owner, std::to_string(partition->Number()),
                [this, call](const Outcome<HttpResponse>& outcome) {
                  const bool has_none =
                      outcome.Ok() && outcome.Value().status == kNotFound;
@@ -234,7 +240,7 @@
   if (--call->open > 0 || call->answered) {
     return;
   }
-  JobPartition* const partition = this->partitions.Holding(call->job_id);
+  JobPartition* const partition = this->partitions.Holding(call->JobId());
   if (partition != nullptr && partition->Synced()) {
     this->AnswerHere(call, *partition);
   } else if (call->unsure) {
@@ -251,26 +257,31 @@
 }
 
 void JobRelay::HandleRelayed(const HttpRequest& request,
-                             std::string_view job_id,
                              std::shared_ptr<HttpResponder> responder) {
+  std::optional<JobCall> call =
+      this->environment.dialect.RecognizeJobCall(request);
   const std::string_view wanted =
       FindHeader(request.headers, kPartitionHeader).value_or("");
   const auto number = ParseInteger<std::int64_t>(wanted);
   JobPartition* partition = nullptr;
-  if (wanted == kAnyPartition) {
-    partition = this->partitions.Holding(job_id);
+  if (wanted == kAnyPartition && call) {
+    partition = this->partitions.Holding(call->job_id);
   } else if (number) {
     partition = this->partitions.Find(*number);
   }
   // A submission may wait until the partition was read.
   const bool can_answer =
       partition != nullptr &&
-      (partition->Synced() || (partition->Following() && job_id.empty()));
+      (partition->Synced() || (partition->Following() && !call));
   if (!can_answer) {
     responder->Send(Misdirected());
     return;
   }
-  this->local(*partition, request, std::move(responder));
+  if (call) {
+    this->local(*partition, std::move(*call), std::move(responder));
+  } else if (auto job = this->ReadSubmission(request, *responder)) {
+    this->local(*partition, std::move(*job), std::move(responder));
+  }
 }
 
 void JobRelay::Send(const CallPointer& call,
@@ -305,7 +316,7 @@
 }
 
 void JobRelay::AnswerHere(const CallPointer& call, JobPartition& partition) {
-  this->local(partition, call->request, call->responder);
+  this->local(partition, std::move(call->asked), call->responder);
 }
 
 void JobRelay::AttemptLater(const CallPointer& call) {
@@ -316,7 +327,7 @@
   }
   call->retry = this->environment.loop.CallAfter(
       kRetryPause, [this, kept = this->alive, call] {
-        const std::unique_ptr<Timer> done = std::move(call->retry);
+        call->retry.reset();
         if (*kept) {
           this->Attempt(call);
         }
@@ -324,12 +335,8 @@
 }
 
 void JobRelay::NoteOwner(const std::string& address, bool reached) {
-  const auto& all = this->partitions.All();
-  const bool owns_one =
-      std::any_of(all.begin(), all.end(), [&](const auto& partition) {
-        return this->owners.AddressOf(partition->Number()) == address;
-      });
-  if (reached || !owns_one) {
+  const std::vector<std::int64_t> owned = this->owners.PartitionsOf(address);
+  if (reached || owned.empty()) {
     this->unreached_since.erase(address);
     return;
   }
@@ -339,11 +346,10 @@
   if (now - since < kUnreachedTime) {
     return;
   }
-  for (const auto& partition : all) {
-    if (this->owners.AddressOf(partition->Number()) == address) {
+  for (const std::int64_t number : owned) {
+    if (JobPartition* const partition = this->partitions.Find(number)) {
       WriteLog(LogLevel::kWarning, "owner of a job partition not reached",
-               {{"partition", std::to_string(partition->Number())},
-                {"owner", address}});
+               {{"partition", std::to_string(number)}, {"owner", address}});
       this->partitions.Hold(*partition);
     }
   }
--- a/Services/Gateway/job_relay.h
+++ b/Services/Gateway/job_relay.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,7 +25,7 @@
   // Answers from this instance's own knowledge of the partition.
   using LocalHandler =
       std::function<void(JobPartition& partition,
-                         const HttpRequest& request,
+                         JobRequest asked,
                          std::shared_ptr<HttpResponder> responder)>;
 
   JobRelay(GatewayEnvironment& environment,
@@ -35,30 +36,25 @@
   JobRelay(const JobRelay&) = delete;
   JobRelay& operator=(const JobRelay&) = delete;
 
-  // A caller's submission of a job that belongs into the partition.
-  void Submit(HttpRequest request,
-              JobPartition& partition,
-              std::shared_ptr<HttpResponder> responder);
+  // A caller's submission of a job.
+  void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
   // A caller's call about a job that was submitted. It may be sent repeatedly.
   void Ask(HttpRequest request,
-           std::string job_id,
+           JobCall asked,
            std::shared_ptr<HttpResponder> responder);
 
   // Whether another instance has passed this request on.
   static bool IsRelayed(const HttpRequest& request);
   // Answers it, or says that it belongs elsewhere; never passes it on again.
-  // `job_id` is empty for a submission.
   void HandleRelayed(const HttpRequest& request,
-                     std::string_view job_id,
                      std::shared_ptr<HttpResponder> responder);
 
  private:
   struct Call {
     HttpRequest request;
+    // The same, decoded.
+    JobRequest asked;
     std::shared_ptr<HttpResponder> responder;
-    // Of a submission; null for calls about a job that may lie anywhere.
-    JobPartition* partition = nullptr;
-    std::string job_id;
     MonotonicTime deadline{};
     std::unique_ptr<Timer> retry;
     // Questions of the round under way, and whether one of them brought the
@@ -66,22 +62,37 @@
     std::size_t open = 0;
     bool answered = false;
     bool unsure = false;
+
+    // Null for calls about a job, which may lie anywhere.
+    const BatchJob* Submitted() const {
+      return std::get_if<BatchJob>(&this->asked);
+    }
+    // Of a call about a job.
+    const std::string& JobId() const {
+      return std::get<JobCall>(this->asked).job_id;
+    }
   };
   using CallPointer = std::shared_ptr<Call>;
   using Answered = std::function<void(const Outcome<HttpResponse>&)>;
 
-  void Start(const CallPointer& call, Milliseconds patience);
+  void Start(HttpRequest request,
+             JobRequest asked,
+             std::shared_ptr<HttpResponder> responder,
+             Milliseconds patience);
+  // Nothing, and the caller is told, when it can't be read.
+  std::optional<BatchJob> ReadSubmission(const HttpRequest& request,
+                                         HttpResponder& responder) const;
   void Attempt(const CallPointer& call);
-  void AttemptSubmission(const CallPointer& call);
+  void AttemptSubmission(const CallPointer& call, JobPartition& partition);
   void AttemptQuestion(const CallPointer& call);
   // Asks every owner for what it knows; the one that holds the job answers.
   void Search(const CallPointer& call);
   // Asks every owner to look into the log before it says that there is no such
   // job.
   void Confirm(const CallPointer& call);
-  // One question of the round has ended without the answer.
+  // One question of a search, or of a confirmation, has ended.
+  void EndSearchQuestion(const CallPointer& call);
   void EndQuestion(const CallPointer& call, bool unsure);
-  void EndSearch(const CallPointer& call);
   // `partition`: its number, or kAnyPartition.
   void Send(const CallPointer& call,
             std::string_view address,
--- a/Services/Gateway/owner_directory.cc
+++ b/Services/Gateway/owner_directory.cc
@@ -62,10 +62,22 @@
          kFitnessMark + std::to_string(Fitness(settings));
 }
 
-std::string_view OwnerDirectory::AddressOf(std::int64_t partition) const {
+std::string_view OwnerDirectory::OtherOwner(std::int64_t partition) const {
   const auto found = this->addresses.find(partition);
-  return found == this->addresses.end() ? std::string_view()
-                                        : std::string_view(found->second);
+  const bool other = found != this->addresses.end() &&
+                     found->second != this->environment.settings.peer_listen;
+  return other ? std::string_view(found->second) : std::string_view();
+}
+
+std::vector<std::int64_t> OwnerDirectory::PartitionsOf(
+    std::string_view address) const {
+  std::vector<std::int64_t> owned;
+  for (const auto& [partition, owner] : this->addresses) {
+    if (owner == address) {
+      owned.push_back(partition);
+    }
+  }
+  return owned;
 }
 
 void OwnerDirectory::NoteGeneration(std::int64_t seen) {
@@ -104,7 +116,7 @@
              {{"error", outcome.GetError().Text()}});
   }
   this->timer = this->environment.loop.CallAfter(kPauseBetweenReads, [this] {
-    const std::unique_ptr<Timer> done = std::move(this->timer);
+    this->timer.reset();
     if (std::exchange(this->again, false)) {
       this->Ask();
     }
--- a/Services/Gateway/owner_directory.h
+++ b/Services/Gateway/owner_directory.h
@@ -26,9 +26,12 @@
   OwnerDirectory(const OwnerDirectory&) = delete;
   OwnerDirectory& operator=(const OwnerDirectory&) = delete;
 
-  // "10.1.0.10:8166"; empty while it is not known, or when the owner has no
-  // address.
-  std::string_view AddressOf(std::int64_t partition) const;
+  // Where the other instance that owns the partition listens, "10.1.0.10:8166";
+  // empty when none is known, it has no address, or this instance owns it.
+  // Valid until the owners are read again.
+  std::string_view OtherOwner(std::int64_t partition) const;
+  // Partitions of the instance that listens there.
+  std::vector<std::int64_t> PartitionsOf(std::string_view address) const;
   // The group has this generation: reads the owners when it is a new one.
   void NoteGeneration(std::int64_t generation);
   // Reads the owners again, soon.
--- a/Services/Gateway/partition_membership.cc
+++ b/Services/Gateway/partition_membership.cc
@@ -48,7 +48,7 @@
 
 void PartitionMembership::ReviewAfter(Milliseconds delay) {
   this->timer = this->environment.loop.CallAfter(delay, [this] {
-    const std::unique_ptr<Timer> done = std::move(this->timer);
+    this->timer.reset();
     this->Review();
   });
 }
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "LibHTTP/http.h"
@@ -69,6 +70,9 @@
   std::string sample_id;
 };
 
+// A request about batch jobs: a job that is submitted, or a call about one.
+using JobRequest = std::variant<BatchJob, JobCall>;
+
 // One answer to a read of results.
 struct ResultPage {
   std::size_t total = 0;
--- a/Services/Gateway/text_handover.cc
+++ b/Services/Gateway/text_handover.cc
@@ -99,14 +99,14 @@
 }
 
 void TextHandover::Attempt(const GiftPointer& gift) {
-  const std::string address(this->owners.AddressOf(gift->partition));
-  if (address.empty() || address == this->environment.settings.peer_listen) {
+  const std::string_view owner = this->owners.OtherOwner(gift->partition);
+  if (owner.empty()) {
     this->AttemptLater(gift);
     return;
   }
   HttpClientRequest request;
   request.method = "POST";
-  request.url = "http://" + address + std::string(kPath) + "?" +
+  request.url = "http://" + std::string(owner) + std::string(kPath) + "?" +
                 std::string(kPartitionQuery) + "=" +
                 std::to_string(gift->partition);
   request.headers = {{"Content-Type", "application/json"}};
@@ -135,7 +135,7 @@
   this->owners.Refresh();
   gift->retry = this->environment.loop.CallAfter(
       kRetryPause, [this, kept = this->alive, gift] {
-        const std::unique_ptr<Timer> done = std::move(gift->retry);
+        gift->retry.reset();
         if (*kept) {
           this->Attempt(gift);
         }
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -25,9 +25,6 @@
 
 class FakeDialect : public PlatformDialect {
  public:
-  // What DecodeSubmission() gives.
-  BatchJob submission;
-
   const WireHeaders& Headers() const override {
     static constexpr WireHeaders kHeaders = {.request_id = "Id",
                                              .deadline = "Time-Left",
@@ -65,7 +62,7 @@
   }
   Outcome<BatchJob> DecodeSubmission(
       const HttpRequest& /*request*/) const override {
-    return this->submission;
+    return BatchJob();
   }
   std::string EncodeResults(const ResultPage& page) const override {
     std::string text = std::to_string(page.next_position) + "/" +
--- a/Tests/Gateway/job_calls_test.cc
+++ b/Tests/Gateway/job_calls_test.cc
@@ -28,11 +28,10 @@
   }
 
   int Submit(const std::string& id) {
-    this->fixture.dialect.submission = MakeJob(id, 2);
     this->caller = CallerView();
     HostRoute route;
     route.retention = Milliseconds(60'000);
-    this->calls->Submit(route, HttpRequest(), *this->partitions[0],
+    this->calls->Submit(route, MakeJob(id, 2), *this->partitions[0],
                         std::make_shared<FakeResponder>(this->caller));
     return this->WaitForStatus();
   }
--- a/Tests/Gateway/job_relay_test.cc
+++ b/Tests/Gateway/job_relay_test.cc
@@ -7,7 +7,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <numeric>
+#include <algorithm>
 
 namespace carobbank {
 
@@ -35,6 +35,9 @@
   Outcome<BatchJob> DecodeSubmission(
       const HttpRequest& request) const override {
     const std::size_t space = request.body.find(' ');
+    if (space == 0) {
+      return Error{ErrorKind::kInvalidArgument, "no id", "send one"};
+    }
     BatchJob job = MakeJob(request.body.substr(0, space), 2);
     job.model = request.body.substr(space + 1);
     return job;
@@ -107,25 +110,26 @@
               this->partitions,
               this->owners,
               [this](JobPartition& partition,
-                     const HttpRequest& request,
+                     JobRequest asked,
                      std::shared_ptr<HttpResponder> responder) {
-                this->Answer(partition, request, std::move(responder));
+                this->Answer(partition, std::move(asked), std::move(responder));
               }) {
     this->settings.job_partitions = kPartitions;
     this->settings.peer_listen = std::move(address);
   }
 
   void Answer(JobPartition& partition,
-              const HttpRequest& request,
+              JobRequest asked,
               std::shared_ptr<HttpResponder> responder) {
     ++this->answered;
-    if (const auto call = this->dialect.RecognizeJobCall(request)) {
+    if (const auto* const call = std::get_if<JobCall>(&asked)) {
       this->calls.Handle(*call, partition, std::move(responder));
       return;
     }
     HostRoute route;
     route.retention = Milliseconds(60'000);
-    this->calls.Submit(route, request, partition, std::move(responder));
+    this->calls.Submit(route, std::move(std::get<BatchJob>(asked)), partition,
+                       std::move(responder));
   }
 
   RelayDialect dialect;
@@ -165,10 +169,8 @@
                 [](const HttpClientFailure&) {}};
   }
   RelayingInstance* const instance = found->second;
-  const auto call = instance->dialect.RecognizeJobCall(received);
   instance->relay.HandleRelayed(
-      received, call ? call->job_id : "",
-      std::make_shared<Responder>(this->loop, std::move(handlers)));
+      received, std::make_shared<Responder>(this->loop, std::move(handlers)));
   return std::make_unique<Exchange>();
 }
 
@@ -222,13 +224,18 @@
     }
     CHECK_TRUE(this->fixture.runner.RunUntil([&] { return this->Settled(); }));
   }
+  static bool Names(const RelayingInstance& instance,
+                    const std::string& address, std::int64_t partition) {
+    const std::vector<std::int64_t> owned =
+        instance.owners.PartitionsOf(address);
+    return std::find(owned.begin(), owned.end(), partition) != owned.end();
+  }
   bool Settled() const {
     for (const PartOwner& owner : this->fixture.log.owners) {
       const std::string address =
           owner.member.substr(2, owner.member.size() - 6);
       for (const auto& instance : this->instances) {
-        const bool knows =
-            instance->owners.AddressOf(owner.part.part) == address;
+        const bool knows = Names(*instance, address, owner.part.part);
         const bool ready = instance->settings.peer_listen != address ||
                            instance->partitions.Find(owner.part.part)->Synced();
         if (!knows || !ready) {
@@ -245,9 +252,8 @@
     request.target = "/train/";
     request.body = id + " " + ModelIn(partition);
     RelayingInstance& instance = *this->instances[at];
-    const BatchJob job = instance.dialect.DecodeSubmission(request).Value();
     this->caller = CallerView();
-    instance.relay.Submit(request, instance.partitions.ForJob(job),
+    instance.relay.Submit(request,
                           std::make_shared<FakeResponder>(this->caller));
     return this->WaitForStatus();
   }
@@ -256,8 +262,9 @@
     request.method = "GET";
     request.target = std::string(kJobPath) + id;
     this->caller = CallerView();
-    this->instances[at]->relay.Ask(
-        request, id, std::make_shared<FakeResponder>(this->caller));
+    RelayingInstance& instance = *this->instances[at];
+    instance.relay.Ask(request, *instance.dialect.RecognizeJobCall(request),
+                       std::make_shared<FakeResponder>(this->caller));
     return this->WaitForStatus();
   }
   int WaitForStatus() {
@@ -324,7 +331,7 @@
   this->fixture.log.owners[0].member = "i@" + Address(1) + "#100";
   this->instances[2]->owners.Refresh();
   CHECK_TRUE(this->fixture.runner.RunUntil(
-      [&] { return this->instances[2]->owners.AddressOf(0) == Address(1); }));
+      [&] { return Names(*this->instances[2], Address(1), 0); }));
   this->fixture.log.owners[0].member = "i@" + Address(0) + "#100";
   LONGS_EQUAL(202, this->Submit(2, "a", 0));
   LONGS_EQUAL(0, this->instances[1]->answered);
@@ -343,6 +350,14 @@
   LONGS_EQUAL(200, this->Read(1, "a"));
 }
 
+TEST(JobRelay, ASubmissionThatCannotBeReadIsRejectedByAnyInstance) {
+  this->Add();
+  this->Add();
+  this->Share({0, 0});
+  LONGS_EQUAL(400, this->Submit(1, "", 0));
+  LONGS_EQUAL(0, this->instances[0]->answered);
+}
+
 // All instances start at once, as after a loss of power, while callers read and
 // submit everywhere: the log is read once for each partition.
 TEST(JobRelay, AfterALossOfAllThePartitionsAreReadOnceEach) {
