Gateway: Compare a text with the fastest engine before looking for one

Five times a second every running text had the list of engines copied and all their paces looked up, although most are on engines that none beats. The shortest pace is taken once for a service; only texts that it would serve earlier look for an engine with room. No change in behaviour.

--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -46,10 +46,9 @@
   return load * slowness + distance + random.Unit() * kJitter;
 }
 
-}  // namespace
-
-double TypicalWorkTimeMs(std::span<const FleetServer* const> servers,
-                         const BackendLoads& loads) {
+std::vector<double> KnownWorkTimesMs(
+    std::span<const FleetServer* const> servers,
+    const BackendLoads& loads) {
   std::vector<double> times;
   for (const FleetServer* const server : servers) {
     const double time = loads.WorkTimeMs(server->id);
@@ -57,6 +56,20 @@
       times.push_back(time);
     }
   }
+  return times;
+}
+
+}  // namespace
+
+double ShortestWorkTimeMs(std::span<const FleetServer* const> servers,
+                          const BackendLoads& loads) {
+  const std::vector<double> times = KnownWorkTimesMs(servers, loads);
+  return times.empty() ? 0 : *std::min_element(times.begin(), times.end());
+}
+
+double TypicalWorkTimeMs(std::span<const FleetServer* const> servers,
+                         const BackendLoads& loads) {
+  std::vector<double> times = KnownWorkTimesMs(servers, loads);
   if (times.empty()) {
     return 0;
   }
--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -97,6 +97,10 @@
 double TypicalWorkTimeMs(std::span<const FleetServer* const> servers,
                          const BackendLoads& loads);
 
+// The shortest work time of those servers of which one is known, or 0.
+double ShortestWorkTimeMs(std::span<const FleetServer* const> servers,
+                          const BackendLoads& loads);
+
 // How many times slower than usual the server is; 1 when nothing is known.
 double SlownessOf(const FleetServer& server,
                   const BackendLoads& loads,
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -172,7 +172,9 @@
   std::vector<const FleetServer*> FastEnough(
       std::size_t events,
       std::span<const FleetServer* const> servers) const;
+  // `own_ms`: what its present server takes for an event.
   bool FasterServerHasRoom(const Progress& progress,
+                           double own_ms,
                            std::span<const FleetServer* const> servers) const;
   void ForgetOld();
 
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -291,8 +291,12 @@
   if (route == nullptr) {
     return;
   }
-  // By service.
-  std::map<std::string_view, std::vector<const FleetServer*>> engines_of;
+  // By service; paces of engines don't change meanwhile.
+  struct Engines {
+    std::vector<const FleetServer*> servers;
+    double shortest_ms = 0;
+  };
+  std::map<std::string_view, Engines> engines_of;
   std::size_t moves = 0;
   for (std::size_t index = 0;
        index < job.samples.size() && moves < kMovesPerTick; ++index) {
@@ -302,10 +306,17 @@
     }
     const std::string& service = ServiceOf(*route, state->job.samples[index]);
     const auto [entry, is_new] = engines_of.try_emplace(service);
+    Engines& engines = entry->second;
     if (is_new) {
-      entry->second = this->UsableEngines(*state, service);
+      engines.servers = this->UsableEngines(*state, service);
+      engines.shortest_ms =
+          ShortestWorkTimeMs(engines.servers, this->environment.loads);
     }
-    if (this->FasterServerHasRoom(progress, entry->second)) {
+    const double own_ms =
+        this->environment.loads.WorkTimeMs(progress.stream->ServerId());
+    // What doesn't gain by the fastest engine gains by none.
+    if (WorthMoving(progress.events, own_ms, engines.shortest_ms) &&
+        this->FasterServerHasRoom(progress, own_ms, engines.servers)) {
       ++moves;
       progress.stream->GiveUp(SendOutcome::kCancelled,
                               "a faster server has room");
@@ -327,9 +338,9 @@
 
 bool JobRunner::FasterServerHasRoom(
     const Progress& progress,
+    double own_ms,
     std::span<const FleetServer* const> servers) const {
   const BackendLoads& loads = this->environment.loads;
-  const double own_ms = loads.WorkTimeMs(progress.stream->ServerId());
   std::vector<const FleetServer*> faster(servers.begin(), servers.end());
   std::erase_if(faster, [&](const FleetServer* server) {
     return !WorthMoving(progress.events, own_ms, loads.WorkTimeMs(server->id));
--- a/Tests/LibRouting/backend_choice_test.cc
+++ b/Tests/LibRouting/backend_choice_test.cc
@@ -145,6 +145,13 @@
   }
 }
 
+TEST(BackendChoice, UnknownServersHaveNoPartInTheShortestTime) {
+  DOUBLES_EQUAL(0.0, ShortestWorkTimeMs(this->pointers, this->loads), 1e-9);
+  this->loads.NoteEvent("a", Milliseconds(60), this->clock.Now());
+  this->loads.NoteEvent("b", Milliseconds(50), this->clock.Now());
+  DOUBLES_EQUAL(50.0, ShortestWorkTimeMs(this->pointers, this->loads), 1e-9);
+}
+
 // Texts of a step on servers of which some are a quarter slower and some turn
 // slow for a while: moving brings the longest one home before it is due.
 TEST(BackendChoice, TheLongestTextOfAStepIsInTime) {
