Gateway: Log and count attempts that end without a response

Change: each attempt carries the digest of its request, which repetitions share whatever their id (DigestOfRequest, also used by Entry's plain calls), and the start of its server. No decision changes.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -6,6 +6,15 @@
 
 namespace carobbank {
 
+std::string DigestOfRequest(std::string_view method,
+                            std::string_view target,
+                            std::string_view body) {
+  std::string text;
+  text.reserve(method.size() + target.size() + body.size() + 2);
+  text.append(method).append("\n").append(target).append("\n").append(body);
+  return Sha256Hex(text);
+}
+
 CrashQuarantine::Suspect& CrashQuarantine::SuspectFor(
     const std::string& digest) {
   const auto [found, added] = this->suspects.try_emplace(digest);
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -18,6 +18,13 @@
 
 namespace carobbank {
 
+// Digest of a request. It doesn't depend on the request's id, so repetitions of
+// the request have the same digest. `target`: path and query, after the host
+// where the host selects the service.
+std::string DigestOfRequest(std::string_view method,
+                            std::string_view target,
+                            std::string_view body);
+
 struct CrashReport {
   // The crashed server.
   std::string instance;
--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -105,8 +105,8 @@
   this->request_id = RequestIdOf(this->request, this->environment.random);
   this->deadline_ms = DeadlineOf(this->request, this->Document(),
                                  this->environment.clock.WallNow());
-  this->digest = Sha256Hex(this->request.method + "\n" + this->request.target +
-                           "\n" + this->request.body);
+  this->digest = DigestOfRequest(this->request.method, this->request.target,
+                                 this->request.body);
   this->Record(EventKind::kAdmit, "", this->call.caller);
   this->environment.generation.retries.OnFirstAttempt(this->Document().name);
   this->responder->OnClosed([weak = this->weak_from_this()] {
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <utility>
 
+#include "LibProcess/process.h"
+
 namespace carobbank {
 
 namespace {
@@ -92,20 +94,20 @@
 }
 
 BackendCall::BackendCall(GatewayEnvironment& environment,
-                         std::string server_id,
-                         std::string request_id,
+                         const FleetServer& server,
+                         const BackendRequest& request,
                          Callback done)
     : environment(environment),
-      attempt(environment, std::move(server_id)),
-      request_id(std::move(request_id)),
+      attempt(environment, server, request.digest),
+      request_id(request.request_id),
       done(std::move(done)) {}
 
 std::unique_ptr<BackendCall> BackendCall::Start(GatewayEnvironment& environment,
                                                 const FleetServer& server,
                                                 const BackendRequest& request,
                                                 Callback done) {
-  auto call = std::unique_ptr<BackendCall>(new BackendCall(
-      environment, server.id, request.request_id, std::move(done)));
+  auto call = std::unique_ptr<BackendCall>(
+      new BackendCall(environment, server, request, std::move(done)));
   HttpClientRequest sent =
       RequestForServer(request, server, environment.dialect.HeaderNames());
   sent.accept_close_delimited_response = true;
@@ -190,11 +192,25 @@
   this->End({call_outcome, {}, failure.error.message}, SendOutcome::kFailed);
 }
 
+void BackendCall::LogWithoutResponse(std::string_view reason) const {
+  WriteLog(LogLevel::kInfo, "attempt ended without a response",
+           {{"request", this->request_id},
+            {"digest", this->attempt.Digest()},
+            {"server", this->attempt.ServerId()},
+            {"server_started_at", std::to_string(this->attempt.ServerStart())},
+            {"attempt_ms", std::to_string(this->attempt.Elapsed().count())},
+            {"reason", std::string(reason)}});
+}
+
 void BackendCall::End(BackendCallResult result, SendOutcome outcome) {
   if (!this->done) {
     return;
   }
-  this->attempt.End(outcome);
+  const bool may_have_run = result.outcome != BackendCallOutcome::kNotRun;
+  if (result.outcome == BackendCallOutcome::kMayHaveRun) {
+    this->LogWithoutResponse(result.reason);
+  }
+  this->attempt.End(outcome, may_have_run);
   const Callback report = std::move(this->done);
   this->done = nullptr;
   // May destroy this call.
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -22,6 +22,8 @@
   HttpHeaders headers;
   std::string body;
   std::string request_id;
+  // Equal for all repetitions of the request; see DigestOfRequest().
+  std::string digest;
   // Time that the server has to run the request.
   Milliseconds time_left{0};
 };
@@ -75,14 +77,15 @@
 
  private:
   BackendCall(GatewayEnvironment& environment,
-              std::string server_id,
-              std::string request_id,
+              const FleetServer& server,
+              const BackendRequest& request,
               Callback done);
   HttpClientHandlers Handlers();
   void AppendBody(std::string_view bytes);
   void OnDone();
   void OnFailure(const HttpClientFailure& failure);
   void End(BackendCallResult result, SendOutcome outcome);
+  void LogWithoutResponse(std::string_view reason) const;
   BackendCallResult ClassifyResponse();
 
   GatewayEnvironment& environment;
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -59,6 +59,9 @@
   this->request.target = std::move(request.target);
   this->request.headers = EndToEndHeaders(request.headers, names);
   this->request.body = std::move(request.body);
+  this->request.digest =
+      DigestOfRequest(this->request.method, route.host + this->request.target,
+                      this->request.body);
   this->request.request_id =
       FindHeader(request.headers, names.request_id).value_or("");
 }
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -297,12 +297,24 @@
   }
   this->server_records[keyed.key] = record;
   if (std::optional<FleetServer> server = this->DecodeServer(keyed)) {
+    this->LogRestart(*server);
     this->fleet.Put(std::move(*server));
   } else {
     this->fleet.OnEntryRemoved(keyed.key, this->clock.BootNow());
   }
 }
 
+void Gateway::LogRestart(const FleetServer& server) const {
+  const FleetServer* const before = this->fleet.Find(server.id);
+  if (before != nullptr && before->started_at != server.started_at) {
+    WriteLog(LogLevel::kInfo, "backend server restarted",
+             {{"server", server.id},
+              {"service", server.service},
+              {"started_at_before", std::to_string(before->started_at)},
+              {"started_at", std::to_string(server.started_at)}});
+  }
+}
+
 void Gateway::ReplaceServers(std::span<const KeyedLogRecord> records) {
   this->server_records.clear();
   std::vector<FleetServer> servers;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -47,6 +47,7 @@
   void ApplyConfiguration(std::string_view text);
   std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void ApplyServerRecord(const KeyedLogRecord& record);
+  void LogRestart(const FleetServer& server) const;
   void ReplaceServers(std::span<const KeyedLogRecord> records);
   void OnReachabilityChanged(std::string_view partition, bool reachable);
   void OnServersChanged();
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -1,5 +1,5 @@
-// Counts one attempt at a backend server in this gateway's view of the server's
-// load.
+// One attempt at a backend server: counts it in this gateway's view of the
+// server's load, and in the metrics by outcome.
 
 #pragma once
 
@@ -13,34 +13,30 @@
 // that is still in flight as cancelled.
 class InFlightAttempt {
  public:
-  InFlightAttempt(GatewayEnvironment& environment, std::string server_id)
-      : environment(environment),
-        server_id(std::move(server_id)),
-        began(environment.clock.Now()) {
-    environment.loads.Begin(this->server_id);
-  }
-  ~InFlightAttempt() { this->End(SendOutcome::kCancelled); }
+  InFlightAttempt(GatewayEnvironment& environment,
+                  const FleetServer& server,
+                  std::string digest);
+  ~InFlightAttempt() { this->End(SendOutcome::kCancelled, true); }
   InFlightAttempt(const InFlightAttempt&) = delete;
   InFlightAttempt& operator=(const InFlightAttempt&) = delete;
 
-  // Only the first call has an effect.
-  void End(SendOutcome outcome) {
-    if (this->ended) {
-      return;
-    }
-    this->ended = true;
-    const MonotonicTime now = this->environment.clock.Now();
-    this->environment.loads.End(
-        this->server_id, outcome,
-        std::chrono::duration_cast<Milliseconds>(now - this->began), now);
-  }
+  // Only the first call has an effect. `may_have_run`: false when the request
+  // certainly did not run.
+  void End(SendOutcome outcome, bool may_have_run);
 
   const std::string& ServerId() const { return this->server_id; }
+  // When the server had started, as of the start of the attempt.
+  WallMilliseconds ServerStart() const { return this->server_start; }
+  const std::string& Digest() const { return this->digest; }
   MonotonicTime Began() const { return this->began; }
+  Milliseconds Elapsed() const;
 
  private:
   GatewayEnvironment& environment;
   std::string server_id;
+  std::string service;
+  WallMilliseconds server_start;
+  std::string digest;
   MonotonicTime began;
   bool ended = false;
 };
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -152,6 +152,8 @@
             sample.id);
   request.body = *body;
   request.request_id = sample.id;
+  request.digest = DigestOfRequest(
+      request.method, state.job.host + request.target, request.body);
   request.time_left =
       std::max(state.job.abandon_after - this->AgeOf(state), Milliseconds(1));
   if (!sample.group.empty()) {
@@ -216,6 +218,8 @@
                             std::string_view reason) {
   Progress& progress = job.samples[index];
   const std::string server_id = progress.stream->ServerId();
+  const std::string digest = progress.stream->Digest();
+  const WallMilliseconds server_start = progress.stream->ServerStart();
   this->ended_streams.push_back(std::move(progress.stream));
   progress.stage = Stage::kWaiting;
   this->ScheduleDispatch();
@@ -227,7 +231,9 @@
     WriteLog(LogLevel::kInfo, "sample attempt ended early",
              {{"job", job.id},
               {"sample", state->job.samples[index].id},
+              {"digest", digest},
               {"server", server_id},
+              {"server_started_at", std::to_string(server_start)},
               {"events", std::to_string(progress.events)},
               {"not_run",
                outcome == SampleStreamOutcome::kNotRun ? "true" : "false"},
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -64,6 +64,8 @@
        reward.id}};
   request.body = *body;
   request.request_id = reward.id;
+  request.digest =
+      DigestOfRequest(request.method, reward.host + reward.path, request.body);
   request.time_left = route->timeout;
   --job.waiting_for_score;
   progress.stage = Stage::kScoring;
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -18,12 +18,12 @@
 }  // namespace
 
 SampleStream::SampleStream(GatewayEnvironment& environment,
-                           std::string server_id,
-                           std::string request_id,
+                           const FleetServer& server,
+                           const BackendRequest& request,
                            SampleStreamHandlers handlers)
     : environment(environment),
-      attempt(environment, std::move(server_id)),
-      request_id(std::move(request_id)),
+      attempt(environment, server, request.digest),
+      request_id(request.request_id),
       handlers(std::move(handlers)),
       last_activity(this->attempt.Began()) {}
 
@@ -34,8 +34,8 @@
     std::string_view last_event_id,
     SampleStreamHandlers handlers) {
   const WireHeaderNames& names = environment.dialect.HeaderNames();
-  auto stream = std::unique_ptr<SampleStream>(new SampleStream(
-      environment, server.id, request.request_id, std::move(handlers)));
+  auto stream = std::unique_ptr<SampleStream>(
+      new SampleStream(environment, server, request, std::move(handlers)));
   HttpClientRequest sent = RequestForServer(request, server, names);
   if (!last_event_id.empty()) {
     sent.headers.push_back(
@@ -180,7 +180,7 @@
   if (!this->handlers.on_end) {
     return;
   }
-  this->attempt.End(send_outcome);
+  this->attempt.End(send_outcome, outcome != SampleStreamOutcome::kNotRun);
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -55,6 +55,9 @@
   SampleStream& operator=(const SampleStream&) = delete;
 
   const std::string& ServerId() const { return this->attempt.ServerId(); }
+  // The attempt's digest, and when its server had started.
+  const std::string& Digest() const { return this->attempt.Digest(); }
+  WallMilliseconds ServerStart() const { return this->attempt.ServerStart(); }
   // When the server last sent data; initially the start of the attempt.
   MonotonicTime LastActivity() const { return this->last_activity; }
   bool HasBegun() const { return this->begun; }
@@ -64,8 +67,8 @@
 
  private:
   SampleStream(GatewayEnvironment& environment,
-               std::string server_id,
-               std::string request_id,
+               const FleetServer& server,
+               const BackendRequest& request,
                SampleStreamHandlers handlers);
   HttpClientHandlers ClientHandlers();
   void OnHeaders(int status, const HttpHeaders& headers);
