Tests: Show that fatal requests are sent to server after server

Three gateways with one log send requests that crash the server which begins to run them: a call, a stream, a sample, a sample whose owners are lost, a reward call. The rule allows three servers and three retries more.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -13,5 +13,6 @@
 status=0
 ctest --preset "$preset" --verbose >"$log" 2>&1 || status=$?
 [ "$status" -eq 0 ] || cat "$log"
+grep -o "known red, passed over: .*" "$log" | sort -u || true
 Meta/count-tests.sh "$log"
 exit "$status"
--- /dev/null
+++ b/Tests/Support/fake_servers.h
@@ -0,0 +1,188 @@
+// Fake backend servers behind an HttpClient. A server holds each request for a
+// while before it responds, crashes when it begins to run a fatal request,
+// which breaks all its connections, and starts again after some time.
+
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "LibHTTP/http.h"
+#include "LibMembership/membership.h"
+
+namespace carobbank {
+
+class FakeServers {
+ public:
+  explicit FakeServers(EventLoop& loop) : loop(loop) {}
+
+  // The sound response of a server to a request.
+  std::function<HttpResponse(const HttpClientRequest&)> answer;
+  // Requests whose body contains this text crash the server that begins to run
+  // them.
+  std::string fatal_text = "fatal";
+  // Time in which a server processes a sound request.
+  Milliseconds duration{10};
+  // Time from a crash until the server accepts connections again.
+  Milliseconds downtime{60};
+  // Views of the registry that show each start of a server at once.
+  std::vector<ServerFleet*> fleets;
+  // Ids of the servers that fatal requests crashed, in order.
+  std::vector<std::string> fatal_crashes;
+  // Number of requests that broke off at a server without being fatal.
+  std::size_t innocent_losses = 0;
+
+  void Add(FleetServer server) {
+    server.address = server.id + ":1";
+    server.started_at = ++this->starts;
+    this->servers.push_back({std::move(server), true, {}});
+    this->Register(this->servers.back());
+  }
+
+  // Breaks all connections of the server, which starts again after the
+  // downtime.
+  void Crash(std::string_view id) {
+    Server& server = *this->Find(id);
+    server.up = false;
+    for (const auto& run : std::exchange(server.runs, {})) {
+      if (const auto held = run.lock()) {
+        const std::string& body = held->request.body;
+        this->innocent_losses +=
+            body.find(this->fatal_text) == std::string::npos ? 1 : 0;
+        this->Fail(held, SendState::kMayHaveBeenSent, "connection reset");
+      }
+    }
+    this->Later(this->downtime, [this, key = std::string(id)] {
+      Server& restarted = *this->Find(key);
+      restarted.up = true;
+      restarted.registered.started_at = ++this->starts;
+      this->Register(restarted);
+    });
+  }
+
+  // The client of one gateway.
+  std::unique_ptr<HttpClient> Client() {
+    return std::make_unique<ServerClient>(*this);
+  }
+
+ private:
+  struct Run {
+    HttpClientRequest request;
+    HttpClientHandlers handlers;
+  };
+  struct Server {
+    FleetServer registered;
+    bool up = true;
+    std::vector<std::weak_ptr<Run>> runs;
+  };
+  class Exchange final : public HttpExchange {
+   public:
+    explicit Exchange(std::shared_ptr<Run> run) : run(std::move(run)) {}
+    void Pause() override {}
+    void Resume() override {}
+
+   private:
+    std::shared_ptr<Run> run;
+  };
+  class ServerClient final : public HttpClient {
+   public:
+    explicit ServerClient(FakeServers& servers) : servers(servers) {}
+    std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
+                                        HttpClientHandlers handlers) override {
+      auto run =
+          std::make_shared<Run>(Run{std::move(request), std::move(handlers)});
+      this->servers.loop.Post(
+          [target = &this->servers, weak = std::weak_ptr<Run>(run)] {
+            if (const auto begun = weak.lock()) {
+              target->Begin(begun);
+            }
+          });
+      return std::make_unique<Exchange>(std::move(run));
+    }
+
+   private:
+    FakeServers& servers;
+  };
+
+  Server* Find(std::string_view id) {
+    const auto found = std::find_if(
+        this->servers.begin(), this->servers.end(),
+        [id](const Server& server) { return server.registered.id == id; });
+    return found == this->servers.end() ? nullptr : &*found;
+  }
+
+  void Register(const Server& server) {
+    for (ServerFleet* const fleet : this->fleets) {
+      fleet->Put(server.registered);
+    }
+  }
+
+  void Begin(const std::shared_ptr<Run>& run) {
+    const std::string_view rest =
+        std::string_view(run->request.url).substr(sizeof("http://") - 1);
+    Server* const server = this->Find(rest.substr(0, rest.find(':')));
+    if (server == nullptr || !server->up) {
+      this->Fail(run, SendState::kNotSent, "connection refused");
+      return;
+    }
+    server->runs.push_back(run);
+    if (run->request.body.find(this->fatal_text) != std::string::npos) {
+      this->fatal_crashes.push_back(server->registered.id);
+      this->Crash(server->registered.id);
+      return;
+    }
+    this->Later(this->duration, [this, id = server->registered.id,
+                                 weak = std::weak_ptr<Run>(run)] {
+      this->Complete(id, weak.lock());
+    });
+  }
+
+  void Complete(std::string_view id, const std::shared_ptr<Run>& run) {
+    std::vector<std::weak_ptr<Run>>& runs = this->Find(id)->runs;
+    const bool running =
+        run && std::any_of(runs.begin(), runs.end(), [&](const auto& held) {
+          return held.lock() == run;
+        });
+    std::erase_if(runs, [&](const auto& held) {
+      return held.expired() || held.lock() == run;
+    });
+    if (!running) {
+      return;
+    }
+    const HttpResponse response = this->answer(run->request);
+    // The handlers may destroy the exchange.
+    const HttpClientHandlers handlers = run->handlers;
+    handlers.on_headers(response.status, response.headers);
+    handlers.on_body(response.body);
+    handlers.on_done();
+  }
+
+  void Fail(const std::shared_ptr<Run>& run,
+            SendState state,
+            const char* reason) {
+    const ErrorKind kind = state == SendState::kNotSent
+                               ? ErrorKind::kUnavailable
+                               : ErrorKind::kOutcomeUnknown;
+    const HttpClientHandlers handlers = run->handlers;
+    handlers.on_failure({state, {kind, reason, "retry"}});
+  }
+
+  void Later(Milliseconds delay, std::function<void()> action) {
+    auto timer = std::make_shared<std::unique_ptr<Timer>>();
+    *timer = this->loop.CallAfter(delay, [timer, action = std::move(action)] {
+      action();
+      timer->reset();
+    });
+  }
+
+  EventLoop& loop;
+  std::vector<Server> servers;
+  WallMilliseconds starts = 0;
+};
+
+}  // namespace carobbank
