--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -1,5 +1,5 @@
 // Client interface to a log of partitioned, compacted topics, which retains the
-// newest record of every key. Appends are conditional, and groups assign
+// newest record of every key. Appends may be conditional, and groups assign
 // partitions to their members. Each platform has its own adapter.
 
 #pragma once
@@ -81,10 +81,10 @@
 
   using AppendCallback = std::function<void(AppendOutcome)>;
   // Appends all records or none, and only if the partition ends at
-  // `expected_end`.
+  // `expected_end`, if given.
   virtual void Append(const TopicPartition& partition,
                       const std::vector<KeyedRecord>& records,
-                      std::uint64_t expected_end,
+                      std::optional<std::uint64_t> expected_end,
                       AppendCallback callback) = 0;
 
   using ReadCallback = std::function<void(Outcome<KeyedLogPage>)>;
--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -1,11 +1,35 @@
-// Tracks suspect digests and quarantines those identified as a crash's cause.
+// Tracks suspect digests and quarantines those that crashes point to.
 
 #include "LibRouting/crash_quarantine.h"
 
 #include <algorithm>
+#include <set>
 
 namespace carobbank {
 
+namespace {
+
+// Further crashes of a digest replace its latest one.
+constexpr std::size_t kMaxCrashesPerDigest = 32;
+
+// Weight of a crash that follows crashes on `servers`, to which its server is
+// added.
+std::size_t WeightOf(const ServerCrashRecord& crash,
+                     std::set<std::string_view>& servers) {
+  const bool first_on_server = servers.insert(crash.instance).second;
+  return first_on_server && !crash.had_output
+             ? CrashQuarantine::kFullWeight
+             : CrashQuarantine::kFullWeight / 2;
+}
+
+bool IsSameStart(const ServerCrashRecord& crash,
+                 std::string_view instance,
+                 WallMilliseconds started_at) {
+  return crash.instance == instance && crash.started_at == started_at;
+}
+
+}  // namespace
+
 std::string DigestOfRequest(std::string_view method,
                             std::string_view target,
                             std::string_view body) {
@@ -25,6 +49,41 @@
   return found->second;
 }
 
+void CrashQuarantine::AddCrash(Suspect& suspect, const CrashReport& report) {
+  const bool counted = std::any_of(
+      suspect.crashes.begin(), suspect.crashes.end(),
+      [&report](const ServerCrashRecord& crash) {
+        return IsSameStart(crash, report.instance, report.started_at);
+      });
+  if (counted) {
+    return;
+  }
+  if (suspect.crashes.size() == kMaxCrashesPerDigest) {
+    suspect.crashes.pop_back();
+  }
+  const auto later =
+      std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+                   [&report](const ServerCrashRecord& crash) {
+                     return crash.at > report.at;
+                   });
+  suspect.crashes.insert(later, {report.instance, report.started_at,
+                                 report.had_output, report.at});
+}
+
+std::size_t CrashQuarantine::SuspicionOf(const Suspect& suspect) const {
+  std::set<std::string_view> servers;
+  std::size_t suspicion = 0;
+  for (const ServerCrashRecord& crash : suspect.crashes) {
+    suspicion += WeightOf(crash, servers);
+  }
+  return suspicion;
+}
+
+bool CrashQuarantine::IsQuarantined(const Suspect& suspect) const {
+  return suspect.identified ||
+         (this->Limit() > 0 && this->SuspicionOf(suspect) >= this->Limit());
+}
+
 bool CrashQuarantine::AnyQuarantined(const CrashReport& report) const {
   return std::any_of(report.digests.begin(), report.digests.end(),
                      [&](const std::string& digest) {
@@ -34,53 +93,72 @@
 }
 
 std::optional<std::string> CrashQuarantine::OnCrash(const CrashReport& report) {
-  if (this->AnyQuarantined(report)) {
+  const bool any_quarantined = this->AnyQuarantined(report);
+  for (const std::string& digest : report.digests) {
     // The crash is attributed to the quarantined digest; the other work only
     // ran concurrently.
-    return std::nullopt;
-  }
-  for (const std::string& digest : report.digests) {
-    Suspect& suspect = this->SuspectFor(digest);
-    const bool counted =
-        std::find(suspect.servers.begin(), suspect.servers.end(),
-                  report.instance) != suspect.servers.end();
-    if (!counted &&
-        suspect.servers.size() < this->options.servers_to_quarantine) {
-      suspect.servers.push_back(report.instance);
+    if (!any_quarantined ||
+        this->StatusOf(digest) == DigestStatus::kQuarantined) {
+      this->AddCrash(this->SuspectFor(digest), report);
     }
   }
   std::optional<std::string> cause;
   // Of concurrent work, even work that was not suspect before may be the cause.
   const bool ran_in_isolation =
       report.lists_all_work && report.digests.size() == 1;
-  if (ran_in_isolation) {
+  if (ran_in_isolation && !any_quarantined) {
     Suspect& suspect = this->SuspectFor(report.digests.front());
-    if (suspect.servers.size() >= this->options.servers_to_quarantine) {
+    // Distinct servers, not restarts of one server: a single faulty server
+    // never identifies a digest.
+    std::set<std::string_view> servers;
+    for (const ServerCrashRecord& crash : suspect.crashes) {
+      servers.insert(crash.instance);
+    }
+    if (servers.size() >= this->options.servers_to_quarantine) {
       cause = report.digests.front();
-      this->Quarantine(suspect);
+      this->Identify(suspect);
     }
   }
   this->EvictOldest();
   return cause;
 }
 
-void CrashQuarantine::Quarantine(Suspect& suspect) {
-  if (suspect.quarantined) {
+void CrashQuarantine::Retract(std::string_view digest,
+                              std::string_view instance,
+                              WallMilliseconds started_at) {
+  const auto found = this->suspects.find(digest);
+  if (found == this->suspects.end()) {
+    return;
+  }
+  std::erase_if(found->second.crashes, [&](const ServerCrashRecord& crash) {
+    return IsSameStart(crash, instance, started_at);
+  });
+  if (found->second.crashes.empty() && !found->second.identified) {
+    this->Erase(digest);
+  }
+}
+
+void CrashQuarantine::Identify(Suspect& suspect) {
+  if (suspect.identified) {
     return;
   }
-  suspect.quarantined = true;
+  suspect.identified = true;
   this->oldest_first.erase(suspect.position);
 }
 
 void CrashQuarantine::OnQuarantined(std::string_view digest) {
-  this->Quarantine(this->SuspectFor(std::string(digest)));
+  this->Identify(this->SuspectFor(std::string(digest)));
 }
 
 void CrashQuarantine::OnFinished(std::string_view digest) {
   const auto found = this->suspects.find(digest);
-  if (found == this->suspects.end() || found->second.quarantined) {
-    return;
+  if (found != this->suspects.end() && !found->second.identified) {
+    this->Erase(digest);
   }
+}
+
+void CrashQuarantine::Erase(std::string_view digest) {
+  const auto found = this->suspects.find(digest);
   this->oldest_first.erase(found->second.position);
   this->suspects.erase(found);
 }
@@ -97,18 +175,80 @@
   if (found == this->suspects.end()) {
     return DigestStatus::kClear;
   }
-  return found->second.quarantined ? DigestStatus::kQuarantined
-                                   : DigestStatus::kSuspect;
+  return this->IsQuarantined(found->second) ? DigestStatus::kQuarantined
+                                            : DigestStatus::kSuspect;
+}
+
+Milliseconds CrashQuarantine::RefusedFor(std::string_view digest,
+                                         WallMilliseconds now) const {
+  const auto found = this->suspects.find(digest);
+  if (found == this->suspects.end() || !this->IsQuarantined(found->second)) {
+    return Milliseconds(0);
+  }
+  const Suspect& suspect = found->second;
+  if (suspect.identified) {
+    return this->options.longest_refusal;
+  }
+  const Refusal refusal = this->RefusalOf(suspect);
+  // The times come from the clocks of several machines.
+  return std::clamp(Milliseconds(refusal.until - now), Milliseconds(0),
+                    refusal.duration);
+}
+
+// A crash that was under way when the digest was quarantined doesn't lengthen
+// the refusal; one after the end of a refusal does.
+CrashQuarantine::Refusal CrashQuarantine::RefusalOf(
+    const Suspect& suspect) const {
+  Refusal refusal{this->options.first_refusal, 0};
+  std::set<std::string_view> servers;
+  std::size_t suspicion = 0;
+  for (const ServerCrashRecord& crash : suspect.crashes) {
+    const bool was_refused = suspicion >= this->Limit();
+    suspicion += WeightOf(crash, servers);
+    if (was_refused && crash.at >= refusal.until) {
+      refusal.duration =
+          std::min(refusal.duration * this->options.refusal_growth,
+                   this->options.longest_refusal);
+    }
+    refusal.until = crash.at + refusal.duration.count();
+  }
+  return refusal;
+}
+
+std::size_t CrashQuarantine::Suspicion(std::string_view digest) const {
+  const auto found = this->suspects.find(digest);
+  return found == this->suspects.end() ? 0 : this->SuspicionOf(found->second);
+}
+
+bool CrashQuarantine::IsOnLastChance(std::string_view digest) const {
+  return this->Limit() > 0 &&
+         this->Suspicion(digest) + kFullWeight >= this->Limit();
+}
+
+std::span<const ServerCrashRecord> CrashQuarantine::CrashesOf(
+    std::string_view digest) const {
+  const auto found = this->suspects.find(digest);
+  return found == this->suspects.end()
+             ? std::span<const ServerCrashRecord>()
+             : std::span<const ServerCrashRecord>(found->second.crashes);
 }
 
 std::vector<std::string> CrashQuarantine::Quarantined() const {
   std::vector<std::string> digests;
   for (const auto& [digest, suspect] : this->suspects) {
-    if (suspect.quarantined) {
+    if (this->IsQuarantined(suspect)) {
       digests.push_back(digest);
     }
   }
   return digests;
 }
 
+std::vector<std::string> CrashQuarantine::Tracked() const {
+  std::vector<std::string> digests;
+  for (const auto& [digest, suspect] : this->suspects) {
+    digests.push_back(digest);
+  }
+  return digests;
+}
+
 }  // namespace carobbank
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -1,7 +1,7 @@
 // Quarantine of requests that crash every backend server that runs them. A
-// digest is quarantined when two distinct servers crashed while they ran it.
-// After the first crash it runs in isolation, so that the second crash can be
-// attributed to it rather than to concurrent work.
+// digest is quarantined when two distinct servers crashed while they ran it in
+// isolation, or, where work can't be isolated, when enough servers crashed
+// while they ran it beside other work.
 
 #pragma once
 
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,17 @@
                             std::string_view target,
                             std::string_view body);
 
+// One crash of a server, as far as it concerns one digest.
+struct ServerCrashRecord {
+  std::string instance;
+  // Start of the crashed instance; zero when unknown.
+  WallMilliseconds started_at = 0;
+  // The work had produced output on the server, so it had not crashed the
+  // server when it began.
+  bool had_output = false;
+  WallMilliseconds at = 0;
+};
+
 struct CrashReport {
   // The crashed server.
   std::string instance;
@@ -33,12 +45,16 @@
   // `digests` lists all work that ran on the server. Only the sidecar can state
   // that, or a process that sent the work to run in isolation.
   bool lists_all_work = false;
+  // As in ServerCrashRecord.
+  WallMilliseconds started_at = 0;
+  bool had_output = false;
+  WallMilliseconds at = 0;
 };
 
 enum class DigestStatus {
   kClear,
   // A server crashed while it ran the work. Run the work only in isolation, on
-  // an idle server.
+  // an idle server, or at least apart from other suspects.
   kSuspect,
   // Refuse the work with not_run.
   kQuarantined,
@@ -46,6 +62,15 @@
 
 struct CrashQuarantineOptions {
   std::size_t servers_to_quarantine = 2;
+  // Crashes beside other work after which a digest is quarantined. Zero: only
+  // crashes in isolation quarantine.
+  std::size_t concurrent_crashes_to_quarantine = 0;
+  // A digest quarantined for crashes beside other work is refused for this long
+  // after its last crash, then may run again, because the crashes may have had
+  // other causes. Each crash after a refusal multiplies the time.
+  Milliseconds first_refusal{4'000};
+  std::int64_t refusal_growth = 4;
+  Milliseconds longest_refusal{3'600'000};
   // Maximum number of tracked suspects; the oldest is evicted first.
   std::size_t max_suspects = 65536;
 };
@@ -56,36 +81,68 @@
  public:
   explicit CrashQuarantine(CrashQuarantineOptions options) : options(options) {}
 
-  // Returns the digest that this report quarantines, or nothing. Only work that
-  // ran in isolation at its second crash is quarantined: any of concurrent work
-  // may be the cause, including work that was not suspect before. Suspects run
-  // in isolation until one is identified as the cause or all have finished.
+  // Returns the digest that this report identifies as the cause by a crash in
+  // isolation, or nothing: any of concurrent work may be the cause, including
+  // work that was not suspect before.
   std::optional<std::string> OnCrash(const CrashReport& report);
+  // The server did not crash, or its crash no longer counts for the digest.
+  void Retract(std::string_view digest,
+               std::string_view instance,
+               WallMilliseconds started_at);
   // Another process quarantined the digest.
   void OnQuarantined(std::string_view digest);
   // The work finished on some server, so it is no longer suspect.
   void OnFinished(std::string_view digest);
 
   DigestStatus StatusOf(std::string_view digest) const;
+  // How long the digest stays refused; zero when it may run.
+  Milliseconds RefusedFor(std::string_view digest, WallMilliseconds now) const;
+  // Weight of the crashes counted against the digest: kFullWeight for a crash
+  // on a further server before any output, half of it for a crash after output
+  // or on a server that it crashed before, which may have other causes.
+  std::size_t Suspicion(std::string_view digest) const;
+  // One more crash may quarantine the digest, so the crash must not be
+  // attributable to another suspect.
+  bool IsOnLastChance(std::string_view digest) const;
+  // Crashes counted against the digest. Valid until the next change.
+  std::span<const ServerCrashRecord> CrashesOf(std::string_view digest) const;
   std::vector<std::string> Quarantined() const;
+  // Digests that are suspect or quarantined.
+  std::vector<std::string> Tracked() const;
+  bool Empty() const { return this->suspects.empty(); }
+
+  static constexpr std::size_t kFullWeight = 2;
 
  private:
   struct Suspect {
-    // Distinct servers, not restarts of one server: a single faulty server
-    // never quarantines a digest.
-    std::vector<std::string> servers;
+    // In order of time. Invariant: no two of one start of a server.
+    std::vector<ServerCrashRecord> crashes;
     std::list<std::string>::iterator position;
-    bool quarantined = false;
+    // Identified by a crash in isolation, or by another process.
+    bool identified = false;
+  };
+
+  struct Refusal {
+    Milliseconds duration;
+    WallMilliseconds until = 0;
   };
 
   Suspect& SuspectFor(const std::string& digest);
+  void AddCrash(Suspect& suspect, const CrashReport& report);
+  std::size_t SuspicionOf(const Suspect& suspect) const;
+  std::size_t Limit() const {
+    return this->options.concurrent_crashes_to_quarantine * kFullWeight;
+  }
+  bool IsQuarantined(const Suspect& suspect) const;
+  Refusal RefusalOf(const Suspect& suspect) const;
   bool AnyQuarantined(const CrashReport& report) const;
-  void Quarantine(Suspect& suspect);
+  void Identify(Suspect& suspect);
+  void Erase(std::string_view digest);
   void EvictOldest();
 
   CrashQuarantineOptions options;
   std::map<std::string, Suspect, std::less<>> suspects;
-  // Suspects without the quarantined ones.
+  // Suspects without the identified ones.
   std::list<std::string> oldest_first;
 };
 
--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -10,5 +10,6 @@
 #include "LibRouting/idle_lower_bound.h"
 #include "LibRouting/retry_policy.h"
 #include "LibRouting/router.h"
+#include "LibRouting/server_crash_detector.h"
 #include "LibRouting/server_table.h"
 #include "LibRouting/step_plan.h"
--- /dev/null
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -0,0 +1,97 @@
+// Incidents by start of a server, from the first broken attempt to their
+// expiry.
+
+#include "LibRouting/server_crash_detector.h"
+
+#include <algorithm>
+
+namespace carobbank {
+
+BrokenAttemptVerdict ServerCrashDetector::OnBroken(const BrokenAttempt& attempt,
+                                                   MonotonicTime now,
+                                                   WallMilliseconds wall_now) {
+  CrashReport report;
+  report.instance = attempt.server_id;
+  report.digests = {attempt.digest};
+  report.started_at = attempt.server_start;
+  report.had_output = attempt.had_output;
+  report.at = wall_now;
+  const auto [entry, added] =
+      this->incidents.try_emplace(Key(attempt.server_id, attempt.server_start));
+  Incident& incident = entry->second;
+  BrokenAttemptVerdict verdict;
+  if (incident.state == State::kCrashed) {
+    verdict.crashes.push_back(report);
+  } else if (added || incident.state == State::kReachable) {
+    incident = {now, State::kProbing, {}, 0};
+    verdict.must_probe = true;
+  }
+  incident.reports.push_back(std::move(report));
+  return verdict;
+}
+
+std::vector<CrashReport> ServerCrashDetector::OnProbed(
+    std::string_view server_id,
+    WallMilliseconds server_start,
+    bool reachable,
+    MonotonicTime now,
+    WallMilliseconds wall_now) {
+  const auto found =
+      this->incidents.find(Key(std::string(server_id), server_start));
+  if (found == this->incidents.end() ||
+      found->second.state != State::kProbing) {
+    return {};
+  }
+  Incident& incident = found->second;
+  incident.began = now;
+  incident.state = reachable ? State::kReachable : State::kCrashed;
+  if (reachable) {
+    return {};
+  }
+  for (CrashReport& report : incident.reports) {
+    report.at = wall_now;
+  }
+  return incident.reports;
+}
+
+RegistrationVerdict ServerCrashDetector::OnRegistered(
+    std::string_view server_id,
+    WallMilliseconds started_at,
+    MonotonicTime now,
+    WallMilliseconds wall_now) {
+  RegistrationVerdict verdict;
+  for (auto entry = this->incidents.lower_bound(Key(std::string(server_id), 0));
+       entry != this->incidents.end() && entry->first.first == server_id;) {
+    const WallMilliseconds incident_start = entry->first.second;
+    Incident& incident = entry->second;
+    const MonotonicTime::duration age = now - incident.began;
+    if (incident_start != started_at && incident.state != State::kCrashed &&
+        age <= kEntryDelay) {
+      incident.state = State::kCrashed;
+      for (CrashReport& report : incident.reports) {
+        report.at = wall_now;
+        verdict.crashes.push_back(report);
+      }
+    }
+    const bool alive_long_after = incident_start == started_at &&
+                                  incident.state == State::kCrashed &&
+                                  age >= kLatestOldEntry;
+    if (alive_long_after && ++incident.entries >= kEntriesToRetract) {
+      verdict.retracted.insert(verdict.retracted.end(),
+                               incident.reports.begin(),
+                               incident.reports.end());
+      entry = this->incidents.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return verdict;
+}
+
+void ServerCrashDetector::RemoveExpired(MonotonicTime now) {
+  std::erase_if(this->incidents, [now](const auto& entry) {
+    return now - entry.second.began > kRetention;
+  });
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -0,0 +1,88 @@
+// Decides whether attempts broke off because their server crashed. A connection
+// that is reset or falls silent proves no crash. A server that can't be reached
+// right afterwards is presumed to have crashed, until its registry entry shows
+// that the same start of it is still alive. Pure.
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "LibCore/core.h"
+#include "LibRouting/crash_quarantine.h"
+
+namespace carobbank {
+
+// An attempt that may have run and ended without a response.
+struct BrokenAttempt {
+  std::string server_id;
+  // Start of the server, as known when the attempt was sent.
+  WallMilliseconds server_start = 0;
+  std::string digest;
+  bool had_output = false;
+};
+
+struct BrokenAttemptVerdict {
+  // The caller has to connect to the server and call OnProbed().
+  bool must_probe = false;
+  // The server is known to have crashed.
+  std::vector<CrashReport> crashes;
+};
+
+// What a new registry entry of a server shows.
+struct RegistrationVerdict {
+  std::vector<CrashReport> crashes;
+  // Reported crashes that did not happen.
+  std::vector<CrashReport> retracted;
+};
+
+class ServerCrashDetector {
+ public:
+  BrokenAttemptVerdict OnBroken(const BrokenAttempt& attempt,
+                                MonotonicTime now,
+                                WallMilliseconds wall_now);
+  // The result of a request to the server. `reachable`: this start of the
+  // server responded, or at least accepted a connection. Returns the crashes
+  // that follow.
+  std::vector<CrashReport> OnProbed(std::string_view server_id,
+                                    WallMilliseconds server_start,
+                                    bool reachable,
+                                    MonotonicTime now,
+                                    WallMilliseconds wall_now);
+  RegistrationVerdict OnRegistered(std::string_view server_id,
+                                   WallMilliseconds started_at,
+                                   MonotonicTime now,
+                                   WallMilliseconds wall_now);
+  // Discards incidents that nothing can change any more.
+  void RemoveExpired(MonotonicTime now);
+
+  // Entries written before the crash arrive within this time, but for single
+  // stale ones.
+  static constexpr Milliseconds kLatestOldEntry{4'000};
+  static constexpr int kEntriesToRetract = 2;
+  // A server that was reachable may already have been its next start, whose
+  // entry arrives within this time.
+  static constexpr Milliseconds kEntryDelay{3'000};
+  // Attempts at a crashed server may take this long to time out.
+  static constexpr Milliseconds kRetention{15'000};
+
+ private:
+  enum class State { kProbing, kReachable, kCrashed };
+  // A start of a server at which attempts broke off.
+  struct Incident {
+    // Of the current state.
+    MonotonicTime began;
+    State state = State::kProbing;
+    std::vector<CrashReport> reports;
+    // Entries since the crash that may show that it did not happen.
+    int entries = 0;
+  };
+  using Key = std::pair<std::string, WallMilliseconds>;
+
+  std::map<Key, Incident> incidents;
+};
+
+}  // namespace carobbank
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -102,6 +102,9 @@
 inline constexpr MetricDefinition kQuarantined{"carobbank_quarantined_digests",
                                                MetricType::kGauge, "",
                                                "Quarantined request digests"};
+inline constexpr MetricDefinition kServerCrashes{
+    "carobbank_server_crashes_total", MetricType::kCounter, "service",
+    "Crashes of backend servers that broke off requests of this process"};
 inline constexpr MetricDefinition kUnresolvedClaims{
     "carobbank_unresolved_claims", MetricType::kGauge, "service",
     "Claimed idempotency keys whose outcome is unknown"};
@@ -148,6 +151,7 @@
     metrics::kKnownServers,
     metrics::kLinksReplaced,
     metrics::kQuarantined,
+    metrics::kServerCrashes,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
     metrics::kPeerProofRefused,
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -210,7 +210,7 @@
   if (result.outcome == BackendCallOutcome::kMayHaveRun) {
     this->LogWithoutResponse(result.reason);
   }
-  this->attempt.End(outcome, may_have_run);
+  this->attempt.End({outcome, may_have_run, false});
   const Callback report = std::move(this->done);
   this->done = nullptr;
   // May destroy this call.
--- /dev/null
+++ b/Services/Gateway/crash_log.cc
@@ -0,0 +1,323 @@
+// Records of crashes: their format, appends with retries, and the exchange with
+// peers.
+
+#include "crash_log.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "LibProcess/process.h"
+
+namespace carobbank {
+
+namespace {
+
+// Longest time that one read waits for a record.
+constexpr Milliseconds kReadWait{2'000};
+// Retractions only free memory and sound work that is not refused anyway, so
+// several share an append.
+constexpr Milliseconds kRetractionDelay{200};
+constexpr Milliseconds kInitialBackoff{50};
+constexpr Milliseconds kMaximumBackoff{400};
+constexpr Milliseconds kPeerTimeout{400};
+constexpr std::size_t kMaxRecordsPerAppend = 500;
+// The oldest keys in order of text are dropped; the digests are kept in memory.
+constexpr std::size_t kMaxUnconfirmed = 4'096;
+constexpr char kSeparator = '/';
+
+struct CrashKey {
+  std::string_view digest;
+  std::string_view instance;
+  WallMilliseconds started_at = 0;
+};
+
+std::string EncodeKey(std::string_view digest,
+                      std::string_view instance,
+                      WallMilliseconds started_at) {
+  std::string key(digest);
+  key.push_back(kSeparator);
+  key.append(instance);
+  key.push_back(kSeparator);
+  key.append(std::to_string(started_at));
+  return key;
+}
+
+std::optional<CrashKey> DecodeKey(std::string_view key) {
+  const std::size_t first = key.find(kSeparator);
+  const std::size_t last = key.rfind(kSeparator);
+  if (first == std::string_view::npos || first == last) {
+    return std::nullopt;
+  }
+  const auto started_at = ParseInteger<WallMilliseconds>(key.substr(last + 1));
+  if (!started_at) {
+    return std::nullopt;
+  }
+  return CrashKey{key.substr(0, first), key.substr(first + 1, last - first - 1),
+                  *started_at};
+}
+
+std::string EncodeValue(const CrashReport& report) {
+  Json::Value value;
+  value["at"] = Json::Int64(report.at);
+  value["had_output"] = report.had_output;
+  return WriteJson(value);
+}
+
+}  // namespace
+
+CrashLog::CrashLog(GatewayEnvironment& environment,
+                   TopicPartition partition,
+                   std::vector<std::string> peers,
+                   CrashLogHandlers handlers)
+    : environment(environment),
+      peers(std::move(peers)),
+      handlers(std::move(handlers)),
+      follower(environment.loop,
+               environment.clock,
+               environment.log,
+               std::move(partition),
+               {.wait = kReadWait},
+               this->FollowerHandlers()) {}
+
+CrashLog::~CrashLog() {
+  *this->alive = false;
+}
+
+void CrashLog::Start() {
+  this->follower.Start();
+}
+
+LogFollowerHandlers CrashLog::FollowerHandlers() {
+  LogFollowerHandlers followed;
+  followed.on_snapshot = [this](std::span<const KeyedLogRecord> records) {
+    this->ApplySnapshot(records);
+  };
+  followed.on_record = [this](const KeyedLogRecord& record) {
+    this->Confirm(record.record);
+    this->ApplyRecord(record.record);
+  };
+  followed.on_batch = [this] {
+    if (this->follower.Next() == 0) {
+      // A long poll on a partition without records may miss the first one.
+      this->Put(EncodeNoOp(), Milliseconds(0));
+    }
+  };
+  followed.on_reachable = [this](bool reachable) {
+    if (!reachable) {
+      this->SendToPeers();
+    }
+  };
+  return followed;
+}
+
+void CrashLog::ApplySnapshot(std::span<const KeyedLogRecord> records) {
+  this->handlers.on_reset();
+  for (const KeyedLogRecord& record : records) {
+    this->Confirm(record.record);
+    this->ApplyRecord(record.record);
+  }
+  for (const auto& [key, value] : this->unconfirmed) {
+    this->ApplyRecord({key, value});
+  }
+}
+
+void CrashLog::ApplyRecord(const KeyedRecord& record) {
+  const std::optional<CrashKey> key = DecodeKey(record.key);
+  if (!key) {
+    return;
+  }
+  if (record.value.empty()) {
+    this->handlers.on_retracted(key->digest, key->instance, key->started_at);
+    return;
+  }
+  const std::optional<Json::Value> value = ParseJsonObject(record.value);
+  if (!value) {
+    return;
+  }
+  CrashReport report;
+  report.instance = key->instance;
+  report.digests = {std::string(key->digest)};
+  report.started_at = key->started_at;
+  report.had_output = JsonBoolean(*value, "had_output", false);
+  report.at = JsonInteger(*value, "at");
+  this->handlers.on_crash(report);
+}
+
+// Another gateway may have recorded the same crash with another time.
+void CrashLog::Confirm(const KeyedRecord& record) {
+  const auto found = this->unconfirmed.find(record.key);
+  if (found != this->unconfirmed.end() &&
+      found->second.empty() == record.value.empty()) {
+    this->sent_to_peers.erase(record.key);
+    this->unconfirmed.erase(found);
+  }
+}
+
+void CrashLog::Record(const CrashReport& report) {
+  this->Put(
+      {EncodeKey(report.digests.front(), report.instance, report.started_at),
+       EncodeValue(report)},
+      Milliseconds(0));
+}
+
+void CrashLog::Retract(std::string_view digest,
+                       const ServerCrashRecord& crash) {
+  this->Put({EncodeKey(digest, crash.instance, crash.started_at), ""},
+            kRetractionDelay);
+}
+
+void CrashLog::Put(KeyedRecord record, Milliseconds delay) {
+  if (this->unconfirmed.size() >= kMaxUnconfirmed) {
+    this->unconfirmed.erase(this->unconfirmed.begin());
+  }
+  this->sent_to_peers.erase(record.key);
+  this->unconfirmed[std::move(record.key)] = std::move(record.value);
+  if (!this->follower.Reachable()) {
+    this->SendToPeers();
+  }
+  this->ScheduleFlush(delay);
+}
+
+// A running backoff after a failure is not shortened.
+void CrashLog::ScheduleFlush(Milliseconds delay) {
+  if (this->flush_timer && (this->backoff.count() > 0 || delay.count() > 0)) {
+    return;
+  }
+  this->flush_timer = this->environment.loop.CallAfter(delay, [this] {
+    this->flush_timer.reset();
+    this->Flush();
+  });
+}
+
+void CrashLog::Flush() {
+  if (this->appending || this->unconfirmed.empty()) {
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, value] : this->unconfirmed) {
+    if (records.size() == kMaxRecordsPerAppend) {
+      break;
+    }
+    records.push_back({key, value});
+  }
+  this->appending = true;
+  // Unconditional: records of one key say the same, whichever gateway writes
+  // them and however often.
+  this->environment.log.Append(
+      this->follower.Partition(), records, std::nullopt,
+      [this, kept = this->alive, records](const AppendOutcome& outcome) {
+        if (*kept) {
+          this->OnAppended(records, outcome);
+        }
+      });
+}
+
+void CrashLog::OnAppended(const std::vector<KeyedRecord>& records,
+                          const AppendOutcome& outcome) {
+  this->appending = false;
+  if (outcome.status == AppendStatus::kAppended) {
+    this->backoff = Milliseconds(0);
+    for (const KeyedRecord& record : records) {
+      const auto found = this->unconfirmed.find(record.key);
+      if (found != this->unconfirmed.end() && found->second == record.value) {
+        this->sent_to_peers.erase(record.key);
+        this->unconfirmed.erase(found);
+      }
+    }
+    if (!this->unconfirmed.empty()) {
+      this->ScheduleFlush(Milliseconds(0));
+    }
+    return;
+  }
+  this->SendToPeers();
+  this->backoff =
+      std::clamp(this->backoff * 2, kInitialBackoff, kMaximumBackoff);
+  this->flush_timer.reset();
+  this->ScheduleFlush(this->backoff);
+}
+
+std::vector<KeyedRecord> CrashLog::Unconfirmed() const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, value] : this->unconfirmed) {
+    records.push_back({key, value});
+  }
+  return records;
+}
+
+void CrashLog::ReceiveFromPeer(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    if (this->unconfirmed.contains(record.key) ||
+        this->unconfirmed.size() >= kMaxUnconfirmed) {
+      continue;
+    }
+    this->ApplyRecord(record);
+    this->unconfirmed[record.key] = record.value;
+    // The sender has sent it to all its peers.
+    this->sent_to_peers.insert(record.key);
+  }
+  this->ScheduleFlush(kRetractionDelay);
+}
+
+void CrashLog::SendToPeers() {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, value] : this->unconfirmed) {
+    if (this->sent_to_peers.insert(key).second) {
+      records.push_back({key, value});
+    }
+  }
+  if (records.empty()) {
+    return;
+  }
+  for (const std::string& peer : this->peers) {
+    HttpClientRequest request;
+    request.method = "POST";
+    request.url = "http://" + peer + std::string(kPath);
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = Encode(records);
+    request.timeout = kPeerTimeout;
+    request.connect_timeout = kPeerTimeout;
+    // A peer that misses the records reads them from the log later, or polls
+    // them.
+    this->environment.client.Fetch(std::move(request),
+                                   [](const Outcome<HttpResponse>&) {});
+  }
+}
+
+Json::Value CrashLog::ToJson(const std::vector<KeyedRecord>& records) {
+  Json::Value rows(Json::arrayValue);
+  for (const KeyedRecord& record : records) {
+    Json::Value row(Json::arrayValue);
+    row.append(record.key);
+    row.append(record.value);
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+std::string CrashLog::Encode(const std::vector<KeyedRecord>& records) {
+  Json::Value body;
+  body["crashes"] = ToJson(records);
+  return WriteJson(body);
+}
+
+std::vector<KeyedRecord> CrashLog::Decode(std::string_view text) {
+  const std::optional<Json::Value> body = ParseJsonObject(text);
+  return body ? FromJson((*body)["crashes"]) : std::vector<KeyedRecord>();
+}
+
+std::vector<KeyedRecord> CrashLog::FromJson(const Json::Value& rows) {
+  std::vector<KeyedRecord> records;
+  if (!rows.isArray()) {
+    return records;
+  }
+  for (const Json::Value& row : rows) {
+    if (row.isArray() && row.size() == 2 && row[0].isString() &&
+        row[1].isString() && DecodeKey(row[0].asString())) {
+      records.push_back({row[0].asString(), row[1].asString()});
+    }
+  }
+  return records;
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Gateway/crash_log.h
@@ -0,0 +1,88 @@
+// Shares among gateways which servers crashed under which requests, through one
+// partition of the log. While the log is unreachable, records go directly to
+// the peers, and wait to be appended.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway_environment.h"
+#include "log_follower.h"
+
+namespace carobbank {
+
+struct CrashLogHandlers {
+  // `report` names a single digest.
+  std::function<void(const CrashReport& report)> on_crash;
+  std::function<void(std::string_view digest,
+                     std::string_view instance,
+                     WallMilliseconds started_at)>
+      on_retracted;
+  // The crashes reported next replace all earlier ones.
+  std::function<void()> on_reset;
+};
+
+class CrashLog {
+ public:
+  // `peers`: addresses such as "10.1.0.10:8166"; they may be stale.
+  CrashLog(GatewayEnvironment& environment,
+           TopicPartition partition,
+           std::vector<std::string> peers,
+           CrashLogHandlers handlers);
+  ~CrashLog();
+  CrashLog(const CrashLog&) = delete;
+  CrashLog& operator=(const CrashLog&) = delete;
+
+  void Start();
+  // Shares a crash, or its retraction. `report` names a single digest.
+  void Record(const CrashReport& report);
+  void Retract(std::string_view digest, const ServerCrashRecord& crash);
+
+  // Records that the log has not confirmed yet, for peers.
+  std::vector<KeyedRecord> Unconfirmed() const;
+  // Applies records of a peer and appends them too, because the peer may be
+  // lost before the log is reachable.
+  void ReceiveFromPeer(const std::vector<KeyedRecord>& records);
+
+  // Path of a peer's records, sent with POST.
+  static constexpr std::string_view kPath = "/peer/crashes";
+  static std::string Encode(const std::vector<KeyedRecord>& records);
+  static Json::Value ToJson(const std::vector<KeyedRecord>& records);
+  // Both skip records in an unknown form.
+  static std::vector<KeyedRecord> Decode(std::string_view text);
+  static std::vector<KeyedRecord> FromJson(const Json::Value& rows);
+
+ private:
+  LogFollowerHandlers FollowerHandlers();
+  void ApplySnapshot(std::span<const KeyedLogRecord> records);
+  void ApplyRecord(const KeyedRecord& record);
+  void Confirm(const KeyedRecord& record);
+  void Put(KeyedRecord record, Milliseconds delay);
+  void ScheduleFlush(Milliseconds delay);
+  void Flush();
+  void OnAppended(const std::vector<KeyedRecord>& records,
+                  const AppendOutcome& outcome);
+  void SendToPeers();
+
+  GatewayEnvironment& environment;
+  std::vector<std::string> peers;
+  CrashLogHandlers handlers;
+  LogFollower follower;
+  // Values by key, to be appended.
+  std::map<std::string, std::string, std::less<>> unconfirmed;
+  // Keys in `unconfirmed` that were sent to the peers.
+  std::set<std::string, std::less<>> sent_to_peers;
+  bool appending = false;
+  Milliseconds backoff{0};
+  std::unique_ptr<Timer> flush_timer;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "refusals.h"
+#include "request_quarantine.h"
 
 namespace carobbank {
 
@@ -117,8 +118,17 @@
   query.data_center = this->environment.settings.data_center;
   query.max_in_flight_per_slot = kMaxRequestsPerSlot;
   query.allow_backoff = allow_backoff;
-  return ChooseBackend(query, this->environment.loads,
-                       this->environment.clock.Now(), this->environment.random);
+  return this->environment.quarantine.Choose(query, this->request.digest);
+}
+
+void ForwardedCall::RefuseQuarantined(Milliseconds refused_for) {
+  constexpr std::string_view kCode = "quarantined";
+  constexpr std::string_view kDetail =
+      "backend servers crashed while they ran this request";
+  const bool may_have_run = this->possible_runs > 0;
+  this->environment.quarantine.CountRefusal(this->service, may_have_run);
+  this->Finish(may_have_run ? MayHaveRunResponse(kBadGateway, kCode, kDetail)
+                            : NotRunResponse(kCode, kDetail, refused_for));
 }
 
 void ForwardedCall::StartAttempt() {
@@ -126,6 +136,14 @@
     return;
   }
   const bool first = this->calls.empty();
+  const Milliseconds refused_for =
+      this->environment.quarantine.RefusedFor(this->request.digest);
+  if (refused_for.count() > 0) {
+    if (first) {
+      this->RefuseQuarantined(refused_for);
+    }
+    return;
+  }
   const FleetServer* server = this->ChooseServer(false);
   if (server == nullptr && first) {
     server = this->ChooseServer(true);
@@ -158,7 +176,10 @@
       this->route.objective * kHedgeFraction);
   this->hedge_timer =
       this->environment.loop.CallAfter(delay, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock(); self && self->calls.size() == 1) {
+        // A suspect that runs on two servers may crash both.
+        const auto self = weak.lock();
+        if (self && self->calls.size() == 1 &&
+            !self->environment.quarantine.IsSuspect(self->request.digest)) {
           self->StartAttempt();
         }
       });
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -37,6 +37,7 @@
   void StartAttempt();
   const FleetServer* ChooseServer(bool allow_backoff);
   void OnCallDone(const std::string& server_id, BackendCallResult result);
+  void RefuseQuarantined(Milliseconds refused_for);
   void OnNotRun(const BackendCallResult& result);
   void RetryAfterBackoff();
   void ScheduleHedge();
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -17,6 +17,7 @@
 
 constexpr std::string_view kJobsTopic = "keyed.carobbank-jobs";
 constexpr std::string_view kOrderLeaseTopic = "keyed.carobbank-orders";
+constexpr std::string_view kCrashesTopic = "keyed.carobbank-crashes";
 constexpr std::string_view kGroup = "carobbank-jobs";
 // The owner of this partition is elected to order engine upgrades.
 constexpr std::int64_t kElectingPartition = 0;
@@ -97,10 +98,13 @@
       client(HttpClient::Create(this->loop, ClientOptions(kBackendIdleTime))),
       log_client(HttpClient::Create(this->loop, ClientOptions(kLogWait * 30))),
       log(make_log(*this->log_client)),
-      environment{
-          this->settings, dialect,       this->clock,        this->random,
-          this->loop,     *this->client, *this->log,         this->metrics,
-          this->fleet,    this->loads,   this->configuration},
+      environment{this->settings, dialect,          this->clock,
+                  this->random,   this->loop,       *this->client,
+                  *this->log,     this->metrics,    this->fleet,
+                  this->loads,    this->quarantine, this->configuration},
+      quarantine(this->environment,
+                 {std::string(kCrashesTopic), 0},
+                 OtherPeers(this->settings)),
       partitions(this->environment,
                  std::string(kJobsTopic),
                  [this](std::int64_t number) {
@@ -200,6 +204,7 @@
   this->UpdateFollowedPartitions();
   this->operator_follower.Start();
   this->servers_follower.Start();
+  this->quarantine.Start();
   this->membership.Start();
   this->Housekeep();
 }
@@ -298,6 +303,7 @@
   this->server_records[keyed.key] = record;
   if (std::optional<FleetServer> server = this->DecodeServer(keyed)) {
     this->LogRestart(*server);
+    this->quarantine.OnServerRegistered(*server);
     this->fleet.Put(std::move(*server));
   } else {
     this->fleet.OnEntryRemoved(keyed.key, this->clock.BootNow());
@@ -324,6 +330,7 @@
     }
     this->server_records[record.record.key] = record;
     if (std::optional<FleetServer> server = this->DecodeServer(record.record)) {
+      this->quarantine.OnServerRegistered(*server);
       servers.push_back(std::move(*server));
     }
   }
@@ -362,6 +369,9 @@
     this->Housekeep();
     this->UpdateFollowedPartitions();
     this->fleet.RemoveExpired(this->servers_follower.LastReadAt());
+    if (this->upgrader.HoldsLease()) {
+      this->quarantine.RemoveOldCrashes();
+    }
     this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.RemoveUnknown([this](const std::string& id) {
       return this->fleet.Find(id) != nullptr;
@@ -437,6 +447,9 @@
       this->runner.SetOwned({});
     }
   };
+  handlers.on_crashes = [this](const std::vector<KeyedRecord>& records) {
+    this->quarantine.Log().ReceiveFromPeer(records);
+  };
   handlers.wants_records = [this] { return !this->configuration; };
   handlers.on_records = [this](const PeerState& state) {
     WriteLog(LogLevel::kInfo, "loaded records from a peer",
@@ -459,6 +472,11 @@
     this->HandleOutputs(request, *responder);
     return;
   }
+  if (request.Path() == CrashLog::kPath) {
+    this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
+    responder->Send({kOk, {}, ""});
+    return;
+  }
   if (request.Path() != PeerStatePoller::kPath) {
     responder->Send(ClientErrorResponse(kNotFound, "no_such_path",
                                         "no resource has this path",
@@ -469,6 +487,7 @@
   state.reaches_log =
       this->operator_follower.Reachable() &&
       this->operator_follower.LastReadWithin(PeerState::kFreshness);
+  state.crash_records = this->quarantine.Log().Unconfirmed();
   if (request.Query("records")) {
     for (const auto& [key, record] : this->operator_records) {
       state.operator_records.push_back(record);
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "job_runner.h"
 #include "partition_membership.h"
 #include "peer_state_poller.h"
+#include "request_quarantine.h"
 
 namespace carobbank {
 
@@ -94,6 +95,7 @@
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
   GatewayEnvironment environment;
+  RequestQuarantine quarantine;
   JobPartitions partitions;
   OwnerDirectory owners;
   PartitionMembership membership;
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -13,6 +13,8 @@
 
 namespace carobbank {
 
+class RequestQuarantine;
+
 struct GatewayEnvironment {
   const GatewaySettings& settings;
   const PlatformDialect& dialect;
@@ -24,6 +26,7 @@
   MetricRegistry& metrics;
   ServerFleet& fleet;
   BackendLoads& loads;
+  RequestQuarantine& quarantine;
   // Null until the first configuration has been read.
   std::shared_ptr<const TrafficConfiguration>& configuration;
 };
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -8,14 +8,14 @@
 
 namespace {
 
-std::string_view OutcomeLabel(SendOutcome outcome, bool may_have_run) {
-  switch (outcome) {
+std::string_view OutcomeLabel(const AttemptEnd& end) {
+  switch (end.outcome) {
     case SendOutcome::kAnswered:
       return "answered";
     case SendOutcome::kRefused:
       return "refused";
     case SendOutcome::kFailed:
-      return may_have_run ? "broken" : "unreachable";
+      return end.may_have_run ? "broken" : "unreachable";
     case SendOutcome::kCancelled:
       break;
   }
@@ -28,12 +28,11 @@
                                  const FleetServer& server,
                                  std::string digest)
     : environment(environment),
-      server_id(server.id),
-      service(server.service),
-      server_start(server.started_at),
-      digest(std::move(digest)),
+      attempt{server.id, server.service, server.address, server.started_at,
+              std::move(digest)},
       began(environment.clock.Now()) {
-  environment.loads.Begin(this->server_id);
+  environment.loads.Begin(this->attempt.server_id);
+  environment.quarantine.OnAttemptStarted(this->attempt);
 }
 
 Milliseconds InFlightAttempt::Elapsed() const {
@@ -41,18 +40,19 @@
       this->environment.clock.Now() - this->began);
 }
 
-void InFlightAttempt::End(SendOutcome outcome, bool may_have_run) {
+void InFlightAttempt::End(const AttemptEnd& end) {
   if (std::exchange(this->ended, true)) {
     return;
   }
-  this->environment.loads.End(this->server_id, outcome, this->Elapsed(),
-                              this->environment.clock.Now());
+  this->environment.loads.End(this->attempt.server_id, end.outcome,
+                              this->Elapsed(), this->environment.clock.Now());
   this->environment.metrics
-      .GetCounter(
-          metrics::kAttempts,
-          {{"service", this->service},
-           {"outcome", std::string(OutcomeLabel(outcome, may_have_run))}})
+      .GetCounter(metrics::kAttempts,
+                  {{"service", this->attempt.service},
+                   {"outcome", std::string(OutcomeLabel(end))}})
       .Add();
+  this->environment.quarantine.OnAttemptEnded(this->attempt, end,
+                                              this->Elapsed());
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -1,11 +1,10 @@
 // One attempt at a backend server: counts it in this gateway's view of the
-// server's load, and in the metrics by outcome.
+// server's load and in the metrics, and reports its end to the quarantine.
 
 #pragma once
 
-#include <string>
-
 #include "gateway_environment.h"
+#include "request_quarantine.h"
 
 namespace carobbank {
 
@@ -16,27 +15,23 @@
   InFlightAttempt(GatewayEnvironment& environment,
                   const FleetServer& server,
                   std::string digest);
-  ~InFlightAttempt() { this->End(SendOutcome::kCancelled, true); }
+  ~InFlightAttempt() { this->End(AttemptEnd()); }
   InFlightAttempt(const InFlightAttempt&) = delete;
   InFlightAttempt& operator=(const InFlightAttempt&) = delete;
 
-  // Only the first call has an effect. `may_have_run`: false when the request
-  // certainly did not run.
-  void End(SendOutcome outcome, bool may_have_run);
+  // Only the first call has an effect.
+  void End(const AttemptEnd& end);
 
-  const std::string& ServerId() const { return this->server_id; }
+  const std::string& ServerId() const { return this->attempt.server_id; }
   // When the server had started, as of the start of the attempt.
-  WallMilliseconds ServerStart() const { return this->server_start; }
-  const std::string& Digest() const { return this->digest; }
+  WallMilliseconds ServerStart() const { return this->attempt.server_start; }
+  const std::string& Digest() const { return this->attempt.digest; }
   MonotonicTime Began() const { return this->began; }
   Milliseconds Elapsed() const;
 
  private:
   GatewayEnvironment& environment;
-  std::string server_id;
-  std::string service;
-  WallMilliseconds server_start;
-  std::string digest;
+  ServerAttempt attempt;
   MonotonicTime began;
   bool ended = false;
 };
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -51,6 +51,9 @@
  private:
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
+  // A quarantined sample is checked this often, because the quarantine may end
+  // early.
+  static constexpr Milliseconds kQuarantineCheckPeriod{1'000};
 
   enum class Stage {
     // Waits for a backend server.
@@ -74,6 +77,9 @@
     // Responses with status 500 to the sample, and to its reward call.
     std::int64_t failures = 0;
     std::int64_t reward_failures = 0;
+    // Digests of the sample and of its reward call; empty until first needed.
+    std::string digest;
+    std::string reward_digest;
     // Servers that have just failed or refused the sample.
     ExcludedServers excluded;
     // No attempt starts before this time.
@@ -150,7 +156,14 @@
   const FleetServer* ChooseServer(std::span<const FleetServer* const> servers,
                                   std::span<const std::string> excluded,
                                   std::string_view preferred_id,
-                                  double max_in_flight_per_slot) const;
+                                  double max_in_flight_per_slot,
+                                  std::string_view digest) const;
+  // True when the sample or its reward call has to wait in quarantine; then no
+  // attempt starts before `not_before`.
+  bool WaitInQuarantine(Progress& progress, std::string_view digest) const;
+  // No server was found for a suspect: delays the suspect, so that other
+  // samples don't wait for it. False for any other digest.
+  bool DelaySuspect(Progress& progress, std::string_view digest) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool AppendEvent(ActiveJob& job,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "request_quarantine.h"
+
 #include "LibProcess/process.h"
 
 namespace carobbank {
@@ -23,6 +25,7 @@
 // server fails.
 constexpr double kMaxSamplesPerSlot = 1.0;
 constexpr Milliseconds kFailureBackoff{30};
+constexpr std::string_view kMethod = "POST";
 // Bound of the samples of one job that are moved at once, so that they don't
 // all go to the same server.
 constexpr std::size_t kMovesPerTick = 6;
@@ -82,7 +85,7 @@
     // The sample would only be moved away from a slow server again.
     if (const FleetServer* const server = this->ChooseServer(
             this->FastEnoughServers(progress.events, servers),
-            progress.excluded.Ids(), "", kMaxSamplesPerSlot)) {
+            progress.excluded.Ids(), "", kMaxSamplesPerSlot, progress.digest)) {
       return server;
     }
   }
@@ -95,28 +98,50 @@
     std::erase_if(newest, [&state](const FleetServer* server) {
       return server->VersionOf(state.job.model) <= state.job.min_version;
     });
-    if (const FleetServer* const server = this->ChooseServer(
-            newest, progress.excluded.Ids(), preferred, kMaxSamplesPerSlot)) {
+    if (const FleetServer* const server =
+            this->ChooseServer(newest, progress.excluded.Ids(), preferred,
+                               kMaxSamplesPerSlot, progress.digest)) {
       return server;
     }
   }
   return this->ChooseServer(servers, progress.excluded.Ids(), preferred,
-                            kMaxSamplesPerSlot);
+                            kMaxSamplesPerSlot, progress.digest);
 }
 
 const FleetServer* JobRunner::ChooseServer(
     std::span<const FleetServer* const> servers,
     std::span<const std::string> excluded,
     std::string_view preferred_id,
-    double max_in_flight_per_slot) const {
+    double max_in_flight_per_slot,
+    std::string_view digest) const {
   BackendQuery query;
   query.servers = servers;
   query.excluded = excluded;
   query.data_center = this->environment.settings.data_center;
   query.preferred_id = preferred_id;
   query.max_in_flight_per_slot = max_in_flight_per_slot;
-  return ChooseBackend(query, this->environment.loads,
-                       this->environment.clock.Now(), this->environment.random);
+  return this->environment.quarantine.Choose(query, digest);
+}
+
+bool JobRunner::WaitInQuarantine(Progress& progress,
+                                 std::string_view digest) const {
+  const Milliseconds refused = this->environment.quarantine.RefusedFor(digest);
+  if (refused.count() == 0) {
+    return false;
+  }
+  progress.not_before =
+      this->environment.clock.Now() + std::min(refused, kQuarantineCheckPeriod);
+  return true;
+}
+
+bool JobRunner::DelaySuspect(Progress& progress,
+                             std::string_view digest) const {
+  if (!this->environment.quarantine.IsSuspect(digest)) {
+    return false;
+  }
+  progress.excluded.Clear();
+  progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
+  return true;
 }
 
 bool JobRunner::StartSample(ActiveJob& job,
@@ -131,18 +156,26 @@
     return true;
   }
   Progress& progress = job.samples[index];
-  const FleetServer* const server =
-      this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
-  if (server == nullptr) {
-    return progress.excluded.Clear();
-  }
   const std::optional<std::string> body = DecodeBase64(sample.body_base64);
   if (!body) {
     this->Finish(job, state, index, false, "");
     return true;
   }
+  if (progress.digest.empty()) {
+    progress.digest =
+        DigestOfRequest(kMethod, state.job.host + sample.path, *body);
+  }
+  if (this->WaitInQuarantine(progress, progress.digest)) {
+    return true;
+  }
+  const FleetServer* const server =
+      this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
+  if (server == nullptr) {
+    return this->DelaySuspect(progress, progress.digest) ||
+           progress.excluded.Clear();
+  }
   BackendRequest request;
-  request.method = "POST";
+  request.method = kMethod;
   request.target = sample.path;
   for (const SampleHeader& header : sample.headers) {
     request.headers.push_back({header.name, header.value});
@@ -152,11 +185,11 @@
             sample.id);
   request.body = *body;
   request.request_id = sample.id;
-  request.digest = DigestOfRequest(
-      request.method, state.job.host + request.target, request.body);
+  request.digest = progress.digest;
   request.time_left =
       std::max(state.job.abandon_after - this->AgeOf(state), Milliseconds(1));
-  if (!sample.group.empty()) {
+  if (!sample.group.empty() &&
+      !this->environment.quarantine.IsSuspect(progress.digest)) {
     job.group_servers[sample.group] = server->id;
   }
   SampleStreamHandlers handlers;
@@ -360,7 +393,7 @@
                                 loads.ProcessingTimeMs(server->id));
   });
   return this->ChooseServer(faster, progress.excluded.Ids(), "",
-                            kMaxSamplesPerSlot) != nullptr;
+                            kMaxSamplesPerSlot, progress.digest) != nullptr;
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -10,6 +10,7 @@
 
 // Reward calls leave slots free for plain requests to the same service.
 constexpr double kMaxRewardCallsPerSlot = 0.7;
+constexpr std::string_view kMethod = "POST";
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
 
@@ -47,16 +48,25 @@
     this->Finish(job, state, index, false, "");
     return true;
   }
+  if (progress.reward_digest.empty()) {
+    progress.reward_digest =
+        DigestOfRequest(kMethod, reward.host + reward.path, *body);
+  }
+  if (this->WaitInQuarantine(progress, progress.reward_digest)) {
+    return true;
+  }
   const std::vector<const FleetServer*> servers =
       this->environment.fleet.Eligible(
           ChooseService(*route, FastHash(reward.id)));
-  const FleetServer* const server = this->ChooseServer(
-      servers, progress.excluded.Ids(), "", kMaxRewardCallsPerSlot);
+  const FleetServer* const server =
+      this->ChooseServer(servers, progress.excluded.Ids(), "",
+                         kMaxRewardCallsPerSlot, progress.reward_digest);
   if (server == nullptr) {
-    return progress.excluded.Clear();
+    return this->DelaySuspect(progress, progress.reward_digest) ||
+           progress.excluded.Clear();
   }
   BackendRequest request;
-  request.method = "POST";
+  request.method = kMethod;
   request.target = reward.path;
   request.headers = {
       {"Host", reward.host},
@@ -64,8 +74,7 @@
        reward.id}};
   request.body = *body;
   request.request_id = reward.id;
-  request.digest =
-      DigestOfRequest(request.method, reward.host + reward.path, request.body);
+  request.digest = progress.reward_digest;
   request.time_left = route->timeout;
   --job.waiting_for_score;
   progress.stage = Stage::kScoring;
--- a/Services/Gateway/peer_state_poller.cc
+++ b/Services/Gateway/peer_state_poller.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "crash_log.h"
+
 #include "LibProcess/process.h"
 
 namespace carobbank {
@@ -52,6 +54,7 @@
   value["reaches_log"] = state.reaches_log;
   value["operator"] = EncodeRecords(state.operator_records);
   value["servers"] = EncodeRecords(state.server_records);
+  value["crashes"] = CrashLog::ToJson(state.crash_records);
   return WriteJson(value);
 }
 
@@ -64,6 +67,7 @@
   state.reaches_log = (*body)["reaches_log"].asBool();
   state.operator_records = DecodeRecords((*body)["operator"]);
   state.server_records = DecodeRecords((*body)["servers"]);
+  state.crash_records = CrashLog::FromJson((*body)["crashes"]);
   return state;
 }
 
@@ -132,6 +136,9 @@
           successful ? DecodePeerState(outcome.Value().body) : std::nullopt) {
     ++this->responses;
     this->peer_reaches_log = this->peer_reaches_log || state->reaches_log;
+    if (!state->crash_records.empty() && this->handlers.on_crashes) {
+      this->handlers.on_crashes(state->crash_records);
+    }
     if (!state->operator_records.empty() && this->handlers.wants_records()) {
       this->handlers.on_records(*state);
     }
--- a/Services/Gateway/peer_state_poller.h
+++ b/Services/Gateway/peer_state_poller.h
@@ -22,6 +22,8 @@
   // or when the peer has none.
   std::vector<KeyedLogRecord> operator_records;
   std::vector<KeyedLogRecord> server_records;
+  // Crashes that the log has not confirmed yet.
+  std::vector<KeyedRecord> crash_records;
 
   // A waiting read and its response take up to two seconds.
   static constexpr Milliseconds kFreshness{2'500};
@@ -38,6 +40,8 @@
   // Receives a peer's records, requested while `wants_records` returns true.
   std::function<void(const PeerState&)> on_records;
   std::function<bool()> wants_records;
+  // Receives a peer's unconfirmed crashes; may be empty.
+  std::function<void(const std::vector<KeyedRecord>&)> on_crashes;
 };
 
 class PeerStatePoller {
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -28,6 +28,8 @@
   std::int64_t max_connections = 0;
   // The servers of the service generate text.
   bool is_engine = false;
+  // Path of the servers' health check.
+  std::string health_path = "/";
 };
 
 // The complete configuration that the operator published.
@@ -142,6 +144,10 @@
       const HttpRequest& request) const = 0;
   virtual std::string EncodeResults(const ResultPage& page) const = 0;
 
+  virtual HttpClientRequest HealthRequest(
+      std::string_view address,
+      std::string_view server_id,
+      std::string_view health_path) const = 0;
   virtual HttpClientRequest StatusRequest(const FleetServer& server) const = 0;
   virtual Outcome<EngineStatus> DecodeStatus(std::string_view text) const = 0;
   virtual HttpClientRequest OrderRequest(
--- /dev/null
+++ b/Services/Gateway/request_quarantine.cc
@@ -0,0 +1,300 @@
+// Broken attempts, probes of their servers, and the choice of servers for
+// suspects.
+
+#include "request_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibProcess/process.h"
+
+namespace carobbank {
+
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr CrashQuarantineOptions kOptions = {
+    .concurrent_crashes_to_quarantine = 3,
+    .max_suspects = 4'096};
+// An attempt that its caller gave up after this long without a response may
+// have been sent to a server that went silent.
+constexpr Milliseconds kSilentAttempt{1'000};
+// A crashed server refuses a connection at once or doesn't respond.
+constexpr Milliseconds kProbeTimeout{400};
+// Longer than the longest refusal, so that a digest whose refusal ends still
+// has its crashes.
+constexpr Milliseconds kCrashRetention{2 * 3'600'000};
+
+bool Broke(const AttemptEnd& end, Milliseconds elapsed) {
+  if (!end.may_have_run) {
+    return false;
+  }
+  const bool abandoned_in_silence = end.outcome == SendOutcome::kCancelled &&
+                                    !end.had_output &&
+                                    elapsed >= kSilentAttempt;
+  return end.outcome == SendOutcome::kFailed || abandoned_in_silence;
+}
+
+}  // namespace
+
+RequestQuarantine::RequestQuarantine(GatewayEnvironment& environment,
+                                     TopicPartition partition,
+                                     std::vector<std::string> peers)
+    : environment(environment),
+      quarantine(kOptions),
+      log(environment,
+          std::move(partition),
+          std::move(peers),
+          this->LogHandlers()) {}
+
+RequestQuarantine::~RequestQuarantine() {
+  *this->alive = false;
+}
+
+void RequestQuarantine::Start() {
+  this->log.Start();
+}
+
+CrashLogHandlers RequestQuarantine::LogHandlers() {
+  CrashLogHandlers handlers;
+  handlers.on_crash = [this](const CrashReport& report) {
+    this->Apply(report);
+  };
+  handlers.on_retracted = [this](std::string_view digest,
+                                 std::string_view instance,
+                                 WallMilliseconds started_at) {
+    this->quarantine.Retract(digest, instance, started_at);
+    this->UpdateGauge();
+  };
+  handlers.on_reset = [this] { this->quarantine = CrashQuarantine(kOptions); };
+  return handlers;
+}
+
+void RequestQuarantine::OnAttemptStarted(const ServerAttempt& attempt) {
+  this->in_flight[attempt.digest].push_back(attempt.server_id);
+}
+
+void RequestQuarantine::OnAttemptEnded(const ServerAttempt& attempt,
+                                       const AttemptEnd& end,
+                                       Milliseconds elapsed) {
+  const auto running = this->in_flight.find(attempt.digest);
+  if (running != this->in_flight.end()) {
+    std::vector<std::string>& servers = running->second;
+    const auto found =
+        std::find(servers.begin(), servers.end(), attempt.server_id);
+    if (found != servers.end()) {
+      servers.erase(found);
+    }
+    if (servers.empty()) {
+      this->in_flight.erase(running);
+    }
+  }
+  if (end.outcome == SendOutcome::kAnswered && end.may_have_run) {
+    this->OnFinished(attempt.digest);
+    return;
+  }
+  if (!Broke(end, elapsed)) {
+    return;
+  }
+  const BrokenAttemptVerdict verdict = this->detector.OnBroken(
+      {attempt.server_id, attempt.server_start, attempt.digest, end.had_output},
+      this->environment.clock.Now(), this->environment.clock.WallNow());
+  this->CountCrashes(verdict.crashes);
+  if (verdict.must_probe) {
+    this->Probe(attempt);
+  }
+}
+
+// True when the same start of the server accepted a connection.
+bool RequestQuarantine::IsStillUp(const ServerAttempt& attempt,
+                                  const Outcome<HttpResponse>& outcome) const {
+  const FleetServer* const registered =
+      this->environment.fleet.Find(attempt.server_id);
+  if (registered != nullptr && registered->started_at != attempt.server_start) {
+    return false;
+  }
+  if (!outcome.Ok()) {
+    return outcome.GetError().kind != ErrorKind::kUnavailable;
+  }
+  return outcome.Value().status != kMisdirected;
+}
+
+void RequestQuarantine::OnServerCrashed(
+    const std::string& service,
+    const std::vector<CrashReport>& crashes) {
+  if (crashes.empty()) {
+    return;
+  }
+  this->environment.metrics
+      .GetCounter(metrics::kServerCrashes, {{"service", service}})
+      .Add();
+  const CrashReport& first = crashes.front();
+  WriteLog(LogLevel::kWarning, "backend server crashed with requests",
+           {{"server", first.instance},
+            {"server_started_at", std::to_string(first.started_at)},
+            {"requests", std::to_string(crashes.size())}});
+  this->CountCrashes(crashes);
+}
+
+void RequestQuarantine::Probe(const ServerAttempt& attempt) {
+  std::string_view health_path = "/";
+  if (this->environment.configuration) {
+    const auto& services = this->environment.configuration->services;
+    const auto traits = services.find(attempt.service);
+    if (traits != services.end()) {
+      health_path = traits->second.health_path;
+    }
+  }
+  HttpClientRequest request = this->environment.dialect.HealthRequest(
+      attempt.address, attempt.server_id, health_path);
+  request.fresh_connection = true;
+  request.connect_timeout = kProbeTimeout;
+  request.timeout = kProbeTimeout;
+  this->environment.client.Fetch(
+      std::move(request), [this, kept = this->alive,
+                           attempt](const Outcome<HttpResponse>& outcome) {
+        if (!*kept) {
+          return;
+        }
+        this->OnServerCrashed(
+            attempt.service,
+            this->detector.OnProbed(attempt.server_id, attempt.server_start,
+                                    this->IsStillUp(attempt, outcome),
+                                    this->environment.clock.Now(),
+                                    this->environment.clock.WallNow()));
+      });
+}
+
+void RequestQuarantine::CountCrashes(const std::vector<CrashReport>& reports) {
+  for (const CrashReport& report : reports) {
+    this->Apply(report);
+    this->log.Record(report);
+  }
+}
+
+void RequestQuarantine::Apply(const CrashReport& report) {
+  const std::string& digest = report.digests.front();
+  const std::size_t before = this->quarantine.CrashesOf(digest).size();
+  this->quarantine.OnCrash(report);
+  const std::size_t crashes = this->quarantine.CrashesOf(digest).size();
+  const Milliseconds refused = this->RefusedFor(digest);
+  if (crashes > before && refused.count() > 0) {
+    WriteLog(LogLevel::kWarning, "request quarantined: it crashed servers",
+             {{"digest", digest},
+              {"crashes", std::to_string(crashes)},
+              {"last_server", report.instance},
+              {"refused_ms", std::to_string(refused.count())}});
+  }
+  this->UpdateGauge();
+}
+
+void RequestQuarantine::OnFinished(const std::string& digest) {
+  if (!this->IsSuspect(digest)) {
+    return;
+  }
+  for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
+    this->log.Retract(digest, crash);
+  }
+  this->quarantine.OnFinished(digest);
+  this->UpdateGauge();
+}
+
+void RequestQuarantine::OnServerRegistered(const FleetServer& server) {
+  const MonotonicTime now = this->environment.clock.Now();
+  const RegistrationVerdict verdict = this->detector.OnRegistered(
+      server.id, server.started_at, now, this->environment.clock.WallNow());
+  this->detector.RemoveExpired(now);
+  this->OnServerCrashed(server.service, verdict.crashes);
+  for (const CrashReport& report : verdict.retracted) {
+    const std::string& digest = report.digests.front();
+    this->quarantine.Retract(digest, report.instance, report.started_at);
+    this->log.Retract(digest, {report.instance, report.started_at});
+  }
+  if (!verdict.retracted.empty()) {
+    WriteLog(LogLevel::kInfo,
+             "backend server did not crash: its registration continues",
+             {{"server", server.id},
+              {"server_started_at", std::to_string(server.started_at)},
+              {"requests", std::to_string(verdict.retracted.size())}});
+    this->UpdateGauge();
+  }
+}
+
+Milliseconds RequestQuarantine::RefusedFor(std::string_view digest) const {
+  return this->quarantine.RefusedFor(digest, this->environment.clock.WallNow());
+}
+
+bool RequestQuarantine::IsSuspect(std::string_view digest) const {
+  return this->quarantine.StatusOf(digest) != DigestStatus::kClear;
+}
+
+std::vector<std::string> RequestQuarantine::ServersWithSuspects(
+    std::string_view digest,
+    std::size_t suspicion) const {
+  std::vector<std::string> servers;
+  for (const auto& [other, running_on] : this->in_flight) {
+    if (other != digest && this->quarantine.Suspicion(other) >= suspicion) {
+      servers.insert(servers.end(), running_on.begin(), running_on.end());
+    }
+  }
+  return servers;
+}
+
+const FleetServer* RequestQuarantine::Choose(const BackendQuery& query,
+                                             std::string_view digest) const {
+  const auto choose = [this](const BackendQuery& chosen) {
+    return ChooseBackend(chosen, this->environment.loads,
+                         this->environment.clock.Now(),
+                         this->environment.random);
+  };
+  if (!this->IsSuspect(digest)) {
+    return choose(query);
+  }
+  std::vector<std::string> excluded =
+      this->ServersWithSuspects(digest, this->quarantine.Suspicion(digest));
+  excluded.insert(excluded.end(), query.excluded.begin(), query.excluded.end());
+  BackendQuery apart = query;
+  apart.excluded = excluded;
+  // A suspect follows no other request to a server.
+  apart.preferred_id = "";
+  const FleetServer* const server = choose(apart);
+  if (server != nullptr || this->quarantine.IsOnLastChance(digest)) {
+    return server;
+  }
+  return choose(query);
+}
+
+void RequestQuarantine::CountRefusal(std::string_view service,
+                                     bool may_have_run) {
+  this->environment.metrics
+      .GetCounter(metrics::kRefusals,
+                  {{"service", std::string(service)},
+                   {"code", "quarantined"},
+                   {"execution", may_have_run ? "may_have_run" : "not_run"}})
+      .Add();
+}
+
+void RequestQuarantine::RemoveOldCrashes() {
+  const WallMilliseconds oldest =
+      this->environment.clock.WallNow() - kCrashRetention.count();
+  for (const std::string& digest : this->quarantine.Tracked()) {
+    const auto crashes = this->quarantine.CrashesOf(digest);
+    const bool old = std::all_of(
+        crashes.begin(), crashes.end(),
+        [oldest](const ServerCrashRecord& crash) { return crash.at < oldest; });
+    if (!old || this->RefusedFor(digest).count() > 0) {
+      continue;
+    }
+    for (const ServerCrashRecord& crash : crashes) {
+      this->log.Retract(digest, crash);
+    }
+    this->quarantine.OnFinished(digest);
+  }
+}
+
+void RequestQuarantine::UpdateGauge() {
+  this->environment.metrics.GetGauge(metrics::kQuarantined)
+      .Set(static_cast<double>(this->quarantine.Quarantined().size()));
+}
+
+}  // namespace carobbank
--- /dev/null
+++ b/Services/Gateway/request_quarantine.h
@@ -0,0 +1,93 @@
+// Refuses requests that crash backend servers: attributes broken attempts to
+// crashes of their servers, shares the crashes with the other gateways, and
+// keeps suspects apart, so that sound requests beside them are not quarantined.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "crash_log.h"
+#include "gateway_environment.h"
+
+namespace carobbank {
+
+// How an attempt ended.
+struct AttemptEnd {
+  SendOutcome outcome = SendOutcome::kCancelled;
+  // False when the request certainly did not run.
+  bool may_have_run = true;
+  // The server had sent output of the request.
+  bool had_output = false;
+};
+
+struct ServerAttempt {
+  std::string server_id;
+  std::string service;
+  std::string address;
+  // Start of the server, as known when the attempt was sent.
+  WallMilliseconds server_start = 0;
+  std::string digest;
+};
+
+class RequestQuarantine {
+ public:
+  RequestQuarantine(GatewayEnvironment& environment,
+                    TopicPartition partition,
+                    std::vector<std::string> peers);
+  ~RequestQuarantine();
+  RequestQuarantine(const RequestQuarantine&) = delete;
+  RequestQuarantine& operator=(const RequestQuarantine&) = delete;
+
+  void Start();
+
+  void OnAttemptStarted(const ServerAttempt& attempt);
+  void OnAttemptEnded(const ServerAttempt& attempt,
+                      const AttemptEnd& end,
+                      Milliseconds elapsed);
+  // The registry has a new entry of the server.
+  void OnServerRegistered(const FleetServer& server);
+
+  // How long the request stays refused; zero when it may run.
+  Milliseconds RefusedFor(std::string_view digest) const;
+  bool IsSuspect(std::string_view digest) const;
+  // ChooseBackend(), with suspects kept apart from each other.
+  const FleetServer* Choose(const BackendQuery& query,
+                            std::string_view digest) const;
+  // Counts a refusal, which the caller sends.
+  void CountRefusal(std::string_view service, bool may_have_run);
+
+  // Deletes the crashes of digests without a recent one, for all gateways.
+  void RemoveOldCrashes();
+
+  CrashLog& Log() { return this->log; }
+
+ private:
+  CrashLogHandlers LogHandlers();
+  void Probe(const ServerAttempt& attempt);
+  bool IsStillUp(const ServerAttempt& attempt,
+                 const Outcome<HttpResponse>& outcome) const;
+  // Counts the requests that broke off in one crash of a server.
+  void OnServerCrashed(const std::string& service,
+                       const std::vector<CrashReport>& crashes);
+  void CountCrashes(const std::vector<CrashReport>& reports);
+  void OnFinished(const std::string& digest);
+  void Apply(const CrashReport& report);
+  void UpdateGauge();
+  // Servers on which this gateway runs a suspect of at least that suspicion.
+  std::vector<std::string> ServersWithSuspects(std::string_view digest,
+                                               std::size_t suspicion) const;
+
+  GatewayEnvironment& environment;
+  ServerCrashDetector detector;
+  CrashQuarantine quarantine;
+  CrashLog log;
+  // Servers of the attempts in flight, by digest.
+  std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobbank
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -180,7 +180,8 @@
   if (!this->handlers.on_end) {
     return;
   }
-  this->attempt.End(send_outcome, outcome != SampleStreamOutcome::kNotRun);
+  this->attempt.End(
+      {send_outcome, outcome != SampleStreamOutcome::kNotRun, this->begun});
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -3,11 +3,9 @@
 // reward calls, sent again at any gateway.
 
 #include <algorithm>
+#include <set>
 
-#include "Services/Gateway/forwarded_call.h"
-#include "Services/Gateway/job_runner.h"
-#include "Support/fake_servers.h"
-#include "gateway_fixture.h"
+#include "gateway_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,235 +18,165 @@
 constexpr std::size_t kMostCrashes = 6;
 constexpr std::size_t kGateways = 3;
 
-std::string Events(int count) {
-  std::string text;
-  for (int id = 1; id <= count; ++id) {
-    text +=
-        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
-  }
-  return text;
-}
-
-// A server's valid response to plain and reward calls, and to samples.
-HttpResponse SoundAnswer(const HttpClientRequest& request) {
-  HttpResponse response;
-  response.status = 200;
-  response.headers = {
-      {"Id", std::string(FindHeader(request.headers, "Id").value_or(""))},
-      {"Signed", "signature"},
-      {"Version", "3"}};
-  response.body =
-      request.url.find("/train/") == std::string::npos ? "fine" : Events(2);
-  return response;
-}
-
-HttpRequest CallTo(const std::string& target,
-                   const std::string& body,
-                   const std::string& id) {
-  HttpRequest request;
-  request.method = "POST";
-  request.target = target;
-  request.headers = {
-      {"Host", "app.example"}, {"Id", id}, {"Time-Left", "5000"}};
-  request.body = body;
-  return request;
-}
-
 }  // namespace
 
-// One gateway's parts; the log, the loop and the servers are shared.
-struct GatewayParts {
-  GatewayParts(GatewayFixture& fixture,
-               FakeServers& servers,
-               const std::string& name)
-      : settings(fixture.settings),
-        client(servers.Client()),
-        environment{this->settings, fixture.dialect,      fixture.clock,
-                    fixture.random, fixture.runner.loop,  *this->client,
-                    fixture.log,    fixture.metrics,      this->fleet,
-                    this->loads,    fixture.configuration} {
-    this->settings.instance = name;
-    servers.fleets.push_back(&this->fleet);
-    this->partitions.push_back(std::make_unique<JobPartition>(
-        fixture.runner.loop, fixture.clock, fixture.log, JobsPartition(),
-        1'000'000, [this] { this->runner->Reconcile(0); }));
-    this->runner =
-        std::make_unique<JobRunner>(this->environment, this->partitions,
-                                    JobRunner::OutputTransferCallback());
-    this->partitions[0]->Follow();
-  }
-
-  GatewaySettings settings;
-  ServerFleet fleet;
-  BackendLoads loads;
-  std::unique_ptr<HttpClient> client;
-  GatewayEnvironment environment;
-  std::vector<std::unique_ptr<JobPartition>> partitions;
-  std::unique_ptr<JobRunner> runner;
-};
-
 TEST_GROUP(FatalRequest) {
-  GatewayFixture fixture;
-  FakeServers servers{fixture.runner.loop};
-  std::vector<std::unique_ptr<GatewayParts>> gateways;
-  std::vector<std::shared_ptr<ForwardedCall>> calls;
-  std::size_t requests = 0;
-
-  void setup() override {
-    this->servers.answer = &SoundAnswer;
-    for (std::size_t index = 0; index < kGateways; ++index) {
-      this->StartGateway();
-    }
-    for (int index = 0; index < 8; ++index) {
-      this->AddServer("app-" + std::to_string(index), "app");
-      this->AddServer("llm-" + std::to_string(index), "llm");
-    }
-  }
-  void teardown() override {
-    this->calls.clear();
-    this->servers.fleets.clear();
-    this->gateways.clear();
-  }
-
-  void AddServer(const std::string& id, const std::string& service) {
-    FleetServer server;
-    server.id = id;
-    server.service = service;
-    server.data_center = "here";
-    server.slots = 4;
-    if (service == "llm") {
-      server.models = {{"m", 3}};
-    }
-    this->servers.Add(std::move(server));
-  }
-
-  void StartGateway() {
-    this->gateways.push_back(std::make_unique<GatewayParts>(
-        this->fixture, this->servers,
-        "gateway-" + std::to_string(this->gateways.size())));
-  }
-
-  // Sends one client attempt and returns its response.
-  ReceivedResponse Call(GatewayParts & gateway, const std::string& target,
-                        const std::string& body) {
-    ReceivedResponse received;
-    const auto call = this->Start(gateway, target, body, received);
-    CHECK_TRUE(
-        this->fixture.runner.RunUntil([&call] { return call->Ended(); }));
-    return received;
-  }
-
-  std::shared_ptr<ForwardedCall> Start(
-      GatewayParts & gateway, const std::string& target,
-      const std::string& body, ReceivedResponse& received) {
-    const HostRoute* const route =
-        this->fixture.configuration->routes.Find("app.example", target);
-    return ForwardedCall::Start(
-        gateway.environment, *route,
-        CallTo(target, body, "r" + std::to_string(++this->requests)),
-        std::make_shared<FakeResponder>(received),
-        [](const std::shared_ptr<ForwardedCall>&) {});
-  }
+  GatewayFleet fleet{kGateways};
 
   // A caller that sends the same request again and again, at each gateway in
   // turn.
   void RepeatCall(const std::string& target) {
     constexpr std::size_t kRepeats = 18;
     for (std::size_t index = 0; index < kRepeats; ++index) {
-      this->Call(*this->gateways[index % kGateways], target, "fatal body");
-    }
-  }
-
-  BatchJob Job(const std::string& id, std::size_t samples) {
-    BatchJob job = MakeJob(id, samples);
-    job.accepted_at = this->fixture.clock.WallNow();
-    job.model = "m";
-    job.min_version = 3;
-    return job;
-  }
-
-  void PutJob(const BatchJob& job) {
-    std::vector<KeyedRecord> records;
-    for (const KeyedRecord& record : EncodeJob(job, 262'144)) {
-      records.push_back({record.key, record.value});
+      this->fleet.Call(*this->fleet.gateways[index % kGateways], target,
+                       "fatal body");
     }
-    this->fixture.log.Put(JobsPartition(), records);
   }
 
-  void CheckCrashes() {
-    const std::size_t count = this->servers.fatal_crashes.size();
-    std::string text = std::to_string(count) + " servers crashed:";
-    for (const std::string& id : this->servers.fatal_crashes) {
-      text += " " + id;
+  void CheckCrashes(const std::string& body) {
+    std::size_t count = 0;
+    std::string text = "crashed servers:";
+    for (const FatalCrash& crash : this->fleet.servers.fatal_crashes) {
+      if (crash.body == body) {
+        ++count;
+        text += " " + crash.server_id;
+      }
     }
     CHECK_TRUE_TEXT(count <= kMostCrashes, text.c_str());
   }
-
-  std::size_t Results(const GatewayParts& gateway, const std::string& job) {
-    const JobState* const state = gateway.partitions[0]->Fold().Find(job);
-    return state == nullptr ? 0 : state->results.size();
-  }
 };
 
 TEST(FatalRequest, ACallThatCrashedThreeServersIsSentToMore) {
   this->RepeatCall("/app/x");
-  this->CheckCrashes();
+  this->CheckCrashes("fatal body");
 }
 
 TEST(FatalRequest, AStreamThatCrashedThreeServersIsSentToMore) {
   this->RepeatCall("/once/x");
-  this->CheckCrashes();
+  this->CheckCrashes("fatal body");
 }
 
 TEST(FatalRequest, ASampleThatCrashedThreeServersIsSentToMore) {
-  BatchJob job = this->Job("j", 20);
+  BatchJob job = this->fleet.Job("j", 20);
   job.samples[7].body_base64 = EncodeBase64("fatal body");
-  this->PutJob(job);
-  this->gateways[0]->runner->SetOwned({0});
-  CHECK_TRUE(this->fixture.runner.RunUntil(
-      [this] { return this->Results(*this->gateways[0], "j") == 19; }));
-  this->fixture.runner.RunFor(Milliseconds(1'500));
-  this->CheckCrashes();
+  this->fleet.PutJob(job);
+  this->fleet.gateways[0]->runner->SetOwned({0});
+  CHECK_TRUE(this->fleet.RunUntil([this] {
+    return GatewayFleet::Results(*this->fleet.gateways[0], "j") == 19;
+  }));
+  this->fleet.RunFor(Milliseconds(1'500));
+  this->CheckCrashes("fatal body");
 }
 
 TEST(FatalRequest, ASampleIsSentToMoreServersByThePartitionsNextOwner) {
-  BatchJob job = this->Job("j", 4);
+  BatchJob job = this->fleet.Job("j", 4);
   job.samples[1].body_base64 = EncodeBase64("fatal body");
-  this->PutJob(job);
+  this->fleet.PutJob(job);
   // Each owner is lost soon after a crash.
   for (std::size_t owner = 0; owner < 8; ++owner) {
-    const std::size_t crashes = this->servers.fatal_crashes.size();
-    this->StartGateway();
-    GatewayParts& gateway = *this->gateways.back();
-    for (int index = 0; index < 8; ++index) {
-      gateway.fleet.Put(
-          *this->gateways[0]->fleet.Find("llm-" + std::to_string(index)));
-    }
-    gateway.runner->SetOwned({0});
+    const std::size_t crashes = this->fleet.servers.fatal_crashes.size();
+    this->fleet.StartGateway();
+    this->fleet.gateways.back()->runner->SetOwned({0});
     std::size_t ticks = 0;
-    this->fixture.runner.RunUntil([&] {
-      return this->servers.fatal_crashes.size() > crashes || ++ticks > 400;
+    this->fleet.RunUntil([&] {
+      return this->fleet.servers.fatal_crashes.size() > crashes ||
+             ++ticks > 400;
     });
-    this->fixture.runner.RunFor(Milliseconds(40));
-    this->servers.fleets.pop_back();
-    this->gateways.pop_back();
+    this->fleet.RunFor(Milliseconds(40));
+    this->fleet.gateways.pop_back();
   }
-  this->CheckCrashes();
+  this->CheckCrashes("fatal body");
 }
 
 TEST(FatalRequest, ARewardCallThatCrashedThreeServersIsSentToMore) {
-  BatchJob job = this->Job("j", 12);
+  BatchJob job = this->fleet.Job("j", 12);
   for (JobSample& sample : job.samples) {
     sample.reward = RewardCall{"reward-" + sample.id, "app.example",
                                "/app/reward", EncodeBase64("of " + sample.id)};
   }
   job.samples[3].reward->body_base64 = EncodeBase64("fatal reward");
-  this->PutJob(job);
-  this->gateways[0]->runner->SetOwned({0});
-  CHECK_TRUE(this->fixture.runner.RunUntil(
-      [this] { return this->Results(*this->gateways[0], "j") == 11; }));
-  this->fixture.runner.RunFor(Milliseconds(1'500));
-  this->CheckCrashes();
+  this->fleet.PutJob(job);
+  this->fleet.gateways[0]->runner->SetOwned({0});
+  CHECK_TRUE(this->fleet.RunUntil([this] {
+    return GatewayFleet::Results(*this->fleet.gateways[0], "j") == 11;
+  }));
+  this->fleet.RunFor(Milliseconds(1'500));
+  this->CheckCrashes("fatal reward");
+}
+
+TEST(FatalRequest, ACallIsSentToMoreServersAfterItsGatewaysAndTheLogWereLost) {
+  this->fleet.fixture.log.faults.outage = true;
+  this->fleet.fixture.log.FailWaitingReads();
+  this->fleet.Call(*this->fleet.gateways[0], "/app/x", "fatal body");
+  this->fleet.RunFor(Milliseconds(20));
+  this->fleet.gateways.erase(this->fleet.gateways.begin());
+  this->fleet.Call(*this->fleet.gateways[0], "/app/x", "fatal body");
+  this->fleet.RunFor(Milliseconds(20));
+  this->fleet.fixture.log.faults.outage = false;
+  this->fleet.RunFor(Milliseconds(800));
+  this->fleet.gateways.clear();
+  for (std::size_t index = 0; index < 3; ++index) {
+    this->fleet.StartGateway();
+    this->fleet.RunFor(Milliseconds(20));
+    const ReceivedResponse response =
+        this->fleet.Call(*this->fleet.gateways[index], "/app/x", "fatal body");
+    LONGS_EQUAL(503, response.status);
+    CHECK_TRUE(FindHeader(response.headers, "Retry-After").has_value());
+  }
+  this->CheckCrashes("fatal body");
+}
+
+TEST(FatalRequest, InnocentSamplesBesideAFatalOneAreRefused) {
+  // Groups of four prefer one server, so each fatal sample has company.
+  constexpr std::size_t kSamples = 100;
+  BatchJob job = this->fleet.Job("j", kSamples);
+  for (std::size_t index = 0; index < kSamples; ++index) {
+    job.samples[index].group = "g" + std::to_string(index / 4);
+  }
+  for (const std::size_t fatal : {10U, 53U}) {
+    job.samples[fatal].body_base64 =
+        EncodeBase64("fatal " + std::to_string(fatal));
+  }
+  this->fleet.PutJob(job);
+  this->fleet.gateways[0]->runner->SetOwned({0});
+  std::set<std::string> refused;
+  CHECK_TRUE(this->fleet.RunUntil([&] {
+    for (const JobSample& sample : job.samples) {
+      const std::string body = *DecodeBase64(sample.body_base64);
+      const std::string digest =
+          DigestOfRequest("POST", job.host + sample.path, body);
+      if (!body.starts_with("fatal") &&
+          this->fleet.gateways[0]->quarantine.RefusedFor(digest).count() > 0) {
+        refused.insert(sample.id);
+      }
+    }
+    return GatewayFleet::Results(*this->fleet.gateways[0], "j") == kSamples - 2;
+  }));
+  CHECK_TRUE(this->fleet.servers.innocent_losses > 0);
+  LONGS_EQUAL(0, refused.size());
+  this->CheckCrashes("fatal 10");
+  this->CheckCrashes("fatal 53");
+}
+
+TEST(FatalRequest, ACallOnServersThatDiedForOtherReasonsIsRefusedForGood) {
+  this->fleet.servers.duration = Milliseconds(30);
+  GatewayParts& gateway = *this->fleet.gateways[0];
+  // Every server of the service dies under the call, twice.
+  for (int round = 0; round < 2; ++round) {
+    ReceivedResponse received;
+    const auto call =
+        this->fleet.StartCall(gateway, "/app/x", "sound body", received);
+    for (int attempt = 0; attempt < 2; ++attempt) {
+      this->fleet.RunFor(Milliseconds(5));
+      this->fleet.servers.CrashWhere("app-", true);
+    }
+    CHECK_TRUE(this->fleet.RunUntil([&call] { return call->Ended(); }));
+    CHECK_TRUE(received.status >= 500);
+    this->fleet.RunFor(2 * this->fleet.servers.downtime);
+  }
+  this->fleet.RunFor(CrashQuarantineOptions().first_refusal *
+                     CrashQuarantineOptions().refusal_growth / 3);
+  LONGS_EQUAL(200, this->fleet.Call(gateway, "/app/x", "sound body").status);
 }
 
 }  // namespace carobbank
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Services/Gateway/gateway_environment.h"
+#include "Services/Gateway/request_quarantine.h"
 #include "Support/fake_http.h"
 #include "Support/fake_partitioned_log.h"
 #include "Support/loop_runner.h"
@@ -23,6 +24,10 @@
   return {"orders", 0};
 }
 
+inline TopicPartition CrashesPartition() {
+  return {"crashes", 0};
+}
+
 class FakeDialect : public PlatformDialect {
  public:
   const WireHeaderNames& HeaderNames() const override {
@@ -73,6 +78,13 @@
     }
     return text;
   }
+  HttpClientRequest HealthRequest(std::string_view address,
+                                  std::string_view /*server_id*/,
+                                  std::string_view health_path) const override {
+    HttpClientRequest request;
+    request.url = "http://" + std::string(address) + std::string(health_path);
+    return request;
+  }
   HttpClientRequest StatusRequest(const FleetServer& server) const override {
     HttpClientRequest request;
     request.url = "http://" + server.address + "/status";
@@ -127,8 +139,8 @@
     jobs.max_attempts = 3;
     jobs.services = {{"llm", 1}};
     traffic->routes = HostRoutes({plain, once, jobs});
-    traffic->services["llm"] = {"llm", 100, true};
-    traffic->services["app"] = {"app", 100, false};
+    traffic->services["llm"] = {"llm", 100, true, "/health"};
+    traffic->services["app"] = {"app", 100, false, "/health"};
     this->configuration = traffic;
   }
 
@@ -177,9 +189,11 @@
   ServerFleet fleet;
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
-  GatewayEnvironment environment{settings,    dialect, clock,        random,
-                                 runner.loop, client,  log,          metrics,
-                                 fleet,       loads,   configuration};
+  GatewayEnvironment environment{
+      settings, dialect, clock, random, runner.loop, client,
+      log,      metrics, fleet, loads,  quarantine,  configuration};
+  // Not started: shares nothing until a test starts it.
+  RequestQuarantine quarantine{environment, CrashesPartition(), {}};
 };
 
 }  // namespace carobbank
--- /dev/null
+++ b/Tests/Gateway/gateway_fleet.h
@@ -0,0 +1,198 @@
+// Several gateways in one process that share a log and a fleet of fake backend
+// servers, for tests of what they do together.
+
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Services/Gateway/forwarded_call.h"
+#include "Services/Gateway/job_runner.h"
+#include "Support/fake_servers.h"
+#include "gateway_fixture.h"
+
+namespace carobbank {
+
+inline std::string Events(int count) {
+  std::string text;
+  for (int id = 1; id <= count; ++id) {
+    text +=
+        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+  }
+  return text;
+}
+
+// A server's valid response to plain and reward calls, and to samples.
+inline HttpResponse SoundAnswer(const HttpClientRequest& request) {
+  HttpResponse response;
+  response.status = 200;
+  response.headers = {
+      {"Id", std::string(FindHeader(request.headers, "Id").value_or(""))},
+      {"Signed", "signature"},
+      {"Version", "3"}};
+  response.body =
+      request.url.find("/train/") == std::string::npos ? "fine" : Events(2);
+  return response;
+}
+
+inline HttpRequest CallTo(const std::string& target,
+                          const std::string& body,
+                          const std::string& id) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.headers = {
+      {"Host", "app.example"}, {"Id", id}, {"Time-Left", "5000"}};
+  request.body = body;
+  return request;
+}
+
+// One gateway's parts; the log, the loop and the servers are shared.
+struct GatewayParts {
+  GatewayParts(GatewayFixture& fixture,
+               FakeServers& servers,
+               const std::string& name)
+      : settings(fixture.settings),
+        servers(servers),
+        client(servers.Client()),
+        environment{this->settings, fixture.dialect,     fixture.clock,
+                    fixture.random, fixture.runner.loop, *this->client,
+                    fixture.log,    fixture.metrics,     this->fleet,
+                    this->loads,    this->quarantine,    fixture.configuration},
+        quarantine(this->environment,
+                   CrashesPartition(),
+                   {Address("gateway-0"), Address("gateway-1")}) {
+    servers.peers[Address(name)] = [this](const HttpClientRequest& request) {
+      this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
+      return HttpResponse{200, {}, ""};
+    };
+    this->settings.instance = name;
+    this->quarantine.Start();
+    servers.registries[this] = [this](const FleetServer& server) {
+      this->quarantine.OnServerRegistered(server);
+      this->fleet.Put(server);
+    };
+    this->partitions.push_back(std::make_unique<JobPartition>(
+        fixture.runner.loop, fixture.clock, fixture.log, JobsPartition(),
+        1'000'000, [this] { this->runner->Reconcile(0); }));
+    this->runner =
+        std::make_unique<JobRunner>(this->environment, this->partitions,
+                                    JobRunner::OutputTransferCallback());
+    this->partitions[0]->Follow();
+  }
+  ~GatewayParts() {
+    this->servers.registries.erase(this);
+    this->servers.peers.erase(Address(this->settings.instance));
+  }
+  GatewayParts(const GatewayParts&) = delete;
+  GatewayParts& operator=(const GatewayParts&) = delete;
+
+  static std::string Address(const std::string& name) { return name + ":9"; }
+
+  GatewaySettings settings;
+  FakeServers& servers;
+  ServerFleet fleet;
+  BackendLoads loads;
+  std::unique_ptr<HttpClient> client;
+  GatewayEnvironment environment;
+  RequestQuarantine quarantine;
+  std::vector<std::unique_ptr<JobPartition>> partitions;
+  std::unique_ptr<JobRunner> runner;
+};
+
+class GatewayFleet {
+ public:
+  explicit GatewayFleet(std::size_t gateway_count) {
+    this->servers.answer = &SoundAnswer;
+    for (std::size_t index = 0; index < gateway_count; ++index) {
+      this->StartGateway();
+    }
+    constexpr int kServersPerService = 8;
+    for (int index = 0; index < kServersPerService; ++index) {
+      this->AddServer("app-" + std::to_string(index), "app");
+      this->AddServer("llm-" + std::to_string(index), "llm");
+    }
+  }
+
+  GatewayFixture fixture;
+  FakeServers servers{fixture.runner.loop};
+  std::vector<std::unique_ptr<GatewayParts>> gateways;
+
+  GatewayParts& StartGateway() {
+    this->gateways.push_back(std::make_unique<GatewayParts>(
+        this->fixture, this->servers,
+        "gateway-" + std::to_string(this->started++)));
+    GatewayParts& gateway = *this->gateways.back();
+    for (const FleetServer& server : this->servers.Registered()) {
+      gateway.fleet.Put(server);
+    }
+    return gateway;
+  }
+
+  // Starts one client attempt. `received` must outlive the call.
+  std::shared_ptr<ForwardedCall> StartCall(GatewayParts& gateway,
+                                           const std::string& target,
+                                           const std::string& body,
+                                           ReceivedResponse& received) {
+    const HostRoute* const route =
+        this->fixture.configuration->routes.Find("app.example", target);
+    return ForwardedCall::Start(
+        gateway.environment, *route,
+        CallTo(target, body, "r" + std::to_string(++this->requests)),
+        std::make_shared<FakeResponder>(received),
+        [](const std::shared_ptr<ForwardedCall>&) {});
+  }
+  // Runs one client attempt and returns its response.
+  ReceivedResponse Call(GatewayParts& gateway,
+                        const std::string& target,
+                        const std::string& body) {
+    ReceivedResponse received;
+    const auto call = this->StartCall(gateway, target, body, received);
+    this->fixture.runner.RunUntil([&call] { return call->Ended(); });
+    return received;
+  }
+
+  BatchJob Job(const std::string& id, std::size_t samples) const {
+    BatchJob job = MakeJob(id, samples);
+    job.accepted_at = this->fixture.clock.WallNow();
+    job.model = "m";
+    job.min_version = 3;
+    return job;
+  }
+  void PutJob(const BatchJob& job) {
+    std::vector<KeyedRecord> records;
+    for (const KeyedRecord& record : EncodeJob(job, 262'144)) {
+      records.push_back({record.key, record.value});
+    }
+    this->fixture.log.Put(JobsPartition(), records);
+  }
+  static std::size_t Results(const GatewayParts& gateway,
+                             const std::string& job) {
+    const JobState* const state = gateway.partitions[0]->Fold().Find(job);
+    return state == nullptr ? 0 : state->results.size();
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    return this->fixture.runner.RunUntil(condition);
+  }
+  void RunFor(Milliseconds time) { this->fixture.runner.RunFor(time); }
+
+ private:
+  void AddServer(const std::string& id, const std::string& service) {
+    FleetServer server;
+    server.id = id;
+    server.service = service;
+    server.data_center = "here";
+    server.slots = 4;
+    if (service == "llm") {
+      server.models = {{"m", 3}};
+    }
+    this->servers.Add(std::move(server));
+  }
+
+  std::size_t requests = 0;
+  std::size_t started = 0;
+};
+
+}  // namespace carobbank
--- a/Tests/LibRouting/retry_and_quarantine_test.cc
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -141,6 +141,78 @@
   CHECK_TRUE(StatusOf("x") == DigestStatus::kQuarantined);
 }
 
+TEST(CrashQuarantine, BesideOtherWorkTheThirdCrashRefusesForAWhile) {
+  CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
+  const auto crash = [&shared](const char* instance, WallMilliseconds at) {
+    shared.OnCrash({instance, {"x"}, false, 0, false, at});
+  };
+  crash("s1", 100);
+  CHECK_FALSE(shared.IsOnLastChance("x"));
+  crash("s2", 200);
+  CHECK_TRUE(shared.IsOnLastChance("x"));
+  LONGS_EQUAL(0, shared.RefusedFor("x", 200).count());
+  crash("s3", 1'000);
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
+  LONGS_EQUAL(4'000, shared.RefusedFor("x", 1'000).count());
+  LONGS_EQUAL(1, shared.RefusedFor("x", 4'999).count());
+  LONGS_EQUAL(0, shared.RefusedFor("x", 5'000).count());
+  // A crash that was under way, and one of the next run.
+  crash("s3a", 1'001);
+  LONGS_EQUAL(4'000, shared.RefusedFor("x", 1'001).count());
+  crash("s4", 5'001);
+  LONGS_EQUAL(16'000, shared.RefusedFor("x", 5'001).count());
+  // A clock that is behind the reporter's doesn't extend the refusal.
+  LONGS_EQUAL(16'000, shared.RefusedFor("x", 0).count());
+  shared.OnFinished("x");
+  LONGS_EQUAL(0, shared.RefusedFor("x", 5'001).count());
+}
+
+TEST(CrashQuarantine, RefusalsOfADigestThatCrashesOnAndOnGrowToTheLongest) {
+  CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
+  WallMilliseconds now = 0;
+  std::size_t crashes = 0;
+  constexpr WallMilliseconds kDay = 24 * 3'600'000;
+  while (now < kDay) {
+    shared.OnCrash(
+        {"s" + std::to_string(++crashes), {"x"}, false, 0, false, now});
+    now += std::max<WallMilliseconds>(shared.RefusedFor("x", now).count(), 1);
+  }
+  // Three at once, six growing refusals, then one an hour.
+  CHECK_TRUE(crashes <= 33);
+}
+
+TEST(CrashQuarantine, CrashesThatMayHaveOtherCausesWeighLess) {
+  CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
+  // After output, and on one server again and again.
+  for (const char* instance : {"s1", "s2", "s3", "s4", "s5"}) {
+    shared.OnCrash({instance, {"streamed"}, false, 0, true, 0});
+  }
+  CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kSuspect);
+  shared.OnCrash({"s6", {"streamed"}, false, 0, true, 0});
+  CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kQuarantined);
+  for (const WallMilliseconds start : {1, 2, 3, 4}) {
+    shared.OnCrash({"s1", {"same server"}, false, start, false, 0});
+  }
+  CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kSuspect);
+  shared.OnCrash({"s1", {"same server"}, false, 5, false, 0});
+  CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kQuarantined);
+}
+
+TEST(CrashQuarantine, ACrashCountsOnceAndARetractedOneNotAtAll) {
+  CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
+  for (int report = 0; report < 5; ++report) {
+    shared.OnCrash({"s1", {"x"}, false, 7, false, 0});
+  }
+  LONGS_EQUAL(CrashQuarantine::kFullWeight, shared.Suspicion("x"));
+  shared.OnCrash({"s2", {"x"}, false, 7, false, 0});
+  shared.Retract("x", "s2", 7);
+  shared.Retract("x", "s1", 8);
+  LONGS_EQUAL(CrashQuarantine::kFullWeight, shared.Suspicion("x"));
+  shared.Retract("x", "s1", 7);
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kClear);
+  CHECK_TRUE(shared.Empty());
+}
+
 TEST(CrashQuarantine, SuspectsAreBounded) {
   CrashQuarantine small{{.servers_to_quarantine = 2, .max_suspects = 2}};
   small.OnQuarantined("x");
--- /dev/null
+++ b/Tests/LibRouting/server_crash_detector_test.cc
@@ -0,0 +1,100 @@
+// Guards against sound requests that are blamed for a crash that did not
+// happen, and against crashes that nobody counts.
+
+#include "LibRouting/routing.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+TEST_GROUP(ServerCrashDetector) {
+  ServerCrashDetector detector;
+  MonotonicTime now = MonotonicTime(std::chrono::hours(1));
+  WallMilliseconds wall_now = 1'000'000;
+
+  BrokenAttemptVerdict Break(const char* digest, WallMilliseconds start = 7) {
+    return this->detector.OnBroken({"s", start, digest, false}, this->now,
+                                   this->wall_now);
+  }
+  std::size_t Probe(bool reachable, WallMilliseconds start = 7) {
+    return this->detector
+        .OnProbed("s", start, reachable, this->now, this->wall_now)
+        .size();
+  }
+  RegistrationVerdict Register(WallMilliseconds start) {
+    return this->detector.OnRegistered("s", start, this->now, this->wall_now);
+  }
+  void Pass(Milliseconds time) {
+    this->now += time;
+    this->wall_now += time.count();
+  }
+};
+
+TEST(ServerCrashDetector, AnUnreachableServerCrashedUnderAllItsBrokenAttempts) {
+  CHECK_TRUE(Break("a").must_probe);
+  CHECK_FALSE(Break("b").must_probe);
+  const auto crashes = detector.OnProbed("s", 7, false, now, wall_now);
+  LONGS_EQUAL(2, crashes.size());
+  STRCMP_EQUAL("s", crashes[0].instance.c_str());
+  LONGS_EQUAL(7, crashes[0].started_at);
+  STRCMP_EQUAL("b", crashes[1].digests.front().c_str());
+  // An attempt that times out later broke off in the same crash.
+  Pass(Milliseconds(3'000));
+  const BrokenAttemptVerdict late = Break("c");
+  CHECK_FALSE(late.must_probe);
+  LONGS_EQUAL(1, late.crashes.size());
+}
+
+TEST(ServerCrashDetector, AReachableServerDidNotCrash) {
+  Break("a");
+  LONGS_EQUAL(0, Probe(true));
+  Pass(Milliseconds(10));
+  CHECK_TRUE(Break("b").must_probe);
+  // The later crash is not attributed to the earlier attempt.
+  LONGS_EQUAL(1, Probe(false));
+}
+
+TEST(ServerCrashDetector, AServerThatWasReachableAsItsNextStartCrashed) {
+  Break("a");
+  LONGS_EQUAL(0, Probe(true));
+  Pass(Milliseconds(1'500));
+  LONGS_EQUAL(1, Register(8).crashes.size());
+  LONGS_EQUAL(0, Register(8).crashes.size());
+  // Much later the restart has another cause.
+  Break("b", 8);
+  LONGS_EQUAL(0, Probe(true, 8));
+  Pass(ServerCrashDetector::kEntryDelay + Milliseconds(1));
+  LONGS_EQUAL(0, Register(9).crashes.size());
+}
+
+TEST(ServerCrashDetector, EntriesOfTheSameStartLongAfterwardsRetractTheCrash) {
+  Break("a");
+  LONGS_EQUAL(1, Probe(false));
+  Pass(Milliseconds(1'000));
+  LONGS_EQUAL(0, Register(7).retracted.size());
+  Pass(ServerCrashDetector::kLatestOldEntry);
+  // A single entry may be stale.
+  LONGS_EQUAL(0, Register(7).retracted.size());
+  LONGS_EQUAL(1, Register(7).retracted.size());
+  LONGS_EQUAL(0, Register(7).retracted.size());
+}
+
+TEST(ServerCrashDetector, EntriesOfTheNextStartDontRetractTheCrash) {
+  Break("a");
+  LONGS_EQUAL(1, Probe(false));
+  Pass(ServerCrashDetector::kLatestOldEntry);
+  LONGS_EQUAL(0, Register(8).retracted.size());
+  LONGS_EQUAL(0, Register(8).retracted.size());
+}
+
+TEST(ServerCrashDetector, IncidentsExpire) {
+  Break("a");
+  LONGS_EQUAL(1, Probe(false));
+  Pass(ServerCrashDetector::kRetention + Milliseconds(1));
+  detector.RemoveExpired(now);
+  CHECK_TRUE(Break("b").must_probe);
+}
+
+}  // namespace carobbank
--- a/Tests/Support/fake_http.h
+++ b/Tests/Support/fake_http.h
@@ -30,18 +30,24 @@
 
   // Returns the response to a request.
   std::function<ScriptedResponse(const HttpClientRequest&)> answer;
-  // All requests, oldest first.
+  // All requests but probes, oldest first.
   std::vector<HttpClientRequest> seen;
+  // Requests for this path are probes: they get an empty response, or no
+  // connection.
+  std::string probe_path = "/health";
+  bool probes_reach_servers = true;
+  std::vector<HttpClientRequest> probes;
 
   std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
                                       HttpClientHandlers handlers) override {
-    this->seen.push_back(request);
+    const bool is_probe = request.url.ends_with(this->probe_path);
+    (is_probe ? this->probes : this->seen).push_back(request);
     auto alive = std::make_shared<bool>(true);
-    this->loop.Post([response = this->answer(request),
-                     handlers = std::move(handlers),
-                     alive = std::weak_ptr<bool>(alive)] {
-      Play(response, handlers, alive);
-    });
+    this->loop.Post(
+        [response = is_probe ? this->AnswerToProbe() : this->answer(request),
+         handlers = std::move(handlers), alive = std::weak_ptr<bool>(alive)] {
+          Play(response, handlers, alive);
+        });
     return std::make_unique<Exchange>(std::move(alive));
   }
 
@@ -56,6 +62,14 @@
     std::shared_ptr<bool> alive;
   };
 
+  ScriptedResponse AnswerToProbe() const {
+    ScriptedResponse response;
+    response.ending = this->probes_reach_servers
+                          ? ScriptedResponse::Ending::kComplete
+                          : ScriptedResponse::Ending::kNotSent;
+    return response;
+  }
+
   static void Play(const ScriptedResponse& response,
                    const HttpClientHandlers& handlers,
                    const std::weak_ptr<bool>& alive) {
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,7 +46,7 @@
 
   void Append(const TopicPartition& partition,
               const std::vector<KeyedRecord>& records,
-              std::uint64_t expected_end,
+              std::optional<std::uint64_t> expected_end,
               AppendCallback callback) override {
     ++this->appends;
     AppendOutcome outcome;
@@ -171,7 +172,7 @@
   struct LateAppend {
     TopicPartition partition;
     std::vector<KeyedRecord> records;
-    std::uint64_t expected_end = 0;
+    std::optional<std::uint64_t> expected_end;
   };
 
   static bool ConsumeFault(std::size_t& count) {
@@ -195,16 +196,16 @@
 
   AppendOutcome Store(const TopicPartition& partition,
                       const std::vector<KeyedRecord>& records,
-                      std::uint64_t expected_end) {
+                      std::optional<std::uint64_t> expected_end) {
     std::vector<KeyedLogRecord>& stored = this->partitions[partition];
     AppendOutcome outcome;
-    if (stored.size() != expected_end) {
+    if (expected_end && stored.size() != *expected_end) {
       outcome.status = AppendStatus::kConflict;
       outcome.end = stored.size();
       return outcome;
     }
     outcome.status = AppendStatus::kAppended;
-    outcome.offset = expected_end;
+    outcome.offset = stored.size();
     for (const KeyedRecord& record : records) {
       stored.push_back({stored.size(), record});
     }
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -17,6 +18,12 @@
 
 namespace carobbank {
 
+// A server that crashed when it began to run a fatal request.
+struct FatalCrash {
+  std::string server_id;
+  std::string body;
+};
+
 class FakeServers {
  public:
   explicit FakeServers(EventLoop& loop) : loop(loop) {}
@@ -30,10 +37,10 @@
   Milliseconds duration{10};
   // Time from a crash until the server accepts connections again.
   Milliseconds downtime{60};
-  // Views of the registry that show each start of a server at once.
-  std::vector<ServerFleet*> fleets;
-  // Ids of the servers that fatal requests crashed, in order.
-  std::vector<std::string> fatal_crashes;
+  // Called with each start of a server; by owner.
+  std::map<const void*, std::function<void(const FleetServer&)>> registries;
+  // In order of time.
+  std::vector<FatalCrash> fatal_crashes;
   // Number of requests that broke off at a server without being fatal.
   std::size_t innocent_losses = 0;
 
@@ -65,6 +72,38 @@
     });
   }
 
+  // Crashes the servers whose ids have the prefix; with `busy` only those that
+  // run a request.
+  void CrashWhere(std::string_view prefix, bool busy) {
+    std::vector<std::string> ids;
+    for (Server& server : this->servers) {
+      std::erase_if(server.runs, [](const auto& run) { return run.expired(); });
+      const bool runs_requests = !server.runs.empty();
+      if (server.up && server.registered.id.starts_with(prefix) &&
+          (runs_requests || !busy)) {
+        ids.push_back(server.registered.id);
+      }
+    }
+    for (const std::string& id : ids) {
+      this->Crash(id);
+    }
+  }
+
+  // The servers' current registrations.
+  std::vector<FleetServer> Registered() const {
+    std::vector<FleetServer> registered;
+    for (const Server& server : this->servers) {
+      registered.push_back(server.registered);
+    }
+    return registered;
+  }
+
+  // Responds to the requests that gateways send each other, by address.
+  std::map<std::string,
+           std::function<HttpResponse(const HttpClientRequest&)>,
+           std::less<>>
+      peers;
+
   // The client of one gateway.
   std::unique_ptr<HttpClient> Client() {
     return std::make_unique<ServerClient>(*this);
@@ -117,14 +156,19 @@
   }
 
   void Register(const Server& server) {
-    for (ServerFleet* const fleet : this->fleets) {
-      fleet->Put(server.registered);
+    for (const auto& [owner, put] : this->registries) {
+      put(server.registered);
     }
   }
 
   void Begin(const std::shared_ptr<Run>& run) {
     const std::string_view rest =
         std::string_view(run->request.url).substr(sizeof("http://") - 1);
+    const auto peer = this->peers.find(rest.substr(0, rest.find('/')));
+    if (peer != this->peers.end()) {
+      Deliver(peer->second(run->request), run->handlers);
+      return;
+    }
     Server* const server = this->Find(rest.substr(0, rest.find(':')));
     if (server == nullptr || !server->up) {
       this->Fail(run, SendState::kNotSent, "connection refused");
@@ -132,7 +176,7 @@
     }
     server->runs.push_back(run);
     if (run->request.body.find(this->fatal_text) != std::string::npos) {
-      this->fatal_crashes.push_back(server->registered.id);
+      this->fatal_crashes.push_back({server->registered.id, run->request.body});
       this->Crash(server->registered.id);
       return;
     }
@@ -154,9 +198,12 @@
     if (!running) {
       return;
     }
-    const HttpResponse response = this->answer(run->request);
-    // The handlers may destroy the exchange.
-    const HttpClientHandlers handlers = run->handlers;
+    Deliver(this->answer(run->request), run->handlers);
+  }
+
+  // The handlers are copied because they may destroy the exchange.
+  static void Deliver(const HttpResponse& response,
+                      HttpClientHandlers handlers) {
     handlers.on_headers(response.status, response.headers);
     handlers.on_body(response.body);
     handlers.on_done();
