Gateway: Send a suspect to one server until it is known whether it crashed

What callers saw: after the end of a refusal, a call that crashes servers was sent to two of them at once, so each probation cost two servers.

Cause: ForwardedCall retries at once when an attempt breaks off, but the probe that tells a crash from a reset takes up to 400 ms.

Change: an attempt of a suspect that broke off is followed by another only after kVerdictTime (500 ms), for calls, samples and reward calls alike; other requests are retried as before.

Evidence: ACallWhoseRefusalEndedIsSentToSeveralServersAtOnce failed before (6 crashes, 5 expected).

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -219,12 +219,26 @@
   if (!this->calls.empty()) {
     return;
   }
-  if (this->MayRunAgain()) {
-    this->StartAttempt();
+  if (!this->MayRunAgain()) {
+    this->Finish(
+        MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
     return;
   }
-  this->Finish(
-      MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
+  if (this->environment.quarantine.IsSuspect(this->request.digest)) {
+    this->StartAttemptAfter(RequestQuarantine::kVerdictTime);
+  } else {
+    this->StartAttempt();
+  }
+}
+
+void ForwardedCall::StartAttemptAfter(Milliseconds delay) {
+  this->retry_timer =
+      this->environment.loop.CallAfter(delay, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->calls.empty()) {
+          self->StartAttempt();
+        }
+      });
 }
 
 void ForwardedCall::OnNotRun(const BackendCallResult& result) {
@@ -252,14 +266,8 @@
     }
     return;
   }
-  this->retry_timer = this->environment.loop.CallAfter(
-      kRefusalBackoff * this->refused_rounds, [weak = this->weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && self->calls.empty()) {
-          self->excluded.clear();
-          self->StartAttempt();
-        }
-      });
+  this->excluded.clear();
+  this->StartAttemptAfter(kRefusalBackoff * this->refused_rounds);
 }
 
 void ForwardedCall::OnDeadline() {
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -35,6 +35,7 @@
   Milliseconds TimeLeft() const;
   bool MayRunAgain() const;
   void StartAttempt();
+  void StartAttemptAfter(Milliseconds delay);
   const FleetServer* ChooseServer(bool allow_backoff);
   void OnCallDone(const std::string& server_id, BackendCallResult result);
   void RefuseQuarantined(Milliseconds refused_for);
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -51,6 +51,7 @@
  private:
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
+  static constexpr Milliseconds kFailureBackoff{30};
   // A quarantined sample is checked this often, because the quarantine may end
   // early.
   static constexpr Milliseconds kQuarantineCheckPeriod{1'000};
@@ -164,6 +165,8 @@
   // No server was found for a suspect: delays the suspect, so that other
   // samples don't wait for it. False for any other digest.
   bool DelaySuspect(Progress& progress, std::string_view digest) const;
+  // Delay of the next attempt after one that may have run and broke off.
+  Milliseconds BackoffAfterBreak(std::string_view digest) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool AppendEvent(ActiveJob& job,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -24,7 +24,6 @@
 // Requests beyond the slots wait in the server's queue and are lost if the
 // server fails.
 constexpr double kMaxSamplesPerSlot = 1.0;
-constexpr Milliseconds kFailureBackoff{30};
 constexpr std::string_view kMethod = "POST";
 // Bound of the samples of one job that are moved at once, so that they don't
 // all go to the same server.
@@ -134,6 +133,12 @@
   return true;
 }
 
+Milliseconds JobRunner::BackoffAfterBreak(std::string_view digest) const {
+  return this->environment.quarantine.IsSuspect(digest)
+             ? RequestQuarantine::kVerdictTime
+             : kFailureBackoff;
+}
+
 bool JobRunner::DelaySuspect(Progress& progress,
                              std::string_view digest) const {
   if (!this->environment.quarantine.IsSuspect(digest)) {
@@ -300,7 +305,7 @@
       }
       [[fallthrough]];
     case SampleStreamOutcome::kBroken:
-      progress.not_before = now + kFailureBackoff;
+      progress.not_before = now + this->BackoffAfterBreak(digest);
       break;
     case SampleStreamOutcome::kNotRun:
       progress.not_before = now + kRefusalBackoff;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -116,7 +116,11 @@
   }
   progress.stage = Stage::kWaitingForScore;
   ++job.waiting_for_score;
-  progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
+  const bool broke_off = result.outcome == BackendCallOutcome::kMayHaveRun;
+  progress.not_before =
+      this->environment.clock.Now() +
+      (broke_off ? this->BackoffAfterBreak(progress.reward_digest)
+                 : kRefusalBackoff);
   progress.excluded.Add(server_id);
 }
 
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -21,6 +21,7 @@
 constexpr Milliseconds kSilentAttempt{1'000};
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
+static_assert(kProbeTimeout < RequestQuarantine::kVerdictTime);
 // Longer than the longest refusal, so that a digest whose refusal ends still
 // has its crashes.
 constexpr Milliseconds kCrashRetention{2 * 3'600'000};
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -57,6 +57,10 @@
   // ChooseBackend(), with suspects kept apart from each other.
   const FleetServer* Choose(const BackendQuery& query,
                             std::string_view digest) const;
+  // Time from a broken attempt until it is known whether its server crashed. A
+  // suspect is not sent again before.
+  static constexpr Milliseconds kVerdictTime{500};
+
   // Counts a refusal, which the caller sends.
   void CountRefusal(std::string_view service, bool may_have_run);
 
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -51,6 +51,19 @@
   this->CheckCrashes("fatal body");
 }
 
+TEST(FatalRequest, ACallWhoseRefusalEndedIsSentToSeveralServersAtOnce) {
+  GatewayParts& gateway = *this->fleet.gateways[0];
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    this->fleet.Call(gateway, "/app/x", "fatal body");
+  }
+  const std::size_t crashes = this->fleet.servers.fatal_crashes.size();
+  this->fleet.RunFor(CrashQuarantineOptions().first_refusal +
+                     Milliseconds(100));
+  LONGS_EQUAL(502, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+  LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+  LONGS_EQUAL(crashes + 1, this->fleet.servers.fatal_crashes.size());
+}
+
 TEST(FatalRequest, AStreamThatCrashedThreeServersIsSentToMore) {
   this->RepeatCall("/once/x");
   this->CheckCrashes("fatal body");
