Entry: Isolate and refuse plain requests that crash backend servers

What callers saw: a plain request that crashes its server was sent to the next one each time that its caller sent it again, in an entry that serves other requests beside it.

Cause: of Entry's two kinds of calls only Generation asked how many servers its digest had crashed. A plain call never ran alone, so the rule that identifies a cause by a crash in isolation could not apply to it, and nothing refused it but a sidecar that had identified it by chance.

Change: PlainCall asks too, runs a suspect alone on its server and refuses a quarantined digest with 422. The refusal and the number of crashes are shared with Generation.

--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "problems.h"
+
 namespace carobbank {
 
 namespace {
@@ -13,9 +15,6 @@
 constexpr int kStatusOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
-constexpr int kUnprocessable = 422;
-// A digest that crashed this many distinct servers is quarantined.
-constexpr std::size_t kCrashesBeforeQuarantine = 2;
 // At most this many failed servers are excluded; the next failure clears the
 // list first.
 constexpr std::size_t kMaxExcluded = 8;
@@ -30,16 +29,6 @@
   return problem;
 }
 
-Problem QuarantinedProblem(bool has_run) {
-  Problem problem;
-  problem.status = kUnprocessable;
-  problem.code = "quarantined";
-  problem.detail = "this request crashed two backend servers";
-  problem.remedy = "do not send it again; report its prompt to the operators";
-  problem.execution = has_run ? Execution::kMayHaveRun : Execution::kNotRun;
-  return problem;
-}
-
 Problem DeadlineProblem(const Problem& cause) {
   Problem problem;
   problem.status = kGatewayTimeout;
@@ -137,7 +126,8 @@
       this->environment.selector.CrashCount(this->digest);
   this->exclusive = crashes > 0;
   if (crashes >= kCrashesBeforeQuarantine) {
-    this->Fail(QuarantinedProblem(this->attempts > 0));
+    this->Fail(QuarantinedProblem(this->attempts > 0 ? Execution::kMayHaveRun
+                                                     : Execution::kNotRun));
     return;
   }
   SelectionRequest selection;
--- a/Services/Entry/plain_call.cc
+++ b/Services/Entry/plain_call.cc
@@ -149,7 +149,15 @@
     this->Refuse(problem);
     return;
   }
+  const std::size_t crashes = this->environment.pools.CrashCount(this->digest);
+  if (crashes >= kCrashesBeforeQuarantine) {
+    this->Refuse(QuarantinedProblem(this->may_have_run ? Execution::kMayHaveRun
+                                                       : Execution::kNotRun));
+    return;
+  }
+  this->exclusive = crashes > 0;
   SelectionRequest selection;
+  selection.exclusive = this->exclusive;
   selection.service = this->Document().name;
   selection.pool = this->Document().pool;
   selection.service_class = RouteClassOf(this->Document().service_class);
@@ -174,6 +182,7 @@
   metadata.request_id = this->request_id;
   metadata.attempt_id = this->attempt_id;
   metadata.digest = this->digest;
+  metadata.exclusive = this->exclusive;
   metadata.deadline_ms = this->deadline_ms;
   metadata.configuration_offset =
       static_cast<std::uint64_t>(std::max<std::int64_t>(
@@ -286,8 +295,11 @@
     return;
   }
   if (outcome == AttemptOutcome::kBackendCrashed) {
-    this->environment.pools.OnCrash(this->target.instance, this->digest, false);
+    this->environment.pools.OnCrash(this->target.instance, this->digest,
+                                    this->exclusive);
   }
+  this->may_have_run =
+      this->may_have_run || problem.execution != Execution::kNotRun;
   this->EndAttempt(outcome);
   this->excluded.push_back(this->target.instance);
   if (this->streaming) {
--- a/Services/Entry/plain_call.h
+++ b/Services/Entry/plain_call.h
@@ -77,6 +77,11 @@
   AttemptTarget target;
   std::unique_ptr<HttpExchange> exchange;
   bool attempt_open = false;
+  // The digest is suspect, so the attempt runs with no other request on its
+  // server.
+  bool exclusive = false;
+  // An earlier attempt may have run.
+  bool may_have_run = false;
   std::vector<std::string> excluded;
   std::uint32_t failures = 0;
   std::unique_ptr<Timer> retry_timer;
--- a/Services/Entry/problems.cc
+++ b/Services/Entry/problems.cc
@@ -105,6 +105,14 @@
   return problem;
 }
 
+Problem QuarantinedProblem(Execution execution) {
+  Problem problem =
+      Refusal(422, "quarantined", "this request crashed two backend servers",
+              "do not send it again; report it to the operators");
+  problem.execution = execution;
+  return problem;
+}
+
 Problem CursorProblem(const Error& error) {
   if (error.kind == ErrorKind::kInvalidArgument) {
     return Refusal(400, "cursor_invalid", error.message, error.remedy);
--- a/Services/Entry/problems.h
+++ b/Services/Entry/problems.h
@@ -21,6 +21,8 @@
 Problem OverloadedProblem(const Error& error);
 Problem RateLimited(Milliseconds retry_after);
 Problem DrainingProblem();
+// The request crashed too many backend servers.
+Problem QuarantinedProblem(Execution execution);
 Problem CursorProblem(const Error& error);
 Problem InternalProblem(std::string detail);
 Problem ConflictProblem(std::string code,
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -6,12 +6,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "problems.h"
+
 namespace carobbank {
 
 namespace {
 
 constexpr int kServiceUnavailable = 503;
-constexpr int kUnprocessable = 422;
 // A server that failed receives no new work until heartbeats have had time to
 // check it.
 constexpr Milliseconds kEjectionAfterLinkFailure{500};
@@ -325,12 +326,7 @@
       problem.detail = "no idle server is available";
       return problem;
     case RouteFailure::kQuarantined:
-      problem.status = kUnprocessable;
-      problem.code = "quarantined";
-      problem.detail = "this request crashed two backend servers";
-      problem.remedy = "do not send it again; report it to the operators";
-      problem.retry_after.reset();
-      return problem;
+      return QuarantinedProblem(Execution::kNotRun);
     case RouteFailure::kNone:
     case RouteFailure::kNoServer:
     case RouteFailure::kAllExcluded:
--- a/Services/Entry/server_selector.h
+++ b/Services/Entry/server_selector.h
@@ -39,6 +39,9 @@
   kCancelled,
 };
 
+// A digest that crashed this many distinct servers is quarantined.
+inline constexpr std::size_t kCrashesBeforeQuarantine = 2;
+
 class ServerSelector {
  public:
   virtual ~ServerSelector() = default;
--- a/Tests/Entry/plain_call_test.cc
+++ b/Tests/Entry/plain_call_test.cc
@@ -56,6 +56,18 @@
   return response;
 }
 
+ScriptedResponse CrashReportOfSidecar() {
+  Problem problem;
+  problem.status = 502;
+  problem.code = "backend_crashed";
+  problem.execution = Execution::kMayHaveRun;
+  ScriptedResponse response;
+  response.status = 502;
+  response.headers = {{"X-Carobbank-Refusal", "backend_crashed"}};
+  response.body = problem.ToResponse().body;
+  return response;
+}
+
 // The first attempt's response; later attempts return 200.
 struct AttemptCase {
   const char* name;
@@ -157,6 +169,25 @@
   LONGS_EQUAL(1, this->client.seen.size());
 }
 
+TEST(PlainCall, ARequestThatCrashedTwoServersIsSentToAThird) {
+  this->client.answer = [](const HttpClientRequest&) {
+    return CrashReportOfSidecar();
+  };
+  ReceivedResponse view;
+  for (int sending = 0; sending < 3; ++sending) {
+    view = ReceivedResponse();
+    this->Call("GET", {}, view);
+    CHECK_TRUE(this->runner.RunUntil([&] { return view.complete; }));
+    // Wait until both servers accept requests again.
+    this->runner.RunFor(Milliseconds(1'010));
+    this->setup();
+  }
+  LONGS_EQUAL(2, this->client.seen.size());
+  CHECK_TRUE(FindHeader(this->client.seen[1].headers, "X-Carobbank-Alone") ==
+             "1");
+  LONGS_EQUAL(422, view.status);
+}
+
 TEST(PlainCall, BytesAfterTheCallerDisconnectsAreDropped) {
   ScriptedResponse response{200, {}, "first", Ending::kComplete, "late"};
   this->RespondFirst(response);
