Gateway: Tell gateways that start without the log of all crashes

What callers saw: a gateway that started while the log was away sent a request that the others refused as quarantined.

Cause: peers told it only the crashes that the log had not confirmed; the confirmed ones it would have read from the log.

Change: a peer's state holds all known crashes beside the unconfirmed ones; the known ones are applied and not appended again.

Evidence: AGatewayThatStartsWhileTheLogIsAwaySendsAQuarantinedCall, 502 instead of 503 without the change. The test's gateways now poll their peers as the program does.

--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/crash_log.cc
@@ -154,11 +154,13 @@
   }
 }
 
+KeyedRecord CrashLog::EncodeCrash(const CrashReport& report) {
+  return {EncodeKey(report.digests.front(), report.instance, report.started_at),
+          EncodeValue(report)};
+}
+
 void CrashLog::Record(const CrashReport& report) {
-  this->Put(
-      {EncodeKey(report.digests.front(), report.instance, report.started_at),
-       EncodeValue(report)},
-      Milliseconds(0));
+  this->Put(EncodeCrash(report), Milliseconds(0));
 }
 
 void CrashLog::Retract(std::string_view digest,
@@ -259,6 +261,14 @@
   this->ScheduleFlush(kRetractionDelay);
 }
 
+void CrashLog::ApplyConfirmed(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    if (!this->unconfirmed.contains(record.key)) {
+      this->ApplyRecord(record);
+    }
+  }
+}
+
 void CrashLog::SendToPeers() {
   std::vector<KeyedRecord> records;
   for (const auto& [key, value] : this->unconfirmed) {
--- a/Services/Gateway/crash_log.h
+++ b/Services/Gateway/crash_log.h
@@ -47,9 +47,13 @@
 
   // Records that the log has not confirmed yet, for peers.
   std::vector<KeyedRecord> Unconfirmed() const;
-  // Applies records of a peer and appends them too, because the peer may be
-  // lost before the log is reachable.
+  // Applies unconfirmed records of a peer and appends them too, because the
+  // peer may be lost before the log is reachable.
   void ReceiveFromPeer(const std::vector<KeyedRecord>& records);
+  // Applies records that a peer has read from the log.
+  void ApplyConfirmed(const std::vector<KeyedRecord>& records);
+
+  static KeyedRecord EncodeCrash(const CrashReport& report);
 
   // Path of a peer's records, sent with POST.
   static constexpr std::string_view kPath = "/peer/crashes";
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -447,8 +447,9 @@
       this->runner.SetOwned({});
     }
   };
-  handlers.on_crashes = [this](const std::vector<KeyedRecord>& records) {
-    this->quarantine.Log().ReceiveFromPeer(records);
+  handlers.on_crashes = [this](const PeerState& state) {
+    this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_crashes);
+    this->quarantine.Log().ApplyConfirmed(state.known_crashes);
   };
   handlers.wants_records = [this] { return !this->configuration; };
   handlers.on_records = [this](const PeerState& state) {
@@ -487,7 +488,8 @@
   state.reaches_log =
       this->operator_follower.Reachable() &&
       this->operator_follower.LastReadWithin(PeerState::kFreshness);
-  state.crash_records = this->quarantine.Log().Unconfirmed();
+  state.known_crashes = this->quarantine.KnownCrashes();
+  state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
   if (request.Query("records")) {
     for (const auto& [key, record] : this->operator_records) {
       state.operator_records.push_back(record);
--- a/Services/Gateway/peer_state_poller.cc
+++ b/Services/Gateway/peer_state_poller.cc
@@ -54,7 +54,8 @@
   value["reaches_log"] = state.reaches_log;
   value["operator"] = EncodeRecords(state.operator_records);
   value["servers"] = EncodeRecords(state.server_records);
-  value["crashes"] = CrashLog::ToJson(state.crash_records);
+  value["crashes"] = CrashLog::ToJson(state.known_crashes);
+  value["unconfirmed_crashes"] = CrashLog::ToJson(state.unconfirmed_crashes);
   return WriteJson(value);
 }
 
@@ -67,7 +68,9 @@
   state.reaches_log = (*body)["reaches_log"].asBool();
   state.operator_records = DecodeRecords((*body)["operator"]);
   state.server_records = DecodeRecords((*body)["servers"]);
-  state.crash_records = CrashLog::FromJson((*body)["crashes"]);
+  state.known_crashes = CrashLog::FromJson((*body)["crashes"]);
+  state.unconfirmed_crashes =
+      CrashLog::FromJson((*body)["unconfirmed_crashes"]);
   return state;
 }
 
@@ -136,8 +139,8 @@
           successful ? DecodePeerState(outcome.Value().body) : std::nullopt) {
     ++this->responses;
     this->peer_reaches_log = this->peer_reaches_log || state->reaches_log;
-    if (!state->crash_records.empty() && this->handlers.on_crashes) {
-      this->handlers.on_crashes(state->crash_records);
+    if (this->handlers.on_crashes) {
+      this->handlers.on_crashes(*state);
     }
     if (!state->operator_records.empty() && this->handlers.wants_records()) {
       this->handlers.on_records(*state);
--- a/Services/Gateway/peer_state_poller.h
+++ b/Services/Gateway/peer_state_poller.h
@@ -22,8 +22,9 @@
   // or when the peer has none.
   std::vector<KeyedLogRecord> operator_records;
   std::vector<KeyedLogRecord> server_records;
-  // Crashes that the log has not confirmed yet.
-  std::vector<KeyedRecord> crash_records;
+  // All known crashes, and those that the log has not confirmed yet.
+  std::vector<KeyedRecord> known_crashes;
+  std::vector<KeyedRecord> unconfirmed_crashes;
 
   // A waiting read and its response take up to two seconds.
   static constexpr Milliseconds kFreshness{2'500};
@@ -40,8 +41,8 @@
   // Receives a peer's records, requested while `wants_records` returns true.
   std::function<void(const PeerState&)> on_records;
   std::function<bool()> wants_records;
-  // Receives a peer's unconfirmed crashes; may be empty.
-  std::function<void(const std::vector<KeyedRecord>&)> on_crashes;
+  // Receives a peer's crashes; may be empty.
+  std::function<void(const PeerState&)> on_crashes;
 };
 
 class PeerStatePoller {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -22,6 +22,7 @@
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
 static_assert(kProbeTimeout < RequestQuarantine::kVerdictTime);
+
 // Longer than the longest refusal, so that a digest whose refusal ends still
 // has its crashes.
 constexpr Milliseconds kCrashRetention{2 * 3'600'000};
@@ -293,6 +294,21 @@
   }
 }
 
+std::vector<KeyedRecord> RequestQuarantine::KnownCrashes() const {
+  std::vector<KeyedRecord> records;
+  for (const std::string& digest : this->quarantine.Tracked()) {
+    for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
+      records.push_back(CrashLog::EncodeCrash({crash.instance,
+                                               {digest},
+                                               false,
+                                               crash.started_at,
+                                               crash.had_output,
+                                               crash.at}));
+    }
+  }
+  return records;
+}
+
 void RequestQuarantine::UpdateGauge() {
   this->environment.metrics.GetGauge(metrics::kQuarantined)
       .Set(static_cast<double>(this->quarantine.Quarantined().size()));
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -68,6 +68,8 @@
   void RemoveOldCrashes();
 
   CrashLog& Log() { return this->log; }
+  // All crashes counted against digests, as records for peers.
+  std::vector<KeyedRecord> KnownCrashes() const;
 
  private:
   CrashLogHandlers LogHandlers();
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -33,6 +33,11 @@
     }
   }
 
+  void WaitForEndOfRefusal() {
+    this->fleet.RunFor(CrashQuarantineOptions().first_refusal +
+                       Milliseconds(100));
+  }
+
   void CheckCrashes(const std::string& body) {
     std::size_t count = 0;
     std::string text = "crashed servers:";
@@ -57,8 +62,7 @@
     this->fleet.Call(gateway, "/app/x", "fatal body");
   }
   const std::size_t crashes = this->fleet.servers.fatal_crashes.size();
-  this->fleet.RunFor(CrashQuarantineOptions().first_refusal +
-                     Milliseconds(100));
+  this->WaitForEndOfRefusal();
   LONGS_EQUAL(502, this->fleet.Call(gateway, "/app/x", "fatal body").status);
   LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
   LONGS_EQUAL(crashes + 1, this->fleet.servers.fatal_crashes.size());
@@ -139,6 +143,19 @@
   this->CheckCrashes("fatal body");
 }
 
+TEST(FatalRequest, AGatewayThatStartsWhileTheLogIsAwaySendsAQuarantinedCall) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    this->fleet.Call(*this->fleet.gateways[0], "/app/x", "fatal body");
+  }
+  const std::size_t crashes = this->fleet.servers.fatal_crashes.size();
+  this->fleet.fixture.log.faults.outage = true;
+  this->fleet.fixture.log.FailWaitingReads();
+  GatewayParts& gateway = this->fleet.RestartGateway(2);
+  this->fleet.RunFor(Milliseconds(700));
+  LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+  LONGS_EQUAL(crashes, this->fleet.servers.fatal_crashes.size());
+}
+
 TEST(FatalRequest, InnocentSamplesBesideAFatalOneAreRefused) {
   // Groups of four prefer one server, so each fatal sample has company.
   constexpr std::size_t kSamples = 100;
@@ -174,21 +191,21 @@
 TEST(FatalRequest, ACallOnServersThatDiedForOtherReasonsIsRefusedForGood) {
   this->fleet.servers.duration = Milliseconds(30);
   GatewayParts& gateway = *this->fleet.gateways[0];
-  // Every server of the service dies under the call, twice.
-  for (int round = 0; round < 2; ++round) {
+  constexpr std::size_t kOtherCrashes = 3;
+  std::size_t& losses = this->fleet.servers.innocent_losses;
+  while (losses < kOtherCrashes) {
     ReceivedResponse received;
     const auto call =
         this->fleet.StartCall(gateway, "/app/x", "sound body", received);
-    for (int attempt = 0; attempt < 2; ++attempt) {
-      this->fleet.RunFor(Milliseconds(5));
-      this->fleet.servers.CrashWhere("app-", true);
-    }
-    CHECK_TRUE(this->fleet.RunUntil([&call] { return call->Ended(); }));
-    CHECK_TRUE(received.status >= 500);
-    this->fleet.RunFor(2 * this->fleet.servers.downtime);
+    CHECK_TRUE(this->fleet.RunUntil([&] {
+      if (losses < kOtherCrashes) {
+        this->fleet.servers.CrashWhere("app-", true);
+      }
+      return call->Ended();
+    }));
   }
-  this->fleet.RunFor(CrashQuarantineOptions().first_refusal *
-                     CrashQuarantineOptions().refusal_growth / 3);
+  LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "sound body").status);
+  this->WaitForEndOfRefusal();
   LONGS_EQUAL(200, this->fleet.Call(gateway, "/app/x", "sound body").status);
 }
 
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -9,6 +9,7 @@
 
 #include "Services/Gateway/forwarded_call.h"
 #include "Services/Gateway/job_runner.h"
+#include "Services/Gateway/peer_state_poller.h"
 #include "Support/fake_servers.h"
 #include "gateway_fixture.h"
 
@@ -53,22 +54,24 @@
   GatewayParts(GatewayFixture& fixture,
                FakeServers& servers,
                const std::string& name)
-      : settings(fixture.settings),
+      : settings(SettingsOf(fixture, name)),
         servers(servers),
-        client(servers.Client()),
+        client(servers.Client(name)),
         environment{this->settings, fixture.dialect,     fixture.clock,
                     fixture.random, fixture.runner.loop, *this->client,
                     fixture.log,    fixture.metrics,     this->fleet,
                     this->loads,    this->quarantine,    fixture.configuration},
-        quarantine(this->environment,
-                   CrashesPartition(),
-                   {Address("gateway-0"), Address("gateway-1")}) {
+        quarantine(this->environment, CrashesPartition(), OtherPeers(name)),
+        peer_poller(this->environment, OtherPeers(name), this->PeerHandlers()),
+        operator_follower(fixture.runner.loop,
+                          fixture.clock,
+                          fixture.log,
+                          fixture.dialect.OperatorPartition(),
+                          {},
+                          this->OperatorHandlers()) {
     servers.peers[Address(name)] = [this](const HttpClientRequest& request) {
-      this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
-      return HttpResponse{200, {}, ""};
+      return this->HandlePeer(request);
     };
-    this->settings.instance = name;
-    this->quarantine.Start();
     servers.registries[this] = [this](const FleetServer& server) {
       this->quarantine.OnServerRegistered(server);
       this->fleet.Put(server);
@@ -80,6 +83,8 @@
         std::make_unique<JobRunner>(this->environment, this->partitions,
                                     JobRunner::OutputTransferCallback());
     this->partitions[0]->Follow();
+    this->quarantine.Start();
+    this->operator_follower.Start();
   }
   ~GatewayParts() {
     this->servers.registries.erase(this);
@@ -88,7 +93,52 @@
   GatewayParts(const GatewayParts&) = delete;
   GatewayParts& operator=(const GatewayParts&) = delete;
 
+  static GatewaySettings SettingsOf(const GatewayFixture& fixture,
+                                    const std::string& name) {
+    GatewaySettings settings = fixture.settings;
+    settings.instance = name;
+    return settings;
+  }
   static std::string Address(const std::string& name) { return name + ":9"; }
+  // Two gateways are peers of all others.
+  static std::vector<std::string> OtherPeers(const std::string& name) {
+    std::vector<std::string> peers;
+    for (const char* const peer : {"gateway-0", "gateway-1"}) {
+      if (peer != name) {
+        peers.push_back(Address(peer));
+      }
+    }
+    return peers;
+  }
+
+  HttpResponse HandlePeer(const HttpClientRequest& request) {
+    if (request.url.ends_with(CrashLog::kPath)) {
+      this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
+      return {200, {}, ""};
+    }
+    PeerState state;
+    state.known_crashes = this->quarantine.KnownCrashes();
+    state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
+    return {200, {}, EncodePeerState(state)};
+  }
+  PeerStatePollerHandlers PeerHandlers() {
+    PeerStatePollerHandlers handlers;
+    handlers.on_cut_off_changed = [](bool) {};
+    handlers.wants_records = [] { return false; };
+    handlers.on_crashes = [this](const PeerState& state) {
+      this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_crashes);
+      this->quarantine.Log().ApplyConfirmed(state.known_crashes);
+    };
+    return handlers;
+  }
+  LogFollowerHandlers OperatorHandlers() {
+    LogFollowerHandlers handlers;
+    handlers.on_record = [](const KeyedLogRecord&) {};
+    handlers.on_reachable = [this](bool reachable) {
+      this->peer_poller.SetLogUnreachable(!reachable);
+    };
+    return handlers;
+  }
 
   GatewaySettings settings;
   FakeServers& servers;
@@ -97,6 +147,8 @@
   std::unique_ptr<HttpClient> client;
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
+  PeerStatePoller peer_poller;
+  LogFollower operator_follower;
   std::vector<std::unique_ptr<JobPartition>> partitions;
   std::unique_ptr<JobRunner> runner;
 };
@@ -123,11 +175,15 @@
     this->gateways.push_back(std::make_unique<GatewayParts>(
         this->fixture, this->servers,
         "gateway-" + std::to_string(this->started++)));
-    GatewayParts& gateway = *this->gateways.back();
-    for (const FleetServer& server : this->servers.Registered()) {
-      gateway.fleet.Put(server);
-    }
-    return gateway;
+    return this->ShowServers(*this->gateways.back());
+  }
+  // Ends the gateway and starts it again under its name, without its state.
+  GatewayParts& RestartGateway(std::size_t index) {
+    const std::string name = this->gateways[index]->settings.instance;
+    this->gateways[index].reset();
+    this->gateways[index] =
+        std::make_unique<GatewayParts>(this->fixture, this->servers, name);
+    return this->ShowServers(*this->gateways[index]);
   }
 
   // Starts one client attempt. `received` must outlive the call.
@@ -179,6 +235,13 @@
   void RunFor(Milliseconds time) { this->fixture.runner.RunFor(time); }
 
  private:
+  GatewayParts& ShowServers(GatewayParts& gateway) const {
+    for (const FleetServer& server : this->servers.Registered()) {
+      gateway.fleet.Put(server);
+    }
+    return gateway;
+  }
+
   void AddServer(const std::string& id, const std::string& service) {
     FleetServer server;
     server.id = id;
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -21,7 +21,12 @@
 // A server that crashed when it began to run a fatal request.
 struct FatalCrash {
   std::string server_id;
+  // Of the request.
+  std::string target;
   std::string body;
+  // Name of the client that sent the request.
+  std::string client;
+  MonotonicTime at;
 };
 
 class FakeServers {
@@ -105,14 +110,15 @@
       peers;
 
   // The client of one gateway.
-  std::unique_ptr<HttpClient> Client() {
-    return std::make_unique<ServerClient>(*this);
+  std::unique_ptr<HttpClient> Client(std::string name) {
+    return std::make_unique<ServerClient>(*this, std::move(name));
   }
 
  private:
   struct Run {
     HttpClientRequest request;
     HttpClientHandlers handlers;
+    std::string client;
   };
   struct Server {
     FleetServer registered;
@@ -130,11 +136,12 @@
   };
   class ServerClient final : public HttpClient {
    public:
-    explicit ServerClient(FakeServers& servers) : servers(servers) {}
+    ServerClient(FakeServers& servers, std::string name)
+        : servers(servers), name(std::move(name)) {}
     std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
                                         HttpClientHandlers handlers) override {
-      auto run =
-          std::make_shared<Run>(Run{std::move(request), std::move(handlers)});
+      auto run = std::make_shared<Run>(
+          Run{std::move(request), std::move(handlers), this->name});
       this->servers.loop.Post(
           [target = &this->servers, weak = std::weak_ptr<Run>(run)] {
             if (const auto begun = weak.lock()) {
@@ -146,6 +153,7 @@
 
    private:
     FakeServers& servers;
+    std::string name;
   };
 
   Server* Find(std::string_view id) {
@@ -176,7 +184,9 @@
     }
     server->runs.push_back(run);
     if (run->request.body.find(this->fatal_text) != std::string::npos) {
-      this->fatal_crashes.push_back({server->registered.id, run->request.body});
+      this->fatal_crashes.push_back(
+          {server->registered.id, std::string(rest.substr(rest.find('/'))),
+           run->request.body, run->client, std::chrono::steady_clock::now()});
       this->Crash(server->registered.id);
       return;
     }
