Gateway: Run one copy of a suspect at a time

Cause: the refusal ends for all copies at the same moment, and nothing related the runs of one digest in a gateway to each other.

Change: a suspect waits while another of its runs is in flight, or broke off less than kVerdictTime ago. Other requests are not delayed.

Evidence: ASampleInSeveralJobsCrashesAServerForEachOfThem, 9 crashed servers without the change (the rule allows 6). FatalRequest passed.

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -144,6 +144,12 @@
     }
     return;
   }
+  if (this->environment.quarantine.MustWait(this->request.digest)) {
+    if (first) {
+      this->StartAttemptAfter(RequestQuarantine::kVerdictTime);
+    }
+    return;
+  }
   const FleetServer* server = this->ChooseServer(false);
   if (server == nullptr && first) {
     server = this->ChooseServer(true);
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -159,12 +159,13 @@
                                   std::string_view preferred_id,
                                   double max_in_flight_per_slot,
                                   std::string_view digest) const;
-  // True when the sample or its reward call has to wait in quarantine; then no
-  // attempt starts before `not_before`.
-  bool WaitInQuarantine(Progress& progress, std::string_view digest) const;
-  // No server was found for a suspect: delays the suspect, so that other
-  // samples don't wait for it. False for any other digest.
-  bool DelaySuspect(Progress& progress, std::string_view digest) const;
+  // True when the sample or its reward call is quarantined, or a suspect with
+  // another run; then no attempt starts before `not_before`.
+  bool MustNotStart(Progress& progress, std::string_view digest) const;
+  // No server was found. False when none has free capacity for other samples
+  // either; a suspect is only delayed, so that they don't wait for it.
+  bool OnNoServer(Progress& progress, std::string_view digest) const;
+  void DelaySuspect(Progress& progress) const;
   // Delay of the next attempt after one that may have run and broke off.
   Milliseconds BackoffAfterBreak(std::string_view digest) const;
   void StartScores(ActiveJob& job, const JobState& state);
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -122,15 +122,28 @@
   return this->environment.quarantine.Choose(query, digest);
 }
 
-bool JobRunner::WaitInQuarantine(Progress& progress,
-                                 std::string_view digest) const {
-  const Milliseconds refused = this->environment.quarantine.RefusedFor(digest);
-  if (refused.count() == 0) {
-    return false;
+bool JobRunner::MustNotStart(Progress& progress,
+                             std::string_view digest) const {
+  const RequestQuarantine& quarantine = this->environment.quarantine;
+  const Milliseconds refused = quarantine.RefusedFor(digest);
+  if (refused.count() > 0) {
+    progress.not_before = this->environment.clock.Now() +
+                          std::min(refused, kQuarantineCheckPeriod);
+    return true;
   }
-  progress.not_before =
-      this->environment.clock.Now() + std::min(refused, kQuarantineCheckPeriod);
-  return true;
+  if (quarantine.MustWait(digest)) {
+    this->DelaySuspect(progress);
+    return true;
+  }
+  return false;
+}
+
+bool JobRunner::OnNoServer(Progress& progress, std::string_view digest) const {
+  if (this->environment.quarantine.IsSuspect(digest)) {
+    this->DelaySuspect(progress);
+    return true;
+  }
+  return progress.excluded.Clear();
 }
 
 Milliseconds JobRunner::BackoffAfterBreak(std::string_view digest) const {
@@ -139,14 +152,9 @@
              : kFailureBackoff;
 }
 
-bool JobRunner::DelaySuspect(Progress& progress,
-                             std::string_view digest) const {
-  if (!this->environment.quarantine.IsSuspect(digest)) {
-    return false;
-  }
+void JobRunner::DelaySuspect(Progress& progress) const {
   progress.excluded.Clear();
   progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
-  return true;
 }
 
 bool JobRunner::StartSample(ActiveJob& job,
@@ -170,14 +178,13 @@
     progress.digest =
         DigestOfRequest(kMethod, state.job.host + sample.path, *body);
   }
-  if (this->WaitInQuarantine(progress, progress.digest)) {
+  if (this->MustNotStart(progress, progress.digest)) {
     return true;
   }
   const FleetServer* const server =
       this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
   if (server == nullptr) {
-    return this->DelaySuspect(progress, progress.digest) ||
-           progress.excluded.Clear();
+    return this->OnNoServer(progress, progress.digest);
   }
   BackendRequest request;
   request.method = kMethod;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -52,7 +52,7 @@
     progress.reward_digest =
         DigestOfRequest(kMethod, reward.host + reward.path, *body);
   }
-  if (this->WaitInQuarantine(progress, progress.reward_digest)) {
+  if (this->MustNotStart(progress, progress.reward_digest)) {
     return true;
   }
   const std::vector<const FleetServer*> servers =
@@ -62,8 +62,7 @@
       this->ChooseServer(servers, progress.excluded.Ids(), "",
                          kMaxRewardCallsPerSlot, progress.reward_digest);
   if (server == nullptr) {
-    return this->DelaySuspect(progress, progress.reward_digest) ||
-           progress.excluded.Clear();
+    return this->OnNoServer(progress, progress.reward_digest);
   }
   BackendRequest request;
   request.method = kMethod;
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -98,6 +98,7 @@
   if (!Broke(end, elapsed)) {
     return;
   }
+  this->RecordBreak(attempt.digest);
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
       {attempt.server_id, attempt.server_start, attempt.digest, end.had_output},
       this->environment.clock.Now(), this->environment.clock.WallNow());
@@ -107,6 +108,14 @@
   }
 }
 
+void RequestQuarantine::RecordBreak(const std::string& digest) {
+  const MonotonicTime now = this->environment.clock.Now();
+  std::erase_if(this->last_breaks, [now](const auto& entry) {
+    return now - entry.second >= kVerdictTime;
+  });
+  this->last_breaks[digest] = now;
+}
+
 // True when the same start of the server accepted a connection.
 bool RequestQuarantine::IsStillUp(const ServerAttempt& attempt,
                                   const Outcome<HttpResponse>& outcome) const {
@@ -230,6 +239,16 @@
   return this->quarantine.StatusOf(digest) != DigestStatus::kClear;
 }
 
+bool RequestQuarantine::MustWait(std::string_view digest) const {
+  if (!this->IsSuspect(digest)) {
+    return false;
+  }
+  const auto broke = this->last_breaks.find(digest);
+  return this->in_flight.contains(digest) ||
+         (broke != this->last_breaks.end() &&
+          this->environment.clock.Now() - broke->second < kVerdictTime);
+}
+
 std::vector<std::string> RequestQuarantine::ServersWithSuspects(
     std::string_view digest,
     std::size_t suspicion) const {
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -54,6 +54,9 @@
   // How long the request stays refused; zero when it may run.
   Milliseconds RefusedFor(std::string_view digest) const;
   bool IsSuspect(std::string_view digest) const;
+  // Another run of the suspect has not ended, or is not known yet to have
+  // crashed its server. False for any other request.
+  bool MustWait(std::string_view digest) const;
   // ChooseBackend(), with suspects kept apart from each other.
   const FleetServer* Choose(const BackendQuery& query,
                             std::string_view digest) const;
@@ -73,6 +76,7 @@
 
  private:
   CrashLogHandlers LogHandlers();
+  void RecordBreak(const std::string& digest);
   void Probe(const ServerAttempt& attempt);
   bool IsStillUp(const ServerAttempt& attempt,
                  const Outcome<HttpResponse>& outcome) const;
@@ -93,6 +97,8 @@
   CrashLog log;
   // Servers of the attempts in flight, by digest.
   std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
+  // When an attempt last broke off, by digest; kept for kVerdictTime.
+  std::map<std::string, MonotonicTime, std::less<>> last_breaks;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -143,6 +143,21 @@
   this->CheckCrashes("fatal body");
 }
 
+TEST(FatalRequest, ASampleInSeveralJobsCrashesAServerForEachOfThem) {
+  constexpr std::size_t kJobs = 6;
+  for (std::size_t index = 0; index < kJobs; ++index) {
+    BatchJob job = this->fleet.Job("j" + std::to_string(index), 4);
+    job.samples[2].path = "/train/again";
+    job.samples[2].body_base64 = EncodeBase64("fatal body");
+    this->fleet.PutJob(job);
+    this->fleet.RunFor(Milliseconds(index == 0 ? 800 : 0));
+    this->fleet.gateways[0]->runner->SetOwned({0});
+  }
+  this->WaitForEndOfRefusal();
+  this->fleet.RunFor(Milliseconds(1'500));
+  this->CheckCrashes("fatal body");
+}
+
 TEST(FatalRequest, AGatewayThatStartsWhileTheLogIsAwaySendsAQuarantinedCall) {
   for (int attempt = 0; attempt < 3; ++attempt) {
     this->fleet.Call(*this->fleet.gateways[0], "/app/x", "fatal body");
