Gateway: Send requests that run once on a connection of their own

What callers saw: on a route whose requests run at most once, a request got 502 when the server closed the pooled connection as idle at that moment, and could not be repeated.

Cause: docs/DESIGN.md promises a connection of its own, which Entry and Sidecar keep; the gateway took a pooled one.

Change: BackendRequest::fresh_connection, set by ForwardedCall.

Evidence: ARequestThatRunsOnceIsSentOnAConnectionThatMayBeClosing failed before.

--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -81,6 +81,7 @@
       {std::string(names.deadline), std::to_string(request.time_left.count())});
   sent.headers.push_back({std::string(names.expected_server), server.id});
   sent.body = request.body;
+  sent.fresh_connection = request.fresh_connection;
   sent.connect_timeout = std::min(kConnectTimeout, request.time_left);
   sent.timeout = request.time_left;
   return sent;
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -24,6 +24,9 @@
   std::string request_id;
   // Equal for all repetitions of the request; see DigestOfRequest().
   std::string digest;
+  // The request must not run twice, so it needs a connection that the server
+  // doesn't close as idle meanwhile.
+  bool fresh_connection = false;
   // Time that the server has to run the request.
   Milliseconds time_left{0};
 };
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -60,6 +60,7 @@
   this->request.target = std::move(request.target);
   this->request.headers = EndToEndHeaders(request.headers, names);
   this->request.body = std::move(request.body);
+  this->request.fresh_connection = route.use != RouteUse::kRepeatable;
   this->request.digest =
       DigestOfRequest(this->request.method, route.host + this->request.target,
                       this->request.body);
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -85,6 +85,14 @@
   LONGS_EQUAL(1, deadlines);
 }
 
+TEST(ForwardedCall, ARequestThatRunsOnceIsSentOnAConnectionThatMayBeClosing) {
+  this->RespondFirst(0, nullptr);
+  this->Finish("/once/x");
+  CHECK_TRUE(this->fixture.client.seen[0].fresh_connection);
+  this->Finish("/app/x");
+  CHECK_FALSE(this->fixture.client.seen[1].fresh_connection);
+}
+
 TEST(ForwardedCall,
      TheOutcomeOfTheFirstAttemptDecidesWhetherTheRequestIsRetried) {
   const auto truncated = [](const HttpClientRequest&) {
