--- /dev/null
+++ b/Tests/Fuzz/crash_records.cc
@@ -0,0 +1,14 @@
+// CrashLog::Decode: accepted records of a peer survive encoding and decoding.
+
+#include "Services/Gateway/crash_log.h"
+#include "fuzz_input.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* bytes,
+                                      std::size_t size) {
+  using namespace carobbank;
+  const std::string written =
+      CrashLog::Encode(CrashLog::Decode(FuzzText(bytes, size)));
+  FuzzRequire(CrashLog::Encode(CrashLog::Decode(written)) == written,
+              "accepted records survive encoding");
+  return 0;
+}
