Gateway: Clear a suspect only after a server has run it to its end

What callers saw: a request that had crashed servers counted as sound again after any response of a server, also a 504 from its queue or a 500.

Cause: a response cleared the digest, whatever its status; a server sends 5xx also for a request that it never began.

Change: AttemptEnd::completed; responses below 500, complete samples and 422 clear, nothing else does.

Evidence: AServerErrorFromAQueueClearsACallThatCrashedServers failed before. GatewayTest FatalRequest passed.

--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -15,6 +15,7 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 constexpr int kFirstFailureStatus = 300;
+constexpr int kFirstServerErrorStatus = 500;
 // A new connection within a region takes milliseconds; a machine that is down
 // does not respond at all.
 constexpr Milliseconds kConnectTimeout{400};
@@ -211,7 +212,10 @@
   if (result.outcome == BackendCallOutcome::kMayHaveRun) {
     this->LogWithoutResponse(result.reason);
   }
-  this->attempt.End({outcome, may_have_run, false});
+  // With a 5xx status the request may have ended in the server's queue.
+  const bool completed = result.outcome == BackendCallOutcome::kAnswered &&
+                         result.response.status < kFirstServerErrorStatus;
+  this->attempt.End({outcome, may_have_run, false, completed});
   const Callback report = std::move(this->done);
   this->done = nullptr;
   // May destroy this call.
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -93,7 +93,7 @@
       this->in_flight.erase(running);
     }
   }
-  if (end.outcome == SendOutcome::kAnswered && end.may_have_run) {
+  if (end.completed) {
     this->OnFinished(attempt.digest);
     return;
   }
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -22,6 +22,8 @@
   bool may_have_run = true;
   // The server had sent output of the request.
   bool had_output = false;
+  // The server ran the request to its end.
+  bool completed = false;
 };
 
 struct ServerAttempt {
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -180,8 +180,10 @@
   if (!this->handlers.on_end) {
     return;
   }
-  this->attempt.End(
-      {send_outcome, outcome != SampleStreamOutcome::kNotRun, this->begun});
+  const bool completed = outcome == SampleStreamOutcome::kComplete ||
+                         outcome == SampleStreamOutcome::kUnprocessable;
+  this->attempt.End({send_outcome, outcome != SampleStreamOutcome::kNotRun,
+                     this->begun, completed});
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -94,6 +94,26 @@
   LONGS_EQUAL(crashes + 1, this->fleet.servers.fatal_crashes.size());
 }
 
+TEST(FatalRequest, AServerErrorFromAQueueClearsACallThatCrashedServers) {
+  GatewayParts& gateway = *this->fleet.gateways[0];
+  this->fleet.Call(gateway, "/once/x", "fatal body");
+  this->fleet.RunFor(RequestQuarantine::kVerdictTime);
+  const std::string digest =
+      DigestOfRequest("POST", "app.example/once/x", "fatal body");
+  CHECK_TRUE(gateway.quarantine.IsSuspect(digest));
+  this->fleet.servers.fatal_text = "no request is fatal";
+  this->fleet.servers.answer = [](const HttpClientRequest& request) {
+    HttpResponse response = SoundAnswer(request);
+    response.status = 504;
+    return response;
+  };
+  LONGS_EQUAL(504, this->fleet.Call(gateway, "/once/x", "fatal body").status);
+  CHECK_TRUE(gateway.quarantine.IsSuspect(digest));
+  this->fleet.servers.answer = &SoundAnswer;
+  LONGS_EQUAL(200, this->fleet.Call(gateway, "/once/x", "fatal body").status);
+  CHECK_FALSE(gateway.quarantine.IsSuspect(digest));
+}
+
 TEST(FatalRequest, AStreamThatCrashedThreeServersIsSentToMore) {
   this->RepeatCall("/once/x");
   this->CheckCrashes("fatal body");
