LibRouting: Count crashes of running work nearly as much as first ones

What callers saw: a request that crashes servers after some output, or one server again and again, was refused only after six crashes; two more follow when its refusals end, so it exceeds the three retries that the rule allows.

Cause: such crashes weighed half.

Change: they weigh three quarters: four of them refuse the digest, at most one crash later than the strict count. A first event no longer counts as running: a server begins to run a request with its first token.

Evidence: CrashesThatMayHaveOtherCausesWeighLess asks for four crashes and failed before.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -17,9 +17,9 @@
 std::size_t WeightOf(const ServerCrashRecord& crash,
                      std::set<std::string_view>& servers) {
   const bool first_on_server = servers.insert(crash.instance).second;
-  return first_on_server && !crash.had_output
+  return first_on_server && !crash.outlived_start
              ? CrashQuarantine::kFullWeight
-             : CrashQuarantine::kFullWeight / 2;
+             : CrashQuarantine::kReducedWeight;
 }
 
 bool IsSameStart(const ServerCrashRecord& crash,
@@ -67,7 +67,7 @@
                      return crash.at > report.at;
                    });
   suspect.crashes.insert(later, {report.instance, report.started_at,
-                                 report.had_output, report.at});
+                                 report.outlived_start, report.at});
 }
 
 std::size_t CrashQuarantine::SuspicionOf(const Suspect& suspect) const {
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -31,9 +31,9 @@
   std::string instance;
   // Start of the crashed instance; zero when unknown.
   WallMilliseconds started_at = 0;
-  // The work had produced output on the server, so it had not crashed the
-  // server when it began.
-  bool had_output = false;
+  // The work had run for a while on the server, so its start did not crash the
+  // server.
+  bool outlived_start = false;
   WallMilliseconds at = 0;
 };
 
@@ -47,7 +47,7 @@
   bool lists_all_work = false;
   // As in ServerCrashRecord.
   WallMilliseconds started_at = 0;
-  bool had_output = false;
+  bool outlived_start = false;
   WallMilliseconds at = 0;
 };
 
@@ -98,8 +98,8 @@
   // How long the digest stays refused; zero when it may run.
   Milliseconds RefusedFor(std::string_view digest, WallMilliseconds now) const;
   // Weight of the crashes counted against the digest: kFullWeight for a crash
-  // on a further server before any output, half of it for a crash after output
-  // or on a server that it crashed before, which may have other causes.
+  // of a further server at the start of the work, kReducedWeight for any other,
+  // which is more likely to have another cause.
   std::size_t Suspicion(std::string_view digest) const;
   // One more crash may quarantine the digest, so the crash must not be
   // attributable to another suspect.
@@ -111,7 +111,8 @@
   std::vector<std::string> Tracked() const;
   bool Empty() const { return this->suspects.empty(); }
 
-  static constexpr std::size_t kFullWeight = 2;
+  static constexpr std::size_t kFullWeight = 4;
+  static constexpr std::size_t kReducedWeight = 3;
 
  private:
   struct Suspect {
--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/crash_log.cc
@@ -60,7 +60,7 @@
 std::string EncodeValue(const CrashReport& report) {
   Json::Value value;
   value["at"] = Json::Int64(report.at);
-  value["had_output"] = report.had_output;
+  value["outlived_start"] = report.outlived_start;
   return WriteJson(value);
 }
 
@@ -139,7 +139,7 @@
   report.instance = key->instance;
   report.digests = {std::string(key->digest)};
   report.started_at = key->started_at;
-  report.had_output = JsonBoolean(*value, "had_output", false);
+  report.outlived_start = JsonBoolean(*value, "outlived_start", false);
   report.at = JsonInteger(*value, "at");
   this->handlers.on_crash(report);
 }
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -32,7 +32,7 @@
     return false;
   }
   const bool abandoned_in_silence = end.outcome == SendOutcome::kCancelled &&
-                                    !end.had_output &&
+                                    !end.outlived_start &&
                                     elapsed >= kSilentAttempt;
   return end.outcome == SendOutcome::kFailed || abandoned_in_silence;
 }
@@ -102,7 +102,8 @@
   }
   this->RecordBreak(attempt.digest);
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
-      {attempt.server_id, attempt.server_start, attempt.digest, end.had_output},
+      {attempt.server_id, attempt.server_start, attempt.digest,
+       end.outlived_start},
       this->environment.clock.Now(), this->environment.clock.WallNow());
   this->CountCrashes(verdict.crashes);
   if (verdict.must_probe) {
@@ -324,7 +325,7 @@
                                                {digest},
                                                false,
                                                crash.started_at,
-                                               crash.had_output,
+                                               crash.outlived_start,
                                                crash.at}));
     }
   }
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -20,8 +20,9 @@
   SendOutcome outcome = SendOutcome::kCancelled;
   // False when the request certainly did not run.
   bool may_have_run = true;
-  // The server had sent output of the request.
-  bool had_output = false;
+  // The server had sent several events, so the start of the request did not
+  // crash it.
+  bool outlived_start = false;
   // The server ran the request to its end.
   bool completed = false;
 };
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -116,6 +116,7 @@
 
 bool SampleStream::DeliverEvent(const ServerSentEvent& event) {
   this->begun = true;
+  ++this->events;
   this->RecordEventGap();
   const std::string_view field =
       this->environment.dialect.HeaderNames().weight_version_field;
@@ -183,7 +184,7 @@
   const bool completed = outcome == SampleStreamOutcome::kComplete ||
                          outcome == SampleStreamOutcome::kUnprocessable;
   this->attempt.End({send_outcome, outcome != SampleStreamOutcome::kNotRun,
-                     this->begun, completed});
+                     this->events > 1, completed});
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -93,6 +93,8 @@
   int status = 0;
   bool not_run = false;
   bool begun = false;
+  // Events received in this attempt.
+  std::size_t events = 0;
   // Weight version of the next event, unless that event states another.
   std::int64_t version = 0;
   std::unique_ptr<HttpExchange> exchange;
--- a/Tests/LibRouting/retry_and_quarantine_test.cc
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -183,18 +183,18 @@
 
 TEST(CrashQuarantine, CrashesThatMayHaveOtherCausesWeighLess) {
   CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
-  // After output, and on one server again and again.
-  for (const char* instance : {"s1", "s2", "s3", "s4", "s5"}) {
+  // After a while of running, and on one server again and again.
+  for (const char* instance : {"s1", "s2", "s3"}) {
     shared.OnCrash({instance, {"streamed"}, false, 0, true, 0});
   }
   CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kSuspect);
-  shared.OnCrash({"s6", {"streamed"}, false, 0, true, 0});
+  shared.OnCrash({"s4", {"streamed"}, false, 0, true, 0});
   CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kQuarantined);
-  for (const WallMilliseconds start : {1, 2, 3, 4}) {
+  for (const WallMilliseconds start : {1, 2, 3}) {
     shared.OnCrash({"s1", {"same server"}, false, start, false, 0});
   }
   CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kSuspect);
-  shared.OnCrash({"s1", {"same server"}, false, 5, false, 0});
+  shared.OnCrash({"s1", {"same server"}, false, 4, false, 0});
   CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kQuarantined);
 }
 
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -18,7 +18,7 @@
    "service":"s1","due_ms":7500,"retention_s":40,"single_version":true},
   {"name":"r3","host":"a.example","path_prefix":"/u/","route_kind":"unsafe",
    "service":"s2"}],
- "services":[{"name":"s1","max_conns":160,"engine":{"slots":12}},
+ "services":[{"name":"s1","max_conns":160,"health_path":"/alive","engine":{"slots":12}},
              {"name":"s2","max_conns":110}],"unknown":{}})";
 
 HttpRequest Request(const std::string& method, const std::string& target) {
@@ -50,6 +50,8 @@
   CHECK_TRUE(jobs->single_version);
   CHECK_TRUE(configuration.routes.Find("a.example", "/u/1")->use ==
              RouteUse::kOnce);
+  STRCMP_EQUAL("/alive", configuration.services.at("s1").health_path.c_str());
+  STRCMP_EQUAL("/", configuration.services.at("s2").health_path.c_str());
   CHECK_TRUE(configuration.services.at("s1").is_engine);
   CHECK_FALSE(configuration.services.at("s2").is_engine);
 }
@@ -85,6 +87,16 @@
   }
 }
 
+TEST(JsonPlatformDialect, AHealthRequestNamesTheServerItIsMeantFor) {
+  const HttpClientRequest request =
+      this->dialect.HealthRequest("10.1.0.13:8165", "i-1", "/alive");
+  STRCMP_EQUAL("GET", request.method.c_str());
+  STRCMP_EQUAL("http://10.1.0.13:8165/alive", request.url.c_str());
+  CHECK_TRUE(FindHeader(request.headers, "X-Expect-Instance") == "i-1");
+  // Without an id the server can't take it for a caller's request.
+  CHECK_FALSE(FindHeader(request.headers, "X-Request-Id").has_value());
+}
+
 TEST(JsonPlatformDialect, CallsAboutJobsAreRecognized) {
   auto read = Request("GET", "/v1/lots/7c41?after=12");
   read.headers = {{"X-Wait-Ms", "1000"}};
