Tests: Cover servers that go silent under a fatal call

A caller that leaves after more than a second without a response may have met a server that went dark; its attempt is cancelled, not broken. Covers the probe in that case: three such servers, then a refusal.

--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -38,6 +38,15 @@
 
 class RequestQuarantine {
  public:
+  // Time from a broken attempt until it is known whether its server crashed. A
+  // suspect is not sent again before.
+  static constexpr Milliseconds kVerdictTime{500};
+
+  // Gateways end a refusal up to this much later than it could end, each at
+  // another time, so that one of them learns first whether the request still
+  // crashes servers.
+  static constexpr Milliseconds kLongestRefusalDelay{1'000};
+
   RequestQuarantine(GatewayEnvironment& environment,
                     TopicPartition partition,
                     std::vector<std::string> peers);
@@ -63,14 +72,6 @@
   // ChooseBackend(), with suspects kept apart from each other.
   const FleetServer* Choose(const BackendQuery& query,
                             std::string_view digest) const;
-  // Time from a broken attempt until it is known whether its server crashed. A
-  // suspect is not sent again before.
-  static constexpr Milliseconds kVerdictTime{500};
-
-  // Gateways end a refusal up to this much later than it could end, each at
-  // another time, so that one of them learns first whether the request still
-  // crashes servers.
-  static constexpr Milliseconds kLongestRefusalDelay{1'000};
 
   // Counts a refusal, which the caller sends.
   void CountRefusal(std::string_view service, bool may_have_run);
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -114,6 +114,19 @@
   CHECK_FALSE(gateway.quarantine.IsSuspect(digest));
 }
 
+TEST(FatalRequest, ACallUnderWhichServersGoSilentIsSentToMore) {
+  this->fleet.servers.crash_silently = true;
+  this->fleet.servers.downtime = Milliseconds(6'000);
+  GatewayParts& gateway = *this->fleet.gateways[0];
+  // The objective is longer than the caller waits, so there is no hedge.
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    LONGS_EQUAL(504, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+    this->fleet.RunFor(RequestQuarantine::kVerdictTime);
+  }
+  LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+  LONGS_EQUAL(3, this->fleet.servers.fatal_crashes.size());
+}
+
 TEST(FatalRequest, AStreamThatCrashedThreeServersIsSentToMore) {
   this->RepeatCall("/once/x");
   this->CheckCrashes("fatal body");
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -44,7 +44,7 @@
   request.method = "POST";
   request.target = target;
   request.headers = {
-      {"Host", "app.example"}, {"Id", id}, {"Time-Left", "5000"}};
+      {"Host", "app.example"}, {"Id", id}, {"Time-Left", "1500"}};
   request.body = body;
   return request;
 }
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -40,6 +40,8 @@
   std::string fatal_text = "fatal";
   // Time in which a server processes a sound request.
   Milliseconds duration{10};
+  // Crashed servers break no connections; their clients hear nothing more.
+  bool crash_silently = false;
   // Time from a crash until the server accepts connections again.
   Milliseconds downtime{60};
   // Called with each start of a server; by owner.
@@ -66,7 +68,9 @@
         const std::string& body = held->request.body;
         this->innocent_losses +=
             body.find(this->fatal_text) == std::string::npos ? 1 : 0;
-        this->Fail(held, SendState::kMayHaveBeenSent, "connection reset");
+        if (!this->crash_silently) {
+          this->Fail(held, SendState::kMayHaveBeenSent, "connection reset");
+        }
       }
     }
     this->Later(this->downtime, [this, key = std::string(id)] {
