Tests: Free the timers of fake servers at the end of a test

asan reported the timers of servers that had not started again as leaked (1,824 bytes in 30 allocations, AStreamThat... and ACallUnder...): a timer held the function that held it. FakeServers owns them now. No check changes; both tests end clean under asan.

--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -234,16 +235,17 @@
   }
 
   void Later(Milliseconds delay, std::function<void()> action) {
-    auto timer = std::make_shared<std::unique_ptr<Timer>>();
-    *timer = this->loop.CallAfter(delay, [timer, action = std::move(action)] {
+    const auto timer = this->timers.emplace(this->timers.end());
+    *timer = this->loop.CallAfter(delay, [this, timer, action] {
       action();
-      timer->reset();
+      this->timers.erase(timer);
     });
   }
 
   EventLoop& loop;
   std::vector<Server> servers;
   WallMilliseconds starts = 0;
+  std::list<std::unique_ptr<Timer>> timers;
 };
 
 }  // namespace carobbank
