Gateway: Log when crashes can't be shared

Cause: CrashLog retried failed appends, dropped records over its bound and skipped malformed ones without a line, so on-call could not tell why a gateway knew no crash.

Change: one line when appends begin to fail, one when they work again, one for each record dropped or skipped.

--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/crash_log.cc
@@ -133,6 +133,10 @@
   }
   const std::optional<Json::Value> value = ParseJsonObject(record.value);
   if (!value) {
+    WriteLog(LogLevel::kWarning,
+             "crash record ignored: it is malformed; compare the versions of "
+             "the instances",
+             {{"key", record.key}});
     return;
   }
   CrashReport report;
@@ -171,6 +175,9 @@
 
 void CrashLog::Put(KeyedRecord record, Milliseconds delay) {
   if (this->unconfirmed.size() >= kMaxUnconfirmed) {
+    WriteLog(LogLevel::kWarning,
+             "crash record dropped: too many wait for the log",
+             {{"key", this->unconfirmed.begin()->first}});
     this->unconfirmed.erase(this->unconfirmed.begin());
   }
   this->sent_to_peers.erase(record.key);
@@ -219,6 +226,10 @@
                           const AppendOutcome& outcome) {
   this->appending = false;
   if (outcome.status == AppendStatus::kAppended) {
+    if (this->backoff.count() > 0) {
+      WriteLog(LogLevel::kInfo, "crash records appended to the log again",
+               {{"records", std::to_string(records.size())}});
+    }
     this->backoff = Milliseconds(0);
     for (const KeyedRecord& record : records) {
       const auto found = this->unconfirmed.find(record.key);
@@ -232,6 +243,13 @@
     }
     return;
   }
+  if (this->backoff.count() == 0) {
+    WriteLog(LogLevel::kWarning,
+             "crash records not appended to the log; sending them to peers and "
+             "retrying",
+             {{"records", std::to_string(records.size())},
+              {"reason", outcome.reason}});
+  }
   this->SendToPeers();
   this->backoff =
       std::clamp(this->backoff * 2, kInitialBackoff, kMaximumBackoff);
