Gateway: Let a suspect wait for the probe only

What callers saw: after any crash of a server, each sample that had run there began again half a second later, instead of after 30 ms.

Cause: a suspect waited for the longest time that a probe may take, though most probes end within milliseconds, and a sample becomes suspect before its first retry.

Change: MustWait() asks ServerCrashDetector whether the probe of a broken attempt is still open; calls and samples check again every 20 and 40 ms.

--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -88,6 +88,18 @@
   return verdict;
 }
 
+bool ServerCrashDetector::AwaitsProbe(std::string_view digest) const {
+  return std::any_of(
+      this->incidents.begin(), this->incidents.end(), [&](const auto& entry) {
+        const Incident& incident = entry.second;
+        return incident.state == State::kProbing &&
+               std::any_of(incident.reports.begin(), incident.reports.end(),
+                           [&](const CrashReport& report) {
+                             return report.digests.front() == digest;
+                           });
+      });
+}
+
 void ServerCrashDetector::RemoveExpired(MonotonicTime now) {
   std::erase_if(this->incidents, [now](const auto& entry) {
     return now - entry.second.began > kRetention;
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -56,6 +56,8 @@
                                    WallMilliseconds started_at,
                                    MonotonicTime now,
                                    WallMilliseconds wall_now);
+  // An attempt of the digest broke off at a server whose probe has not ended.
+  bool AwaitsProbe(std::string_view digest) const;
   // Discards incidents that nothing can change any more.
   void RemoveExpired(MonotonicTime now);
 
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -24,6 +24,8 @@
 // Retry-After.
 constexpr int kMaxRefusedRounds = 2;
 constexpr Milliseconds kRetryAfter{250};
+// A suspect that has to wait is checked this often.
+constexpr Milliseconds kSuspectCheckPeriod{20};
 // A repeatable request goes to a second server after the first has used up this
 // fraction of the route's objective: the rest is enough for a usual response.
 constexpr double kHedgeFraction = 0.5;
@@ -147,7 +149,7 @@
   }
   if (this->environment.quarantine.MustWait(this->request.digest)) {
     if (first) {
-      this->StartAttemptAfter(RequestQuarantine::kVerdictTime);
+      this->StartAttemptAfter(kSuspectCheckPeriod);
     }
     return;
   }
@@ -232,7 +234,7 @@
     return;
   }
   if (this->environment.quarantine.IsSuspect(this->request.digest)) {
-    this->StartAttemptAfter(RequestQuarantine::kVerdictTime);
+    this->StartAttemptAfter(kSuspectCheckPeriod);
   } else {
     this->StartAttempt();
   }
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -166,8 +166,6 @@
   // either; a suspect is only delayed, so that they don't wait for it.
   bool OnNoServer(Progress& progress, std::string_view digest) const;
   void DelaySuspect(Progress& progress) const;
-  // Delay of the next attempt after one that may have run and broke off.
-  Milliseconds BackoffAfterBreak(std::string_view digest) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   bool AppendEvent(ActiveJob& job,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -146,12 +146,6 @@
   return progress.excluded.Clear();
 }
 
-Milliseconds JobRunner::BackoffAfterBreak(std::string_view digest) const {
-  return this->environment.quarantine.IsSuspect(digest)
-             ? RequestQuarantine::kVerdictTime
-             : kFailureBackoff;
-}
-
 void JobRunner::DelaySuspect(Progress& progress) const {
   progress.excluded.Clear();
   progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
@@ -312,7 +306,7 @@
       }
       [[fallthrough]];
     case SampleStreamOutcome::kBroken:
-      progress.not_before = now + this->BackoffAfterBreak(digest);
+      progress.not_before = now + kFailureBackoff;
       break;
     case SampleStreamOutcome::kNotRun:
       progress.not_before = now + kRefusalBackoff;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -115,11 +115,7 @@
   }
   progress.stage = Stage::kWaitingForScore;
   ++job.waiting_for_score;
-  const bool broke_off = result.outcome == BackendCallOutcome::kMayHaveRun;
-  progress.not_before =
-      this->environment.clock.Now() +
-      (broke_off ? this->BackoffAfterBreak(progress.reward_digest)
-                 : kRefusalBackoff);
+  progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
   progress.excluded.Add(server_id);
 }
 
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -21,7 +21,6 @@
 constexpr Milliseconds kSilentAttempt{1'000};
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
-static_assert(kProbeTimeout < RequestQuarantine::kVerdictTime);
 
 // Longer than the longest refusal, so that a digest whose refusal ends still
 // has its crashes.
@@ -100,7 +99,6 @@
   if (!Broke(end, elapsed)) {
     return;
   }
-  this->RecordBreak(attempt.digest);
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
       {attempt.server_id, attempt.server_start, attempt.digest,
        end.outlived_start},
@@ -111,14 +109,6 @@
   }
 }
 
-void RequestQuarantine::RecordBreak(const std::string& digest) {
-  const MonotonicTime now = this->environment.clock.Now();
-  std::erase_if(this->last_breaks, [now](const auto& entry) {
-    return now - entry.second >= kVerdictTime;
-  });
-  this->last_breaks[digest] = now;
-}
-
 // True when the same start of the server accepted a connection.
 bool RequestQuarantine::IsStillUp(const ServerAttempt& attempt,
                                   const Outcome<HttpResponse>& outcome) const {
@@ -247,10 +237,7 @@
   if (!this->IsSuspect(digest)) {
     return false;
   }
-  const auto broke = this->last_breaks.find(digest);
-  return this->in_flight.contains(digest) ||
-         (broke != this->last_breaks.end() &&
-          this->environment.clock.Now() - broke->second < kVerdictTime);
+  return this->in_flight.contains(digest) || this->detector.AwaitsProbe(digest);
 }
 
 std::vector<std::string> RequestQuarantine::ServersWithSuspects(
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -38,10 +38,6 @@
 
 class RequestQuarantine {
  public:
-  // Time from a broken attempt until it is known whether its server crashed. A
-  // suspect is not sent again before.
-  static constexpr Milliseconds kVerdictTime{500};
-
   // Gateways end a refusal up to this much later than it could end, each at
   // another time, so that one of them learns first whether the request still
   // crashes servers.
@@ -66,8 +62,8 @@
   // How long the request stays refused; zero when it may run.
   Milliseconds RefusedFor(std::string_view digest) const;
   bool IsSuspect(std::string_view digest) const;
-  // Another run of the suspect has not ended, or is not known yet to have
-  // crashed its server. False for any other request.
+  // Another run of the suspect has not ended, or broke off and may have crashed
+  // its server. False for any other request.
   bool MustWait(std::string_view digest) const;
   // ChooseBackend(), with suspects kept apart from each other.
   const FleetServer* Choose(const BackendQuery& query,
@@ -85,7 +81,6 @@
 
  private:
   CrashLogHandlers LogHandlers();
-  void RecordBreak(const std::string& digest);
   void Probe(const ServerAttempt& attempt);
   bool IsStillUp(const ServerAttempt& attempt,
                  const Outcome<HttpResponse>& outcome) const;
@@ -108,8 +103,6 @@
   CrashLog log;
   // Servers of the attempts in flight, by digest.
   std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
-  // When an attempt last broke off, by digest; kept for kVerdictTime.
-  std::map<std::string, MonotonicTime, std::less<>> last_breaks;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -97,7 +97,7 @@
 TEST(FatalRequest, AServerErrorFromAQueueClearsACallThatCrashedServers) {
   GatewayParts& gateway = *this->fleet.gateways[0];
   this->fleet.Call(gateway, "/once/x", "fatal body");
-  this->fleet.RunFor(RequestQuarantine::kVerdictTime);
+  this->fleet.RunFor(Milliseconds(500));
   const std::string digest =
       DigestOfRequest("POST", "app.example/once/x", "fatal body");
   CHECK_TRUE(gateway.quarantine.IsSuspect(digest));
@@ -121,7 +121,7 @@
   // The objective is longer than the caller waits, so there is no hedge.
   for (int attempt = 0; attempt < 3; ++attempt) {
     LONGS_EQUAL(504, this->fleet.Call(gateway, "/app/x", "fatal body").status);
-    this->fleet.RunFor(RequestQuarantine::kVerdictTime);
+    this->fleet.RunFor(Milliseconds(500));
   }
   LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
   LONGS_EQUAL(3, this->fleet.servers.fatal_crashes.size());
--- a/Tests/LibRouting/server_crash_detector_test.cc
+++ b/Tests/LibRouting/server_crash_detector_test.cc
@@ -35,7 +35,10 @@
 TEST(ServerCrashDetector, AnUnreachableServerCrashedUnderAllItsBrokenAttempts) {
   CHECK_TRUE(Break("a").must_probe);
   CHECK_FALSE(Break("b").must_probe);
+  CHECK_TRUE(detector.AwaitsProbe("b"));
+  CHECK_FALSE(detector.AwaitsProbe("c"));
   const auto crashes = detector.OnProbed("s", 7, false, now, wall_now);
+  CHECK_FALSE(detector.AwaitsProbe("b"));
   LONGS_EQUAL(2, crashes.size());
   STRCMP_EQUAL("s", crashes[0].instance.c_str());
   LONGS_EQUAL(7, crashes[0].started_at);
