Gateway: Derive state and name the method of samples once

Cause: SampleStream kept begun beside the number of events that says the same, two files of JobRunner defined the method of its requests, and three comments needed a second reading or told more than their reason.

Change: HasBegun() asks the number of events, kMethod is JobRunner's, the comments say what happens. No behaviour changes; no test changes.

--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -58,7 +58,7 @@
                                    WallMilliseconds wall_now);
   // An attempt of the digest broke off at a server whose probe has not ended.
   bool AwaitsProbe(std::string_view digest) const;
-  // Discards incidents that nothing can change any more.
+  // Discards incidents older than kRetention.
   void RemoveExpired(MonotonicTime now);
 
   // Entries written before the crash arrive within this time, but for single
--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/crash_log.cc
@@ -15,14 +15,13 @@
 
 // Longest time that one read waits for a record.
 constexpr Milliseconds kReadWait{2'000};
-// Retractions only free memory and sound work that is not refused anyway, so
-// several share an append.
+// Retractions are not urgent, so several share an append.
 constexpr Milliseconds kRetractionDelay{200};
 constexpr Milliseconds kInitialBackoff{50};
 constexpr Milliseconds kMaximumBackoff{400};
 constexpr Milliseconds kPeerTimeout{400};
 constexpr std::size_t kMaxRecordsPerAppend = 500;
-// The oldest keys in order of text are dropped; the digests are kept in memory.
+// Beyond it, the record with the lowest key is no longer appended.
 constexpr std::size_t kMaxUnconfirmed = 4'096;
 constexpr char kSeparator = '/';
 
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -49,6 +49,8 @@
   std::size_t RunningSamples() const;
 
  private:
+  // Of samples and reward calls.
+  static constexpr std::string_view kMethod = "POST";
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
   static constexpr Milliseconds kFailureBackoff{30};
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -24,7 +24,6 @@
 // Requests beyond the slots wait in the server's queue and are lost if the
 // server fails.
 constexpr double kMaxSamplesPerSlot = 1.0;
-constexpr std::string_view kMethod = "POST";
 // Bound of the samples of one job that are moved at once, so that they don't
 // all go to the same server.
 constexpr std::size_t kMovesPerTick = 6;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -10,7 +10,6 @@
 
 // Reward calls leave slots free for plain requests to the same service.
 constexpr double kMaxRewardCallsPerSlot = 0.7;
-constexpr std::string_view kMethod = "POST";
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
 
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -115,7 +115,6 @@
 }
 
 bool SampleStream::DeliverEvent(const ServerSentEvent& event) {
-  this->begun = true;
   ++this->events;
   this->RecordEventGap();
   const std::string_view field =
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -60,7 +60,7 @@
   WallMilliseconds ServerStart() const { return this->attempt.ServerStart(); }
   // When the server last sent data; initially the start of the attempt.
   MonotonicTime LastActivity() const { return this->last_activity; }
-  bool HasBegun() const { return this->begun; }
+  bool HasBegun() const { return this->events > 0; }
   // Ends the attempt as broken. `send_outcome` states whether the server has
   // failed.
   void Abort(SendOutcome send_outcome, std::string_view reason);
@@ -92,7 +92,6 @@
   std::deque<MonotonicTime> event_times;
   int status = 0;
   bool not_run = false;
-  bool begun = false;
   // Events received in this attempt.
   std::size_t events = 0;
   // Weight version of the next event, unless that event states another.
