Gateway: Log and count attempts that end with a failure status

Answers now count as answered, rejected or server_error; reward calls and calls answered 500 leave a line, lines of samples have the number of failures before, lines of broken attempts the time that the server was given. The new test failed before: one outcome for all statuses.

--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -25,7 +25,8 @@
     "Responses that ended in an explicit error after their first byte"};
 inline constexpr MetricDefinition kAttempts{
     "carobbank_attempts_total", MetricType::kCounter, "service,outcome",
-    "Attempts at a backend server, by outcome"};
+    "Attempts at a backend server, by outcome: answered, rejected (4xx), "
+    "server_error (5xx), refused, broken, unreachable, cancelled"};
 inline constexpr MetricDefinition kRetries{
     "carobbank_retries_total", MetricType::kCounter, "service",
     "Attempts after the first of a request"};
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -102,6 +102,7 @@
     : environment(environment),
       attempt(environment, server, request.digest),
       request_id(request.request_id),
+      time_left(request.time_left),
       done(std::move(done)) {}
 
 std::unique_ptr<BackendCall> BackendCall::Start(GatewayEnvironment& environment,
@@ -201,6 +202,7 @@
             {"server", this->attempt.ServerId()},
             {"server_started_at", std::to_string(this->attempt.ServerStart())},
             {"attempt_ms", std::to_string(this->attempt.Elapsed().count())},
+            {"given_ms", std::to_string(this->time_left.count())},
             {"reason", std::string(reason)}});
 }
 
@@ -215,7 +217,8 @@
   // With a 5xx status the request may have ended in the server's queue.
   const bool completed = result.outcome == BackendCallOutcome::kAnswered &&
                          result.response.status < kFirstServerErrorStatus;
-  this->attempt.End({outcome, may_have_run, false, completed});
+  this->attempt.End(
+      {outcome, may_have_run, false, completed, result.response.status});
   const Callback report = std::move(this->done);
   this->done = nullptr;
   // May destroy this call.
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -94,6 +94,8 @@
   GatewayEnvironment& environment;
   InFlightAttempt attempt;
   std::string request_id;
+  // The time that the server was given.
+  Milliseconds time_left;
   Callback done;
   HttpResponse response;
   std::unique_ptr<HttpExchange> exchange;
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibProcess/process.h"
 #include "refusals.h"
 #include "request_quarantine.h"
 
@@ -222,6 +223,12 @@
         return;
       }
       this->last_failure = "the server responded with status 500";
+      WriteLog(LogLevel::kInfo, "attempt ended with status 500",
+               {{"request", this->request.request_id},
+                {"digest", this->request.digest},
+                {"server", server_id},
+                {"possible_runs", std::to_string(this->possible_runs)},
+                {"time_left_ms", std::to_string(this->TimeLeft().count())}});
       break;
     }
   }
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -8,10 +8,16 @@
 
 namespace {
 
+constexpr int kFirstClientErrorStatus = 400;
+constexpr int kFirstServerErrorStatus = 500;
+
 std::string_view OutcomeLabel(const AttemptEnd& end) {
   switch (end.outcome) {
     case SendOutcome::kAnswered:
-      return "answered";
+      if (end.status >= kFirstServerErrorStatus) {
+        return "server_error";
+      }
+      return end.status >= kFirstClientErrorStatus ? "rejected" : "answered";
     case SendOutcome::kRefused:
       return "refused";
     case SendOutcome::kFailed:
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -273,6 +273,7 @@
               {"server", server_id},
               {"server_started_at", std::to_string(server_start)},
               {"events", std::to_string(progress.events)},
+              {"failures", std::to_string(progress.failures)},
               {"not_run",
                outcome == SampleStreamOutcome::kNotRun ? "true" : "false"},
               {"reason", std::string(reason)}});
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "LibProcess/process.h"
+
 namespace carobbank {
 
 namespace {
@@ -108,6 +110,17 @@
   if (answered && result.response.status == kInternalServerError) {
     ++progress.reward_failures;
   }
+  if (answered) {
+    WriteLog(LogLevel::kInfo, "reward call was not accepted",
+             {{"job", job.id},
+              {"sample", state->job.samples[index].id},
+              {"request", reward.id},
+              {"digest", progress.reward_digest},
+              {"server", server_id},
+              {"status", std::to_string(result.response.status)},
+              {"failures", std::to_string(progress.reward_failures)},
+              {"job_age_ms", std::to_string(this->AgeOf(*state).count())}});
+  }
   if (route != nullptr && progress.reward_failures >= route->max_attempts) {
     this->Finish(job, *state, index, false, "");
     return;
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -25,6 +25,8 @@
   bool outlived_start = false;
   // The server ran the request to its end.
   bool completed = false;
+  // HTTP status of a complete response; zero without one.
+  int status = 0;
 };
 
 struct ServerAttempt {
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -183,7 +183,7 @@
   const bool completed = outcome == SampleStreamOutcome::kComplete ||
                          outcome == SampleStreamOutcome::kUnprocessable;
   this->attempt.End({send_outcome, outcome != SampleStreamOutcome::kNotRun,
-                     this->events > 1, completed});
+                     this->events > 1, completed, this->status});
   const auto report = std::move(this->handlers.on_end);
   this->handlers.on_end = nullptr;
   // Destroys this stream.
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -179,6 +179,24 @@
   CHECK_TRUE(FindHeader(this->caller.headers, "Retry-After").has_value());
 }
 
+TEST(ForwardedCall, AttemptsAreCountedAsAnsweredWhateverTheirStatus) {
+  this->RespondFirst(1, [](const HttpClientRequest& request) {
+    return GatewayFixture::Respond(request, 500, "sorry");
+  });
+  this->Finish("/app/");
+  this->RespondFirst(100, [](const HttpClientRequest& request) {
+    return GatewayFixture::Respond(request, 404, "");
+  });
+  this->Finish("/once/");
+  const std::string text = this->fixture.metrics.PrometheusText();
+  for (const char* const outcome : {"answered", "server_error", "rejected"}) {
+    const std::string counter =
+        "carobbank_attempts_total{service=\"app\",outcome=\"" +
+        std::string(outcome) + "\"} 1";
+    CHECK_TRUE_TEXT(text.find(counter) != std::string::npos, text.c_str());
+  }
+}
+
 TEST(ForwardedCall, WithoutAnyServerTheRequestIsRefusedAtOnce) {
   this->fixture.fleet = ServerFleet();
   this->Finish("/app/");
