--- /dev/null
+++ b/Benchmarks/Soak/checks_test.py
@@ -0,0 +1,105 @@
+"""Each check of the soak is shown a history with its fault, and one just within the limit."""
+
+import unittest
+
+import checks
+from checks import Attempt, History
+from servers import Run
+
+TOUCH_S = 3.0
+
+
+def run(at, server="s1", outcome="200", route="app", request_id="r1", body="sound",
+        deadline_ms=1000, gateway="g1", born=1):
+    return Run(at, gateway, server, born, route, request_id, f"/{route}/x", body, deadline_ms,
+               outcome, at + 0.1)
+
+
+def history(runs, attempts=()):
+    return History(TOUCH_S, attempts={a.request_id: a for a in attempts}, runs=runs)
+
+
+class ServersOfOneAttempt(unittest.TestCase):
+    def found(self, calls, servers, outcome="200"):
+        runs = [run(0, f"s{server}", outcome, request_id=f"r{call}")
+                for call in range(calls) for server in range(servers)]
+        attempts = [Attempt(f"r{call}", 0, 1, 2) for call in range(calls)]
+        return checks.calls_on_too_many_servers(history(runs, attempts))
+
+    def test_four_calls_on_three_servers_are_found(self):
+        self.assertEqual(4, len(self.found(4, 3)))
+
+    def test_three_calls_or_two_servers_or_crashed_servers_are_allowed(self):
+        self.assertEqual([], self.found(3, 3))
+        self.assertEqual([], self.found(9, 2))
+        self.assertEqual([], self.found(9, 3, "crashed"))
+        self.assertEqual([], self.found(9, 3, "not_run"))
+
+
+class TimeHandedOn(unittest.TestCase):
+    def found(self, calls, second_at, deadline_ms, attempt_deadline_s=None, disrupted=()):
+        runs = []
+        for call in range(calls):
+            runs += [run(0, request_id=f"r{call}", route="score"),
+                     run(second_at, request_id=f"r{call}", route="score",
+                         deadline_ms=deadline_ms)]
+        attempts = [] if attempt_deadline_s is None else [
+            Attempt(f"r{call}", 0, attempt_deadline_s, 2) for call in range(calls)]
+        played = history(runs, attempts)
+        played.gateway_disruptions["g1"] += disrupted
+        return checks.late_deadlines(played, ("score",))
+
+    def test_repeats_with_a_new_deadline_are_found(self):
+        self.assertEqual(21, len(self.found(21, 0.8, 1000)))
+
+    def test_repeats_within_the_first_deadline_or_soon_or_few_are_allowed(self):
+        self.assertEqual([], self.found(21, 0.8, 200))
+        self.assertEqual([], self.found(21, 0.4, 1000))
+        self.assertEqual([], self.found(20, 0.8, 1000))
+        self.assertEqual([], self.found(21, 0.8, 1000, attempt_deadline_s=2))
+
+    def test_more_time_than_the_caller_gave_is_found(self):
+        self.assertEqual(42, len(self.found(21, 0.1, 1000, attempt_deadline_s=0.4)))
+
+    def test_a_request_without_a_deadline_is_found(self):
+        runs = [run(0, request_id=f"r{call}", deadline_ms=None) for call in range(21)]
+        self.assertEqual(21, len(checks.late_deadlines(history(runs), ("app",))))
+
+    def test_gateways_out_of_touch_are_excused(self):
+        self.assertEqual([], self.found(21, 0.8, 1000, disrupted=[(-1, 0)]))
+        self.assertEqual(21, len(self.found(21, 4.2, 1000, disrupted=[(-1, 0)])))
+
+
+class CrashingRequests(unittest.TestCase):
+    def found(self, late, gap=4.0):
+        runs = [run(at, f"s{at}", "crashed", body="fatal") for at in range(3)]
+        runs += [run(2 + gap + index, f"s{index}", "crashed", body="fatal")
+                 for index in range(late)]
+        return checks.fatal_requests_sent_on(history(runs))
+
+    def test_four_late_retries_are_found(self):
+        self.assertEqual(1, len(self.found(4)))
+
+    def test_three_late_retries_or_earlier_ones_are_allowed(self):
+        self.assertEqual([], self.found(3))
+        self.assertEqual([], self.found(4, gap=-0.5))
+
+
+class FailingSamples(unittest.TestCase):
+    def found(self, count, outcome, last="500"):
+        runs = [run(at, f"s{at}", outcome, "train", "sample") for at in range(count - 1)]
+        runs.append(run(count - 1, "s", last, "train", "sample"))
+        return checks.failing_samples_run_again(history(runs))
+
+    def test_runs_beyond_the_limit_are_found(self):
+        self.assertEqual(1, len(self.found(10, "500")))
+        self.assertEqual(1, len(self.found(4, "422", "422")))
+
+    def test_runs_up_to_the_limit_or_that_completed_are_allowed(self):
+        self.assertEqual([], self.found(9, "500"))
+        self.assertEqual([], self.found(3, "422", "422"))
+        self.assertEqual([], self.found(10, "500", "200"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <list>
 #include <map>
 #include <memory>
@@ -30,6 +31,17 @@
   MonotonicTime at;
 };
 
+// A request that reached a server.
+struct ServedRequest {
+  std::string server_id;
+  // Path and query.
+  std::string target;
+  std::string body;
+  // Time that the server was given, as sent.
+  Milliseconds time_left{0};
+  MonotonicTime at;
+};
+
 class FakeServers {
  public:
   explicit FakeServers(EventLoop& loop) : loop(loop) {}
@@ -51,6 +63,17 @@
   std::vector<FatalCrash> fatal_crashes;
   // Number of requests that broke off at a server without being fatal.
   std::size_t innocent_losses = 0;
+  // Requests of all clients that reached a server, without probes, in order of
+  // time.
+  std::vector<ServedRequest> served;
+
+  std::vector<ServedRequest> ServedWithBody(std::string_view body) const {
+    std::vector<ServedRequest> found;
+    std::copy_if(
+        this->served.begin(), this->served.end(), std::back_inserter(found),
+        [body](const ServedRequest& request) { return request.body == body; });
+    return found;
+  }
 
   void Add(FleetServer server) {
     server.address = server.id + ":1";
@@ -161,6 +184,14 @@
     std::string name;
   };
 
+  static constexpr std::string_view kHealthPath = "/health";
+
+  static Milliseconds TimeLeft(const HttpClientRequest& request) {
+    const auto text = FindHeader(request.headers, "Time-Left");
+    return Milliseconds(
+        ParseInteger<std::int64_t>(text.value_or("0")).value_or(0));
+  }
+
   Server* Find(std::string_view id) {
     const auto found = std::find_if(
         this->servers.begin(), this->servers.end(),
@@ -188,6 +219,12 @@
       return;
     }
     server->runs.push_back(run);
+    if (!run->request.url.ends_with(kHealthPath)) {
+      this->served.push_back({server->registered.id,
+                              std::string(rest.substr(rest.find('/'))),
+                              run->request.body, TimeLeft(run->request),
+                              std::chrono::steady_clock::now()});
+    }
     if (run->request.body.find(this->fatal_text) != std::string::npos) {
       this->fatal_crashes.push_back(
           {server->registered.id, std::string(rest.substr(rest.find('/'))),
