Gateway: Give all repeats of a reward call the sample's deadline

Servers were handed more time with each repeat: a reward call had route->timeout anew, so one whose first server hung was sent on after 3 s with 3,000 ms left, and again after 6 s.

A reward call is part of its sample, so it now carries the time that is left until the sample is abandoned, which no repeat extends; the route's timeout limits the single attempt.

--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -83,8 +83,9 @@
   sent.headers.push_back({std::string(names.expected_server), server.id});
   sent.body = request.body;
   sent.fresh_connection = request.fresh_connection;
-  sent.connect_timeout = std::min(kConnectTimeout, request.time_left);
-  sent.timeout = request.time_left;
+  sent.timeout = std::min(request.time_left,
+                          request.attempt_timeout.value_or(request.time_left));
+  sent.connect_timeout = std::min(kConnectTimeout, sent.timeout);
   return sent;
 }
 
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,8 +28,11 @@
   // The request must not run twice, so it needs a connection that the server
   // doesn't close as idle meanwhile.
   bool fresh_connection = false;
-  // Time that the server has to run the request.
+  // Time that the server has to run the request. Repetitions of the request
+  // must not extend it.
   Milliseconds time_left{0};
+  // Limit of this attempt; without one, `time_left`.
+  std::optional<Milliseconds> attempt_timeout;
 };
 
 enum class BackendCallOutcome {
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -108,6 +108,11 @@
                       state.job.accepted_at);
 }
 
+Milliseconds JobRunner::TimeLeftOf(const JobState& state) const {
+  return std::max(state.job.abandon_after - this->AgeOf(state),
+                  Milliseconds(1));
+}
+
 bool JobRunner::StillOpen(const JobState& state) const {
   return !state.ended && !state.Complete();
 }
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -191,6 +191,8 @@
   void ResetOutput(Progress& progress);
   const HostRoute* RouteOf(const JobState& state) const;
   Milliseconds AgeOf(const JobState& state) const;
+  // Until the job's unfinished samples are abandoned; at least 1 ms.
+  Milliseconds TimeLeftOf(const JobState& state) const;
   void Tick();
   void AbortUnresponsiveStreams(ActiveJob& job);
   void MoveFromSlowServers(ActiveJob& job);
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -191,8 +191,7 @@
   request.body = *body;
   request.request_id = sample.id;
   request.digest = progress.digest;
-  request.time_left =
-      std::max(state.job.abandon_after - this->AgeOf(state), Milliseconds(1));
+  request.time_left = this->TimeLeftOf(state);
   if (!sample.group.empty() &&
       !this->environment.quarantine.IsSuspect(progress.digest)) {
     job.group_servers[sample.group] = server->id;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -75,7 +75,8 @@
   request.body = *body;
   request.request_id = reward.id;
   request.digest = progress.reward_digest;
-  request.time_left = route->timeout;
+  request.time_left = this->TimeLeftOf(state);
+  request.attempt_timeout = route->timeout;
   --job.waiting_for_score;
   progress.stage = Stage::kScoring;
   progress.reward =
