Gateway: Count failed samples over all owners and jobs

Trainers saw servers spend time on samples that can't succeed: a sample that is always answered 500 ran 20 times under 20 owners that were lost in turn and 20 times in 20 jobs that carry it, one answered 422 8 times in 8 jobs and 5 times under 5 owners while the log was away (9 and 3 allowed).

Failures were counted in JobRunner's progress, which lives with one owner and one job, and ApplyOutput() resets it. They are now records of the same shared log as crashes (CrashLog, SampleFailures), so peers learn of them while the log is away and a new owner reads them before it starts samples. A sample ends after its limit in a job, as before, and after twice that in all jobs, within the platform's three times.

--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/crash_log.cc
@@ -1,5 +1,5 @@
-// Records of crashes: their format, appends with retries, and the exchange with
-// peers.
+// Records of crashes and of failed samples: their format, appends with retries,
+// and the exchange with peers.
 
 #include "crash_log.h"
 
@@ -17,6 +17,9 @@
 constexpr Milliseconds kReadWait{2'000};
 // Retractions are not urgent, so several share an append.
 constexpr Milliseconds kRetractionDelay{200};
+// A server may fail many samples in a row. Every gateway reads each append, so
+// the failures of this time share one.
+constexpr Milliseconds kFailurePeriod{200};
 constexpr Milliseconds kInitialBackoff{50};
 constexpr Milliseconds kMaximumBackoff{400};
 constexpr Milliseconds kPeerTimeout{400};
@@ -84,6 +87,7 @@
 }
 
 void CrashLog::Start() {
+  this->started = true;
   this->follower.Start();
 }
 
@@ -122,6 +126,17 @@
 }
 
 void CrashLog::ApplyRecord(const KeyedRecord& record) {
+  const auto failure = DecodeSampleFailure(record.key);
+  if (!failure) {
+    this->ApplyCrash(record);
+  } else if (record.value.empty()) {
+    this->handlers.on_sample_failure_removed(*failure);
+  } else {
+    this->handlers.on_sample_failure(*failure);
+  }
+}
+
+void CrashLog::ApplyCrash(const KeyedRecord& record) {
   const std::optional<CrashKey> key = DecodeKey(record.key);
   if (!key) {
     return;
@@ -162,10 +177,35 @@
           EncodeValue(report)};
 }
 
+KeyedRecord CrashLog::EncodeFailure(const SampleFailure& failure) {
+  // The key says all; a record with an empty value would delete it.
+  return {EncodeSampleFailure(failure), "{}"};
+}
+
 void CrashLog::Record(const CrashReport& report) {
   this->Put(EncodeCrash(report), Milliseconds(0));
 }
 
+void CrashLog::Record(const SampleFailure& failure) {
+  this->Put(EncodeFailure(failure), this->DelayOfFailure());
+}
+
+// The first failure after a while is shared at once, because its owner may be
+// lost.
+Milliseconds CrashLog::DelayOfFailure() const {
+  const MonotonicTime now = this->environment.clock.Now();
+  if (this->last_flush == MonotonicTime::min() ||
+      now - this->last_flush >= kFailurePeriod) {
+    return Milliseconds(0);
+  }
+  return std::chrono::duration_cast<Milliseconds>(this->last_flush +
+                                                  kFailurePeriod - now);
+}
+
+void CrashLog::Remove(const SampleFailure& failure) {
+  this->Put({EncodeSampleFailure(failure), ""}, kRetractionDelay);
+}
+
 void CrashLog::Retract(std::string_view digest,
                        const ServerCrashRecord& crash) {
   this->Put({EncodeKey(digest, crash.instance, crash.started_at), ""},
@@ -210,6 +250,7 @@
     records.push_back({key, value});
   }
   this->appending = true;
+  this->last_flush = this->environment.clock.Now();
   // Unconditional: records of one key say the same, whichever gateway writes
   // them and however often.
   this->environment.log.Append(
@@ -340,7 +381,9 @@
   }
   for (const Json::Value& row : rows) {
     if (row.isArray() && row.size() == 2 && row[0].isString() &&
-        row[1].isString() && DecodeKey(row[0].asString())) {
+        row[1].isString() &&
+        (DecodeKey(row[0].asString()) ||
+         DecodeSampleFailure(row[0].asString()))) {
       records.push_back({row[0].asString(), row[1].asString()});
     }
   }
--- a/Services/Gateway/crash_log.h
+++ b/Services/Gateway/crash_log.h
@@ -1,6 +1,6 @@
-// Shares among gateways which servers crashed under which requests, through one
-// partition of the log. While the log is unreachable, records go directly to
-// the peers, and wait to be appended.
+// Shares among gateways which servers crashed under which requests, and which
+// samples failed, through one partition of the log. While the log is
+// unreachable, records go directly to the peers, and wait to be appended.
 
 #pragma once
 
@@ -15,6 +15,7 @@
 
 #include "gateway_environment.h"
 #include "log_follower.h"
+#include "sample_failures.h"
 
 namespace carobbank {
 
@@ -25,7 +26,9 @@
                      std::string_view instance,
                      WallMilliseconds started_at)>
       on_retracted;
-  // The crashes reported next replace all earlier ones.
+  std::function<void(const SampleFailure& failure)> on_sample_failure;
+  std::function<void(const SampleFailure& failure)> on_sample_failure_removed;
+  // The crashes and failures reported next replace all earlier ones.
   std::function<void()> on_reset;
 };
 
@@ -41,9 +44,18 @@
   CrashLog& operator=(const CrashLog&) = delete;
 
   void Start();
+  // Start() was not called, all records were read once, or the log can't be
+  // read.
+  bool Settled() const {
+    return !this->started || this->follower.Synced() ||
+           !this->follower.Reachable();
+  }
   // Shares a crash, or its retraction. `report` names a single digest.
   void Record(const CrashReport& report);
   void Retract(std::string_view digest, const ServerCrashRecord& crash);
+  // Shares a failure of a sample, or that it no longer counts.
+  void Record(const SampleFailure& failure);
+  void Remove(const SampleFailure& failure);
 
   // Records that the log has not confirmed yet, for peers.
   std::vector<KeyedRecord> Unconfirmed() const;
@@ -54,6 +66,7 @@
   void ApplyConfirmed(const std::vector<KeyedRecord>& records);
 
   static KeyedRecord EncodeCrash(const CrashReport& report);
+  static KeyedRecord EncodeFailure(const SampleFailure& failure);
 
   // Path of a peer's records, sent with POST.
   static constexpr std::string_view kPath = "/peer/crashes";
@@ -67,8 +80,10 @@
   LogFollowerHandlers FollowerHandlers();
   void ApplySnapshot(std::span<const KeyedLogRecord> records);
   void ApplyRecord(const KeyedRecord& record);
+  void ApplyCrash(const KeyedRecord& record);
   void Confirm(const KeyedRecord& record);
   void Put(KeyedRecord record, Milliseconds delay);
+  Milliseconds DelayOfFailure() const;
   void ScheduleFlush(Milliseconds delay);
   void Flush();
   void OnAppended(const std::vector<KeyedRecord>& records,
@@ -79,11 +94,13 @@
   std::vector<std::string> peers;
   CrashLogHandlers handlers;
   LogFollower follower;
+  bool started = false;
   // Values by key, to be appended.
   std::map<std::string, std::string, std::less<>> unconfirmed;
   // Keys in `unconfirmed` that were sent to the peers.
   std::set<std::string, std::less<>> sent_to_peers;
   bool appending = false;
+  MonotonicTime last_flush = MonotonicTime::min();
   Milliseconds backoff{0};
   std::unique_ptr<Timer> flush_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -370,7 +370,7 @@
     this->UpdateFollowedPartitions();
     this->fleet.RemoveExpired(this->servers_follower.LastReadAt());
     if (this->upgrader.HoldsLease()) {
-      this->quarantine.RemoveOldCrashes();
+      this->quarantine.RemoveOldRecords();
     }
     this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.RemoveUnknown([this](const std::string& id) {
@@ -488,7 +488,7 @@
   state.reaches_log =
       this->operator_follower.Reachable() &&
       this->operator_follower.LastReadWithin(PeerState::kFreshness);
-  state.known_crashes = this->quarantine.KnownCrashes();
+  state.known_crashes = this->quarantine.KnownRecords();
   state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
   if (request.Query("records")) {
     for (const auto& [key, record] : this->operator_records) {
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "request_quarantine.h"
 
 namespace carobbank {
 
@@ -235,7 +236,9 @@
 void JobRunner::DispatchSamples() {
   this->ended_streams.clear();
   this->ended_calls.clear();
-  if (!this->environment.configuration) {
+  // Samples may have failed too often under earlier owners.
+  if (!this->environment.configuration ||
+      !this->environment.quarantine.Settled()) {
     return;
   }
   for (ActiveJob* const job : this->JobsInOrder()) {
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -77,9 +77,6 @@
     std::size_t events = 0;
     std::string last_event_id;
     std::set<std::int64_t> versions;
-    // Responses with status 500 to the sample, and to its reward call.
-    std::int64_t failures = 0;
-    std::int64_t reward_failures = 0;
     // Digests of the sample and of its reward call; empty until first needed.
     std::string digest;
     std::string reward_digest;
@@ -164,6 +161,14 @@
   // True when the sample or its reward call is quarantined, or a suspect with
   // another run; then no attempt starts before `not_before`.
   bool MustNotStart(Progress& progress, std::string_view digest) const;
+  // The sample, or its reward call, has failed in this way too often to run
+  // again in this job.
+  bool FailedTooOften(const JobState& state,
+                      std::size_t index,
+                      SampleFailureKind kind) const;
+  void RecordFailure(const JobState& state,
+                     std::size_t index,
+                     SampleFailureKind kind);
   // No server was found. False when none has free capacity for other samples
   // either; a suspect is only delayed, so that they don't wait for it.
   bool OnNoServer(Progress& progress, std::string_view digest) const;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -150,6 +150,31 @@
   progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
 }
 
+bool JobRunner::FailedTooOften(const JobState& state,
+                               std::size_t index,
+                               SampleFailureKind kind) const {
+  const bool of_reward = kind == SampleFailureKind::kRewardServerError;
+  const JobSample& sample = state.job.samples[index];
+  const HostRoute* const route =
+      of_reward ? this->environment.configuration->routes.Find(
+                      sample.reward->host, sample.reward->path)
+                : this->RouteOf(state);
+  if (route == nullptr) {
+    return false;
+  }
+  const std::int64_t limit =
+      kind == SampleFailureKind::kUnprocessable ? 1 : route->max_attempts;
+  return this->environment.quarantine.Failures().Exhausted(
+      MakeSampleKey(state.job, sample), kind, limit);
+}
+
+void JobRunner::RecordFailure(const JobState& state,
+                              std::size_t index,
+                              SampleFailureKind kind) {
+  this->environment.quarantine.RecordFailure(
+      MakeSampleKey(state.job, state.job.samples[index]), kind);
+}
+
 bool JobRunner::StartSample(ActiveJob& job,
                             const JobState& state,
                             std::size_t index) {
@@ -171,6 +196,11 @@
     progress.digest =
         DigestOfRequest(kMethod, state.job.host + sample.path, *body);
   }
+  if (this->FailedTooOften(state, index, SampleFailureKind::kServerError) ||
+      this->FailedTooOften(state, index, SampleFailureKind::kUnprocessable)) {
+    this->Finish(job, state, index, false, "");
+    return true;
+  }
   if (this->MustNotStart(progress, progress.digest)) {
     return true;
   }
@@ -265,17 +295,21 @@
     return;
   }
   if (outcome != SampleStreamOutcome::kComplete) {
-    WriteLog(LogLevel::kInfo, "sample attempt ended early",
-             {{"job", job.id},
-              {"sample", state->job.samples[index].id},
-              {"digest", digest},
-              {"server", server_id},
-              {"server_started_at", std::to_string(server_start)},
-              {"events", std::to_string(progress.events)},
-              {"failures", std::to_string(progress.failures)},
-              {"not_run",
-               outcome == SampleStreamOutcome::kNotRun ? "true" : "false"},
-              {"reason", std::string(reason)}});
+    WriteLog(
+        LogLevel::kInfo, "sample attempt ended early",
+        {{"job", job.id},
+         {"sample", state->job.samples[index].id},
+         {"digest", digest},
+         {"server", server_id},
+         {"server_started_at", std::to_string(server_start)},
+         {"events", std::to_string(progress.events)},
+         {"failures",
+          std::to_string(this->environment.quarantine.Failures().CountInJob(
+              MakeSampleKey(state->job, state->job.samples[index]),
+              SampleFailureKind::kServerError))},
+         {"not_run",
+          outcome == SampleStreamOutcome::kNotRun ? "true" : "false"},
+         {"reason", std::string(reason)}});
   }
   const MonotonicTime now = this->environment.clock.Now();
   const HostRoute* const route = this->RouteOf(*state);
@@ -295,11 +329,13 @@
       this->Finish(job, *state, index, true, "");
       return;
     case SampleStreamOutcome::kUnprocessable:
+      this->RecordFailure(*state, index, SampleFailureKind::kUnprocessable);
       this->Finish(job, *state, index, false, "");
       return;
     case SampleStreamOutcome::kFailed:
-      ++progress.failures;
-      if (route != nullptr && progress.failures >= route->max_attempts) {
+      this->RecordFailure(*state, index, SampleFailureKind::kServerError);
+      if (this->FailedTooOften(*state, index,
+                               SampleFailureKind::kServerError)) {
         this->Finish(job, *state, index, false, "");
         return;
       }
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "request_quarantine.h"
 
 namespace carobbank {
 
@@ -53,6 +54,12 @@
     progress.reward_digest =
         DigestOfRequest(kMethod, reward.host + reward.path, *body);
   }
+  if (this->FailedTooOften(state, index,
+                           SampleFailureKind::kRewardServerError)) {
+    --job.waiting_for_score;
+    this->Finish(job, state, index, false, "");
+    return true;
+  }
   if (this->MustNotStart(progress, progress.reward_digest)) {
     return true;
   }
@@ -106,23 +113,29 @@
     return;
   }
   const RewardCall& reward = *state->job.samples[index].reward;
-  const HostRoute* const route =
-      this->environment.configuration->routes.Find(reward.host, reward.path);
-  if (answered && result.response.status == kInternalServerError) {
-    ++progress.reward_failures;
+  const bool server_error =
+      answered && result.response.status == kInternalServerError;
+  if (server_error) {
+    this->RecordFailure(*state, index, SampleFailureKind::kRewardServerError);
   }
   if (answered) {
-    WriteLog(LogLevel::kInfo, "reward call was not accepted",
-             {{"job", job.id},
-              {"sample", state->job.samples[index].id},
-              {"request", reward.id},
-              {"digest", progress.reward_digest},
-              {"server", server_id},
-              {"status", std::to_string(result.response.status)},
-              {"failures", std::to_string(progress.reward_failures)},
-              {"job_age_ms", std::to_string(this->AgeOf(*state).count())}});
+    WriteLog(
+        LogLevel::kInfo, "reward call was not accepted",
+        {{"job", job.id},
+         {"sample", state->job.samples[index].id},
+         {"request", reward.id},
+         {"digest", progress.reward_digest},
+         {"server", server_id},
+         {"status", std::to_string(result.response.status)},
+         {"failures",
+          std::to_string(this->environment.quarantine.Failures().CountInJob(
+              MakeSampleKey(state->job, state->job.samples[index]),
+              SampleFailureKind::kRewardServerError))},
+         {"job_age_ms", std::to_string(this->AgeOf(*state).count())}});
   }
-  if (route != nullptr && progress.reward_failures >= route->max_attempts) {
+  if (server_error &&
+      this->FailedTooOften(*state, index,
+                           SampleFailureKind::kRewardServerError)) {
     this->Finish(job, *state, index, false, "");
     return;
   }
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -22,6 +22,9 @@
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
 
+// A trainer submits the unfinished samples of a step again with one of its next
+// steps.
+constexpr Milliseconds kFailureRetention{600'000};
 // Longer than the longest refusal, so that a digest whose refusal ends still
 // has its crashes.
 constexpr Milliseconds kCrashRetention{2 * 3'600'000};
@@ -69,7 +72,16 @@
     this->quarantine.Retract(digest, instance, started_at);
     this->UpdateGauge();
   };
-  handlers.on_reset = [this] { this->quarantine = CrashQuarantine(kOptions); };
+  handlers.on_sample_failure = [this](const SampleFailure& failure) {
+    this->failures.Add(failure);
+  };
+  handlers.on_sample_failure_removed = [this](const SampleFailure& failure) {
+    this->failures.Remove(failure);
+  };
+  handlers.on_reset = [this] {
+    this->quarantine = CrashQuarantine(kOptions);
+    this->failures = SampleFailures();
+  };
   return handlers;
 }
 
@@ -286,6 +298,26 @@
       .Add();
 }
 
+void RequestQuarantine::RecordFailure(const SampleKey& key,
+                                      SampleFailureKind kind) {
+  const SampleFailure failure{key, kind, this->environment.settings.instance,
+                              this->environment.clock.WallNow()};
+  this->failures.Add(failure);
+  this->log.Record(failure);
+}
+
+void RequestQuarantine::RemoveOldRecords() {
+  this->RemoveOldCrashes();
+  const WallMilliseconds oldest =
+      this->environment.clock.WallNow() - kFailureRetention.count();
+  for (const SampleFailure& failure : this->failures.All()) {
+    if (failure.at < oldest) {
+      this->log.Remove(failure);
+      this->failures.Remove(failure);
+    }
+  }
+}
+
 void RequestQuarantine::RemoveOldCrashes() {
   const WallMilliseconds oldest =
       this->environment.clock.WallNow() - kCrashRetention.count();
@@ -304,8 +336,11 @@
   }
 }
 
-std::vector<KeyedRecord> RequestQuarantine::KnownCrashes() const {
+std::vector<KeyedRecord> RequestQuarantine::KnownRecords() const {
   std::vector<KeyedRecord> records;
+  for (const SampleFailure& failure : this->failures.All()) {
+    records.push_back(CrashLog::EncodeFailure(failure));
+  }
   for (const std::string& digest : this->quarantine.Tracked()) {
     for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
       records.push_back(CrashLog::EncodeCrash({crash.instance,
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -1,6 +1,8 @@
 // Refuses requests that crash backend servers: attributes broken attempts to
 // crashes of their servers, shares the crashes with the other gateways, and
 // keeps suspects apart, so that sound requests beside them are not quarantined.
+// Also counts, over all gateways, the failures of samples that fail at each
+// run.
 
 #pragma once
 
@@ -74,12 +76,19 @@
   // Counts a refusal, which the caller sends.
   void CountRefusal(std::string_view service, bool may_have_run);
 
-  // Deletes the crashes of digests without a recent one, for all gateways.
-  void RemoveOldCrashes();
+  // Counts a failure of a sample or of its reward call, for all gateways.
+  void RecordFailure(const SampleKey& key, SampleFailureKind kind);
+  const SampleFailures& Failures() const { return this->failures; }
+
+  // Deletes the crashes of digests without a recent one, and old failures of
+  // samples, for all gateways.
+  void RemoveOldRecords();
 
   CrashLog& Log() { return this->log; }
-  // All crashes counted against digests, as records for peers.
-  std::vector<KeyedRecord> KnownCrashes() const;
+  // The records of other gateways were read, or can't be.
+  bool Settled() const { return this->log.Settled(); }
+  // All counted crashes and failures, as records for peers.
+  std::vector<KeyedRecord> KnownRecords() const;
 
  private:
   CrashLogHandlers LogHandlers();
@@ -93,6 +102,7 @@
   void OnFinished(const std::string& digest);
   void Apply(const CrashReport& report);
   void UpdateGauge();
+  void RemoveOldCrashes();
   // Servers on which this gateway runs a suspect of at least that suspicion.
   std::vector<std::string> ServersWithSuspects(std::string_view digest,
                                                std::size_t suspicion) const;
@@ -100,6 +110,7 @@
   GatewayEnvironment& environment;
   ServerCrashDetector detector;
   CrashQuarantine quarantine;
+  SampleFailures failures;
   // Time by which this gateway ends refusals later than it could.
   Milliseconds refusal_delay;
   CrashLog log;
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -117,7 +117,7 @@
       return {200, {}, ""};
     }
     PeerState state;
-    state.known_crashes = this->quarantine.KnownCrashes();
+    state.known_crashes = this->quarantine.KnownRecords();
     state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
     return {200, {}, EncodePeerState(state)};
   }
