Gateway: Stop repeating a reward call that servers reject

A reward call that was answered 400, 404 or 422 was sent again every 40 ms until its job ended, 20 times and more in 4 s, because only responses 500 counted. Such responses now count as failures of the sample, over all owners and jobs like the others: repeats wait 0.1 s, 0.4 s, 1.6 s, and after the route's max_attempts there are none. The sample is lost only with its job's time, since a rejection alone does not allow to give it up.

--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -51,6 +51,10 @@
  private:
   // Of samples and reward calls.
   static constexpr std::string_view kMethod = "POST";
+  // Delay before the first repeat of a rejected reward call; each further one
+  // waits this many times as long, so that a brief cause may pass.
+  static constexpr Milliseconds kRejectionBackoff{100};
+  static constexpr std::int64_t kRejectionBackoffGrowth = 4;
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
   static constexpr Milliseconds kFailureBackoff{30};
@@ -175,6 +179,9 @@
   void DelaySuspect(Progress& progress) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
+  // When a reward call that was rejected is repeated; the latest time when it
+  // isn't. Its sample is abandoned with its job then.
+  MonotonicTime NextRewardCall(const JobState& state, std::size_t index) const;
   bool AppendEvent(ActiveJob& job,
                    std::size_t index,
                    std::string_view data,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -153,7 +153,8 @@
 bool JobRunner::FailedTooOften(const JobState& state,
                                std::size_t index,
                                SampleFailureKind kind) const {
-  const bool of_reward = kind == SampleFailureKind::kRewardServerError;
+  const bool of_reward = kind == SampleFailureKind::kRewardServerError ||
+                         kind == SampleFailureKind::kRewardRejected;
   const JobSample& sample = state.job.samples[index];
   const HostRoute* const route =
       of_reward ? this->environment.configuration->routes.Find(
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -15,6 +15,15 @@
 constexpr double kMaxRewardCallsPerSlot = 0.7;
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
+constexpr int kFirstClientErrorStatus = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooManyRequests = 429;
+
+// A client error that does not ask for a repeat.
+bool IsRejection(int status) {
+  return status >= kFirstClientErrorStatus && status < kInternalServerError &&
+         status != kRequestTimeout && status != kTooManyRequests;
+}
 
 }  // namespace
 
@@ -60,6 +69,10 @@
     this->Finish(job, state, index, false, "");
     return true;
   }
+  if (this->FailedTooOften(state, index, SampleFailureKind::kRewardRejected)) {
+    progress.not_before = MonotonicTime::max();
+    return true;
+  }
   if (this->MustNotStart(progress, progress.reward_digest)) {
     return true;
   }
@@ -115,8 +128,11 @@
   const RewardCall& reward = *state->job.samples[index].reward;
   const bool server_error =
       answered && result.response.status == kInternalServerError;
+  const bool rejected = answered && IsRejection(result.response.status);
   if (server_error) {
     this->RecordFailure(*state, index, SampleFailureKind::kRewardServerError);
+  } else if (rejected) {
+    this->RecordFailure(*state, index, SampleFailureKind::kRewardRejected);
   }
   if (answered) {
     WriteLog(
@@ -141,8 +157,26 @@
   }
   progress.stage = Stage::kWaitingForScore;
   ++job.waiting_for_score;
-  progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
+  progress.not_before = rejected
+                            ? this->NextRewardCall(*state, index)
+                            : this->environment.clock.Now() + kRefusalBackoff;
   progress.excluded.Add(server_id);
 }
 
+MonotonicTime JobRunner::NextRewardCall(const JobState& state,
+                                        std::size_t index) const {
+  if (this->FailedTooOften(state, index, SampleFailureKind::kRewardRejected)) {
+    return MonotonicTime::max();
+  }
+  const std::int64_t rejections =
+      this->environment.quarantine.Failures().CountInJob(
+          MakeSampleKey(state.job, state.job.samples[index]),
+          SampleFailureKind::kRewardRejected);
+  Milliseconds delay = kRejectionBackoff;
+  for (std::int64_t repeat = 1; repeat < rejections; ++repeat) {
+    delay *= kRejectionBackoffGrowth;
+  }
+  return this->environment.clock.Now() + delay;
+}
+
 }  // namespace carobbank
--- a/Services/Gateway/sample_failures.cc
+++ b/Services/Gateway/sample_failures.cc
@@ -18,10 +18,11 @@
   SampleFailureKind kind;
   std::string_view name;
 };
-constexpr std::array<KindName, 3> kKindNames = {{
+constexpr std::array<KindName, 4> kKindNames = {{
     {SampleFailureKind::kServerError, "500"},
     {SampleFailureKind::kUnprocessable, "422"},
     {SampleFailureKind::kRewardServerError, "reward-500"},
+    {SampleFailureKind::kRewardRejected, "reward-rejected"},
 }};
 
 std::string_view NameOf(SampleFailureKind kind) {
--- a/Services/Gateway/sample_failures.h
+++ b/Services/Gateway/sample_failures.h
@@ -24,6 +24,8 @@
   kUnprocessable,
   // The reward call was answered with status 500.
   kRewardServerError,
+  // The reward call was answered with a status that a repeat doesn't change.
+  kRewardRejected,
 };
 
 // Hashes that identify a sample, equal in all jobs that carry it, and its job.
