Gateway: Bound the repeats of calls while a service fails or refuses

A call that all 8 servers refused was sent 24 times, as each of three rounds asked every server; retries and hedged attempts had no limit but the route's max_attempts, so a service that failed as a whole got each call twice or more at the moment when it could bear it least.

Entry's RetryPolicy now decides for the gateway too (RetryBudgets, one for each service): retries, hedges and further rounds take from a budget that first attempts fill, a fifth of the calls and ten saved ones. Rounds after the first ask two servers. The refused call is sent 12 times, 100 calls of a failing service reach servers 130 times at most instead of 200 times; 200 calls beside one failing server of eight are all served, as before.

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -8,6 +8,7 @@
 #include "LibProcess/process.h"
 #include "refusals.h"
 #include "request_quarantine.h"
+#include "retry_budgets.h"
 
 namespace carobbank {
 
@@ -24,6 +25,9 @@
 // Rounds over all servers before the caller receives a 503 response with
 // Retry-After.
 constexpr int kMaxRefusedRounds = 2;
+// The first round asks every server; a slot that has become free since is
+// likely at the least loaded ones.
+constexpr int kServersInLaterRounds = 2;
 constexpr Milliseconds kRetryAfter{250};
 // A suspect that has to wait is checked this often.
 constexpr Milliseconds kSuspectCheckPeriod{20};
@@ -97,6 +101,7 @@
           self->OnDeadline();
         }
       });
+  this->environment.retries.OnFirstAttempt(this->service);
   this->StartAttempt();
 }
 
@@ -154,9 +159,12 @@
     }
     return;
   }
-  const FleetServer* server = this->ChooseServer(false);
-  if (server == nullptr && first) {
-    server = this->ChooseServer(true);
+  const FleetServer* server = nullptr;
+  if (!this->RoundIsOver()) {
+    server = this->ChooseServer(false);
+    if (server == nullptr && first) {
+      server = this->ChooseServer(true);
+    }
   }
   if (server == nullptr) {
     if (first) {
@@ -188,8 +196,9 @@
       this->environment.loop.CallAfter(delay, [weak = this->weak_from_this()] {
         // A suspect that runs on two servers may crash both.
         const auto self = weak.lock();
-        if (self && self->calls.size() == 1 &&
-            !self->environment.quarantine.IsSuspect(self->request.digest)) {
+        if (self && self->calls.size() == 1 && self->MayRunAgain() &&
+            !self->environment.quarantine.IsSuspect(self->request.digest) &&
+            self->TryRepeat()) {
           self->StartAttempt();
         }
       });
@@ -213,12 +222,9 @@
     case BackendCallOutcome::kMayHaveRun:
       this->last_failure = result.reason;
       break;
-    case BackendCallOutcome::kAnswered: {
-      const bool should_retry =
-          result.response.status == kInternalServerError &&
-          this->route.use == RouteUse::kRepeatable &&
-          (this->MayRunAgain() || !this->calls.empty());
-      if (!should_retry) {
+    case BackendCallOutcome::kAnswered:
+      if (result.response.status != kInternalServerError ||
+          this->route.use != RouteUse::kRepeatable) {
         this->Finish(std::move(result.response));
         return;
       }
@@ -230,14 +236,15 @@
                 {"possible_runs", std::to_string(this->possible_runs)},
                 {"time_left_ms", std::to_string(this->TimeLeft().count())}});
       break;
-    }
   }
   if (!this->calls.empty()) {
     return;
   }
-  if (!this->MayRunAgain()) {
+  if (!this->MayRunAgain() || !this->TryRepeat()) {
     this->Finish(
-        MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
+        result.outcome == BackendCallOutcome::kAnswered
+            ? std::move(result.response)
+            : MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
     return;
   }
   if (this->environment.quarantine.IsSuspect(this->request.digest)) {
@@ -259,12 +266,22 @@
 
 void ForwardedCall::OnNotRun(const BackendCallResult& result) {
   --this->possible_runs;
+  ++this->refusals_in_round;
   this->last_failure = result.reason;
   if (this->calls.empty()) {
     this->StartAttempt();
   }
 }
 
+bool ForwardedCall::TryRepeat() {
+  return this->environment.retries.TryRepeat(this->service, this->TimeLeft());
+}
+
+bool ForwardedCall::RoundIsOver() const {
+  return this->refused_rounds > 0 &&
+         this->refusals_in_round >= kServersInLaterRounds;
+}
+
 // Every server is excluded: clear the exclusions and retry after a backoff, for
 // a limited number of rounds.
 void ForwardedCall::RetryAfterBackoff() {
@@ -272,7 +289,7 @@
   const bool no_servers =
       this->environment.fleet.Eligible(this->service).empty();
   if (no_servers || this->refused_rounds > kMaxRefusedRounds ||
-      this->TimeLeft() <= 2 * kRefusalBackoff) {
+      this->TimeLeft() <= 2 * kRefusalBackoff || !this->TryRepeat()) {
     if (this->possible_runs == 0) {
       this->Finish(
           NotRunResponse("no_server", this->last_failure, kRetryAfter));
@@ -283,6 +300,7 @@
     return;
   }
   this->excluded.clear();
+  this->refusals_in_round = 0;
   this->StartAttemptAfter(kRefusalBackoff * this->refused_rounds);
 }
 
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -41,6 +41,10 @@
   void RefuseQuarantined(Milliseconds refused_for);
   void OnNotRun(const BackendCallResult& result);
   void RetryAfterBackoff();
+  // Whether the service's retry budget allows a further attempt or round.
+  bool TryRepeat();
+  // No server can be tried in this round any more.
+  bool RoundIsOver() const;
   void ScheduleHedge();
   void OnDeadline();
   void Finish(HttpResponse response);
@@ -62,6 +66,8 @@
   std::int64_t possible_runs = 0;
   // Number of rounds in which every server refused the request.
   int refused_rounds = 0;
+  // Servers that have refused the request in this round.
+  int refusals_in_round = 0;
   std::string last_failure = "no backend server is registered";
   std::unique_ptr<Timer> timeout;
   std::unique_ptr<Timer> retry_timer;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "partition_membership.h"
 #include "peer_state_poller.h"
 #include "request_quarantine.h"
+#include "retry_budgets.h"
 
 namespace carobbank {
 
@@ -93,6 +94,7 @@
   std::unique_ptr<PartitionedLog> log;
   ServerFleet fleet;
   BackendLoads loads;
+  RetryBudgets retries;
   std::shared_ptr<const TrafficConfiguration> configuration;
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -14,6 +14,7 @@
 namespace carobbank {
 
 class RequestQuarantine;
+class RetryBudgets;
 
 struct GatewayEnvironment {
   const GatewaySettings& settings;
@@ -27,6 +28,7 @@
   ServerFleet& fleet;
   BackendLoads& loads;
   RequestQuarantine& quarantine;
+  RetryBudgets& retries;
   // Null until the first configuration has been read.
   std::shared_ptr<const TrafficConfiguration>& configuration;
 };
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -9,6 +9,7 @@
 
 #include "Services/Gateway/gateway_environment.h"
 #include "Services/Gateway/request_quarantine.h"
+#include "Services/Gateway/retry_budgets.h"
 #include "Support/fake_http.h"
 #include "Support/fake_partitioned_log.h"
 #include "Support/loop_runner.h"
@@ -189,9 +190,10 @@
   ServerFleet fleet;
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
+  RetryBudgets retries{metrics, random};
   GatewayEnvironment environment{
-      settings, dialect, clock, random, runner.loop, client,
-      log,      metrics, fleet, loads,  quarantine,  configuration};
+      settings, dialect, clock, random,     runner.loop, client,       log,
+      metrics,  fleet,   loads, quarantine, retries,     configuration};
   // Not started: shares nothing until a test starts it.
   RequestQuarantine quarantine{environment, CrashesPartition(), {}};
 };
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -57,10 +57,12 @@
       : settings(SettingsOf(fixture, name)),
         servers(servers),
         client(servers.Client(name)),
-        environment{this->settings, fixture.dialect,     fixture.clock,
-                    fixture.random, fixture.runner.loop, *this->client,
-                    fixture.log,    fixture.metrics,     this->fleet,
-                    this->loads,    this->quarantine,    fixture.configuration},
+        retries(fixture.metrics, fixture.random),
+        environment{this->settings,       fixture.dialect,     fixture.clock,
+                    fixture.random,       fixture.runner.loop, *this->client,
+                    fixture.log,          fixture.metrics,     this->fleet,
+                    this->loads,          this->quarantine,    this->retries,
+                    fixture.configuration},
         quarantine(this->environment, CrashesPartition(), OtherPeers(name)),
         peer_poller(this->environment, OtherPeers(name), this->PeerHandlers()),
         operator_follower(fixture.runner.loop,
@@ -145,6 +147,7 @@
   ServerFleet fleet;
   BackendLoads loads;
   std::unique_ptr<HttpClient> client;
+  RetryBudgets retries;
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
   PeerStatePoller peer_poller;
--- a/Tests/Gateway/repeat_limits_test.cc
+++ b/Tests/Gateway/repeat_limits_test.cc
@@ -196,4 +196,32 @@
   CHECK_TRUE_TEXT(sent <= kMostSent, std::to_string(sent).c_str());
 }
 
+TEST(RepeatLimits, CallsOfAServiceThatFailsAsAWholeAreSentTwice) {
+  constexpr std::size_t kCalls = 100;
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    LONGS_EQUAL(
+        500, this->fleet.Call(*this->fleet.gateways[0], "/app/x", BodyOf(500))
+                 .status);
+  }
+  // A fifth of the calls, and the retries that were saved before.
+  constexpr std::size_t kSavedRetries = 10;
+  this->CheckRuns(500, kCalls + kCalls / 5 + kSavedRetries);
+}
+
+TEST(RepeatLimits, CallsAreNotServedBecauseOneServerFails) {
+  this->fleet.servers.answer = [](const HttpClientRequest& request) {
+    HttpResponse response = SoundAnswer(request);
+    if (request.url.starts_with("http://app-3:")) {
+      response.status = 500;
+    }
+    return response;
+  };
+  constexpr std::size_t kCalls = 200;
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    LONGS_EQUAL(
+        200,
+        this->fleet.Call(*this->fleet.gateways[0], "/app/x", "sound").status);
+  }
+}
+
 }  // namespace carobbank
