Gateway: Ignore a sample's response that belongs to another request

A late second response on a kept connection carries the id of the request before. SampleStream compared the id of a 200 only, so another request's 422 gave up a sound sample, and its 500 counted as a failure of the sample. The test failed before: the sample was lost.

--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -68,7 +68,10 @@
   this->status = response_status;
   this->not_run = IsNotRunResponse(response_status, headers, names);
   const auto echoed = FindHeader(headers, names.request_id);
-  if (response_status == kOk && echoed != this->request_id) {
+  // A late response to an earlier request on the connection carries the id of
+  // the earlier request.
+  const bool of_another = echoed && *echoed != this->request_id;
+  if (of_another || (response_status == kOk && !echoed)) {
     this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
               "the response is for another request id");
     return;
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -186,6 +186,21 @@
   }
 }
 
+TEST(JobRunner, ASampleIsLostThroughTheResponseToAnotherRequest) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    ScriptedResponse response = Stream(request);
+    if (this->fixture.client.seen.size() == 1) {
+      response = GatewayFixture::Respond(request, 422, "");
+      response.headers[0].value = "another";
+    }
+    return response;
+  };
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  CHECK_TRUE(this->State()->results[0].completed);
+}
+
 TEST(JobRunner, ASampleIsCompleteOnlyWithTheSignatureOfItsReward) {
   this->fixture.AddServer("a", "llm", 3);
   this->fixture.AddServer("s", "app");
