Gateway: Space the repeats of a sample that servers reject

A sample answered 400 or 404 was sent again every 30 ms, 21 times in 4 s, and each answer counted as a failure of its server, which was probed and avoided. Its repeats now wait 0.1, 0.4, 1.6 and then 2 s, as reward calls do, and the server is not blamed. It is not given up, since a route may move meanwhile, and is never away from servers for 5 s. The test failed before (21 runs).

--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -15,6 +15,9 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 constexpr int kFirstFailureStatus = 300;
+constexpr int kFirstClientErrorStatus = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
 // A new connection within a region takes milliseconds; a machine that is down
 // does not respond at all.
@@ -96,6 +99,12 @@
          FindHeader(headers, names.not_run).has_value();
 }
 
+bool IsRejection(int status) {
+  return status >= kFirstClientErrorStatus &&
+         status < kFirstServerErrorStatus && status != kRequestTimeout &&
+         status != kTooManyRequests;
+}
+
 BackendCall::BackendCall(GatewayEnvironment& environment,
                          const FleetServer& server,
                          const BackendRequest& request,
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -66,6 +66,9 @@
                       const HttpHeaders& headers,
                       const WireHeaderNames& names);
 
+// True for a client error that does not ask for a repeat.
+bool IsRejection(int status);
+
 class BackendCall {
  public:
   using Callback = std::function<void(BackendCallResult)>;
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -27,6 +27,13 @@
 // its job. Long samples are the ones that may be unfinished when the step ends.
 constexpr double kLongSampleFactor = 1.5;
 
+// Delay before the first repeat of a rejected request; each further one waits
+// longer by this factor, so that a brief cause may pass.
+constexpr Milliseconds kRejectionBackoff{100};
+constexpr std::int64_t kRejectionBackoffGrowth = 4;
+// A sample must be tried again within a few seconds as long as its job is open.
+constexpr Milliseconds kMaxRejectionBackoff{2'000};
+
 std::int64_t LongTokens(std::span<const JobSample> samples) {
   std::int64_t sum = 0;
   for (const JobSample& sample : samples) {
@@ -109,6 +116,15 @@
                       state.job.accepted_at);
 }
 
+Milliseconds JobRunner::RejectionBackoff(std::int64_t rejections) {
+  Milliseconds delay = kRejectionBackoff;
+  for (std::int64_t repeat = 1;
+       repeat < rejections && delay < kMaxRejectionBackoff; ++repeat) {
+    delay *= kRejectionBackoffGrowth;
+  }
+  return std::min(delay, kMaxRejectionBackoff);
+}
+
 Milliseconds JobRunner::TimeLeftOf(const JobState& state) const {
   return std::max(state.job.abandon_after - this->AgeOf(state),
                   Milliseconds(1));
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -51,10 +51,6 @@
  private:
   // Of samples and reward calls.
   static constexpr std::string_view kMethod = "POST";
-  // Delay before the first repeat of a rejected reward call; each further one
-  // waits this many times as long, so that a brief cause may pass.
-  static constexpr Milliseconds kRejectionBackoff{100};
-  static constexpr std::int64_t kRejectionBackoffGrowth = 4;
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
   static constexpr Milliseconds kFailureBackoff{30};
@@ -86,6 +82,8 @@
     std::string reward_digest;
     // Servers that have just failed or refused the sample.
     ExcludedServers excluded;
+    // Attempts since the last one that was not rejected.
+    std::int64_t rejections = 0;
     // No attempt starts before this time.
     MonotonicTime not_before = MonotonicTime::min();
     std::unique_ptr<SampleStream> stream;
@@ -179,6 +177,9 @@
   void DelaySuspect(Progress& progress) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
+  // Delay before the repeat of a sample or reward call that was rejected this
+  // many times in a row, at least once.
+  static Milliseconds RejectionBackoff(std::int64_t rejections);
   // When a reward call that was rejected is repeated; the latest time when it
   // isn't. Its sample is abandoned with its job then.
   MonotonicTime NextRewardCall(const JobState& state, std::size_t index) const;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -314,6 +314,8 @@
   }
   const MonotonicTime now = this->environment.clock.Now();
   const HostRoute* const route = this->RouteOf(*state);
+  progress.rejections =
+      outcome == SampleStreamOutcome::kRejected ? progress.rejections + 1 : 0;
   const bool single_version = route != nullptr && route->single_version;
   switch (outcome) {
     case SampleStreamOutcome::kComplete:
@@ -344,6 +346,9 @@
     case SampleStreamOutcome::kBroken:
       progress.not_before = now + kFailureBackoff;
       break;
+    case SampleStreamOutcome::kRejected:
+      progress.not_before = now + RejectionBackoff(progress.rejections);
+      break;
     case SampleStreamOutcome::kNotRun:
       progress.not_before = now + kRefusalBackoff;
       break;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -15,15 +15,6 @@
 constexpr double kMaxRewardCallsPerSlot = 0.7;
 constexpr int kInternalServerError = 500;
 constexpr int kFirstFailureStatus = 300;
-constexpr int kFirstClientErrorStatus = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kTooManyRequests = 429;
-
-// A client error that does not ask for a repeat.
-bool IsRejection(int status) {
-  return status >= kFirstClientErrorStatus && status < kInternalServerError &&
-         status != kRequestTimeout && status != kTooManyRequests;
-}
 
 }  // namespace
 
@@ -172,11 +163,7 @@
       this->environment.quarantine.Failures().CountInJob(
           MakeSampleKey(state.job, state.job.samples[index]),
           SampleFailureKind::kRewardRejected);
-  Milliseconds delay = kRejectionBackoff;
-  for (std::int64_t repeat = 1; repeat < rejections; ++repeat) {
-    delay *= kRejectionBackoffGrowth;
-  }
-  return this->environment.clock.Now() + delay;
+  return this->environment.clock.Now() + RejectionBackoff(rejections);
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -162,8 +162,13 @@
               "the server responded with status 500");
     return;
   }
-  this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
-            "the server responded with status " + std::to_string(this->status));
+  const std::string reason =
+      "the server responded with status " + std::to_string(this->status);
+  if (IsRejection(this->status)) {
+    this->End(SampleStreamOutcome::kRejected, SendOutcome::kAnswered, reason);
+  } else {
+    this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed, reason);
+  }
 }
 
 void SampleStream::OnFailure(const HttpClientFailure& failure) {
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -27,6 +27,8 @@
   kFailed,
   // The sample can never be completed (422).
   kUnprocessable,
+  // Another client error, which does not ask for a repeat.
+  kRejected,
 };
 
 struct SampleStreamHandlers {
--- a/Tests/Gateway/repeat_limits_test.cc
+++ b/Tests/Gateway/repeat_limits_test.cc
@@ -179,6 +179,16 @@
   }
 }
 
+TEST(RepeatLimits, ARejectedSampleIsRepeatedWithoutPause) {
+  this->fleet.PutJob(this->JobWithFailingSample("j", 404));
+  this->Own(*this->fleet.gateways[0]);
+  this->fleet.RunFor(Milliseconds(4'000));
+  // Repeats after 0.1, 0.4, 1.6 and 2 s.
+  constexpr std::size_t kMostRejections = 5;
+  this->CheckRuns(404, kMostRejections);
+  CHECK_TRUE(this->RunsOf(404) > 2);
+}
+
 TEST(RepeatLimits, ACallThatAllServersRefuseIsSentToEachOfThemAgainAndAgain) {
   this->fleet.servers.answer = [](const HttpClientRequest& request) {
     HttpResponse response = SoundAnswer(request);
