--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -5,6 +5,7 @@
 #include "LibHTTP/http.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "http_fixture.h"
@@ -154,6 +155,32 @@
   }
 }
 
+TEST(HttpClient, ARequestThatWasSentInPartIsReportedAsNotSent) {
+  constexpr std::size_t kBodyBytes = 16 * 1024 * 1024;
+  for (const std::size_t body_bytes : {std::size_t{0}, kBodyBytes}) {
+    RawListener listener;
+    HttpClientRequest request;
+    request.method = "POST";
+    request.url = HttpFixture::Url(listener.Port());
+    request.body.assign(body_bytes, 'x');
+    Observed observed;
+    const auto exchange =
+        this->fixture.client->Start(std::move(request), observed.Handlers());
+    std::optional<RawConnection> connection;
+    CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+      if (const int accepted = listener.Accept(); accepted >= 0) {
+        connection.emplace(accepted);
+      }
+      // The connection is reset before the body has arrived.
+      if (connection && !connection->Received().empty()) {
+        connection->Close();
+      }
+      return observed.Ended();
+    }));
+    CHECK_TRUE(observed.EndedWith(SendState::kMayHaveBeenSent));
+  }
+}
+
 TEST(HttpClient, FreshConnectionOptionBypassesThePool) {
   for (const bool fresh : {false, true}) {
     ScriptedServer server(
