Gateway: Give no new work to servers that say that they leave

A server that leaves says so in its responses, but a gateway learned it from the server's entry in the registry alone: cut off from the log, it went on sending calls, samples, reward calls and orders to a server that had told it.

Every response that a gateway sees (calls, streams, samples, reward calls, probes, status, orders; any status) marks the server that sent it, by its id and start, in ServerFleet beside `draining`; Eligible(), which all selection asks, leaves it out. A response 421 counts for the server that it names. A line and a counter say the server, its start and the source. Each gateway decides for itself: it learns with its first own response, and the rule asks no more.

--- a/Libraries/LibMembership/fleet.cc
+++ b/Libraries/LibMembership/fleet.cc
@@ -26,6 +26,7 @@
     for (ServedVersion& served : server.models) {
       served.version = std::max(served.version, before.VersionOf(served.model));
     }
+    server.leaving = server.leaving || before.leaving;
   }
   entry.server = std::move(server);
   entry.expired = false;
@@ -89,6 +90,16 @@
   }
 }
 
+bool ServerFleet::MarkLeaving(std::string_view id,
+                              WallMilliseconds started_at) {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end() ||
+      found->second.server.started_at != started_at) {
+    return false;
+  }
+  return !std::exchange(found->second.server.leaving, true);
+}
+
 const FleetServer* ServerFleet::Find(std::string_view id) const {
   const auto found = this->servers.find(id);
   return found == this->servers.end() ? nullptr : &found->second.server;
@@ -98,7 +109,8 @@
     std::string_view service) const {
   std::vector<const FleetServer*> eligible;
   for (const auto& [id, entry] : this->servers) {
-    if (entry.server.service == service && !entry.server.draining) {
+    if (entry.server.service == service && !entry.server.draining &&
+        !entry.server.leaving) {
       eligible.push_back(&entry.server);
     }
   }
--- a/Libraries/LibMembership/fleet.h
+++ b/Libraries/LibMembership/fleet.h
@@ -27,8 +27,11 @@
   std::string data_center;
   // Requests that the server processes at once.
   std::int64_t slots = 1;
-  // The server announced that it leaves: it gets no new work.
+  // The server's entry announces that it leaves: it gets no new work.
   bool draining = false;
+  // The server has said so in a response. Stays until the server starts again,
+  // whatever its entry says.
+  bool leaving = false;
   // Engines only: the versions that the server serves.
   std::vector<ServedVersion> models;
   // Start time of the server; differs after a restart under the same id.
@@ -60,6 +63,10 @@
                       std::string_view model,
                       std::int64_t version);
 
+  // A response of this start of the server showed that it leaves. Returns
+  // whether that is new.
+  bool MarkLeaving(std::string_view id, WallMilliseconds started_at);
+
   const FleetServer* Find(std::string_view id) const;
   // Servers of the service that accept new work, ordered by id. Pointers are
   // valid until the next change.
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -106,6 +106,10 @@
 inline constexpr MetricDefinition kServerCrashes{
     "carobbank_server_crashes_total", MetricType::kCounter, "service",
     "Crashes of backend servers that broke off requests of this process"};
+inline constexpr MetricDefinition kLeavingServers{
+    "carobbank_leaving_servers_total", MetricType::kCounter, "service,source",
+    "Backend servers that this process learned to be leaving, by source: "
+    "response, entry"};
 inline constexpr MetricDefinition kUnresolvedClaims{
     "carobbank_unresolved_claims", MetricType::kGauge, "service",
     "Claimed idempotency keys whose outcome is unknown"};
@@ -153,6 +157,7 @@
     metrics::kLinksReplaced,
     metrics::kQuarantined,
     metrics::kServerCrashes,
+    metrics::kLeavingServers,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
     metrics::kPeerProofRefused,
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -133,6 +133,7 @@
   handlers.on_headers = [this](int status, const HttpHeaders& headers) {
     this->response.status = status;
     this->response.headers = headers;
+    this->attempt.OnHeaders(status, headers);
   };
   handlers.on_body = [this](std::string_view bytes) {
     this->AppendBody(bytes);
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "leaving_servers.h"
 
 namespace carobbank {
 
@@ -351,6 +352,7 @@
     return;
   }
   Server& server = found->second;
+  this->ObserveLeaving(id, server, outcome);
   const MonotonicTime now = this->environment.clock.Now();
   const bool answered = outcome.Ok() && outcome.Value().status == kOk;
   const Outcome<EngineStatus> status =
@@ -369,6 +371,15 @@
   this->Reconcile();
 }
 
+void FleetUpgrader::ObserveLeaving(const std::string& id,
+                                   const Server& server,
+                                   const Outcome<HttpResponse>& outcome) {
+  if (outcome.Ok()) {
+    ObserveLeavingServer(this->environment, {id, server.started_at},
+                         outcome.Value().status, outcome.Value().headers);
+  }
+}
+
 void FleetUpgrader::ApplyStatus(const std::string& id,
                                 Server& server,
                                 const EngineStatus& status) {
@@ -466,6 +477,7 @@
     return;
   }
   Server& server = found->second;
+  this->ObserveLeaving(id, server, outcome);
   const MonotonicTime now = this->environment.clock.Now();
   server.phase = Phase::kOrderPending;
   server.not_before = now + kFirstStatusDelay;
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -85,6 +85,9 @@
   void RequestStatus(const FleetServer& server);
   void OnStatusResponse(const std::string& id,
                         const Outcome<HttpResponse>& outcome);
+  void ObserveLeaving(const std::string& id,
+                      const Server& server,
+                      const Outcome<HttpResponse>& outcome);
   void ApplyStatus(const std::string& id,
                    Server& server,
                    const EngineStatus& status);
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "leaving_servers.h"
 #include "refusals.h"
 
 namespace carobbank {
@@ -305,6 +306,7 @@
   this->server_records[keyed.key] = record;
   if (std::optional<FleetServer> server = this->DecodeServer(keyed)) {
     this->LogRestart(*server);
+    this->ReportDraining(*server);
     this->quarantine.OnServerRegistered(*server);
     this->fleet.Put(std::move(*server));
   } else {
@@ -323,6 +325,15 @@
   }
 }
 
+void Gateway::ReportDraining(const FleetServer& server) {
+  const FleetServer* const before = this->fleet.Find(server.id);
+  const bool is_new = before == nullptr || !before->draining ||
+                      before->started_at != server.started_at;
+  if (server.draining && is_new) {
+    ReportLeavingServer(this->environment, server, "entry");
+  }
+}
+
 void Gateway::ReplaceServers(std::span<const KeyedLogRecord> records) {
   this->server_records.clear();
   std::vector<FleetServer> servers;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -50,6 +50,8 @@
   std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void ApplyServerRecord(const KeyedLogRecord& record);
   void LogRestart(const FleetServer& server) const;
+  // Reports a server whose entry announces for the first time that it leaves.
+  void ReportDraining(const FleetServer& server);
   void ReplaceServers(std::span<const KeyedLogRecord> records);
   void OnReachabilityChanged(std::string_view partition, bool reachable);
   void OnServersChanged();
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "leaving_servers.h"
+
 namespace carobbank {
 
 namespace {
@@ -46,6 +48,12 @@
       this->environment.clock.Now() - this->began);
 }
 
+void InFlightAttempt::OnHeaders(int status, const HttpHeaders& headers) {
+  ObserveLeavingServer(this->environment,
+                       {this->attempt.server_id, this->attempt.server_start},
+                       status, headers);
+}
+
 void InFlightAttempt::End(const AttemptEnd& end) {
   if (std::exchange(this->ended, true)) {
     return;
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -19,6 +19,8 @@
   InFlightAttempt(const InFlightAttempt&) = delete;
   InFlightAttempt& operator=(const InFlightAttempt&) = delete;
 
+  // Call with the headers of every response.
+  void OnHeaders(int status, const HttpHeaders& headers);
   // Only the first call has an effect.
   void End(const AttemptEnd& end);
 
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -59,6 +59,10 @@
   std::string_view last_event_id;
   // Milliseconds that a read may wait for new results.
   std::string_view wait;
+  // Present when the server that responds leaves.
+  std::string_view leaving;
+  // The id of the server that responds, if it states one.
+  std::string_view server_id;
 };
 
 // Calls that the gateway handles itself, unlike requests that it forwards.
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "leaving_servers.h"
 
 namespace carobbank {
 
@@ -172,6 +173,11 @@
         if (!*kept) {
           return;
         }
+        if (outcome.Ok()) {
+          ObserveLeavingServer(this->environment,
+                               {attempt.server_id, attempt.server_start},
+                               outcome.Value().status, outcome.Value().headers);
+        }
         this->OnServerCrashed(
             attempt.service,
             this->detector.OnProbed(attempt.server_id, attempt.server_start,
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -65,6 +65,7 @@
 void SampleStream::OnHeaders(int response_status, const HttpHeaders& headers) {
   const WireHeaderNames& names = this->environment.dialect.HeaderNames();
   this->last_activity = this->environment.clock.Now();
+  this->attempt.OnHeaders(response_status, headers);
   this->status = response_status;
   this->not_run = IsNotRunResponse(response_status, headers, names);
   const auto echoed = FindHeader(headers, names.request_id);
--- a/Tests/Gateway/fleet_upgrader_test.cc
+++ b/Tests/Gateway/fleet_upgrader_test.cc
@@ -26,6 +26,8 @@
   // response.
   int orders_without_response = 0;
   int next_status = 0;
+  // The fake engine says in its responses that it leaves.
+  bool leaving = false;
 
   void setup() override {
     this->fixture.settings.order_lease_ms = kLease.count();
@@ -45,6 +47,9 @@
     if (request.url.ends_with("/status")) {
       response.body = std::to_string(this->version) + " " +
                       std::to_string(this->orders_accepted);
+      if (this->leaving) {
+        response.headers = {{"Leaving", "1"}};
+      }
       return response;
     }
     this->orders.push_back(request.body);
@@ -77,6 +82,16 @@
   STRCMP_EQUAL("3 token 1 after 0", this->orders[0].c_str());
 }
 
+TEST(FleetUpgrader, AnEngineThatLeavesIsOrderedToLoadAVersion) {
+  this->leaving = true;
+  this->upgrader->SetElected(true);
+  this->upgrader->OnVersionAnnounced({"m", 3});
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->fixture.fleet.Find("a")->leaving; }));
+  this->fixture.runner.RunFor(Milliseconds(300));
+  LONGS_EQUAL(0, this->orders.size());
+}
+
 TEST(FleetUpgrader, WithoutElectionNoLeaseIsAcquiredAndNoOrderSent) {
   this->upgrader->OnVersionAnnounced({"m", 3});
   this->fixture.runner.RunFor(Milliseconds(300));
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -41,7 +41,9 @@
         .weight_version = "Version",
         .weight_version_field = "version",
         .last_event_id = "After-Event",
-        .wait = "Wait"};
+        .wait = "Wait",
+        .leaving = "Leaving",
+        .server_id = "Server-Id"};
     return kHeaderNames;
   }
   std::string_view ReadinessPath() const override { return "/ready"; }
