--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -344,6 +344,7 @@
     this->server_records[record.record.key] = record;
     if (std::optional<FleetServer> server = this->DecodeServer(record.record)) {
       this->quarantine.OnServerRegistered(*server);
+      this->ReportDraining(*server);
       servers.push_back(std::move(*server));
     }
   }
@@ -460,9 +461,9 @@
       this->runner.SetOwned({});
     }
   };
-  handlers.on_crashes = [this](const PeerState& state) {
-    this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_crashes);
-    this->quarantine.Log().ApplyConfirmed(state.known_crashes);
+  handlers.on_request_records = [this](const PeerState& state) {
+    this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_records);
+    this->quarantine.Log().ApplyConfirmed(state.known_records);
   };
   handlers.wants_records = [this] { return !this->configuration; };
   handlers.on_records = [this](const PeerState& state) {
@@ -486,8 +487,9 @@
     this->HandleOutputs(request, *responder);
     return;
   }
-  if (request.Path() == CrashLog::kPath) {
-    this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
+  if (request.Path() == RequestRecordLog::kPath) {
+    this->quarantine.Log().ReceiveFromPeer(
+        RequestRecordLog::Decode(request.body));
     responder->Send({kOk, {}, ""});
     return;
   }
@@ -501,8 +503,8 @@
   state.reaches_log =
       this->operator_follower.Reachable() &&
       this->operator_follower.LastReadWithin(PeerState::kFreshness);
-  state.known_crashes = this->quarantine.KnownRecords();
-  state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
+  state.known_records = this->quarantine.KnownRecords();
+  state.unconfirmed_records = this->quarantine.Log().Unconfirmed();
   if (request.Query("records")) {
     for (const auto& [key, record] : this->operator_records) {
       state.operator_records.push_back(record);
--- a/Services/Gateway/peer_state_poller.cc
+++ b/Services/Gateway/peer_state_poller.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "crash_log.h"
+#include "request_record_log.h"
 
 #include "LibProcess/process.h"
 
@@ -54,8 +54,9 @@
   value["reaches_log"] = state.reaches_log;
   value["operator"] = EncodeRecords(state.operator_records);
   value["servers"] = EncodeRecords(state.server_records);
-  value["crashes"] = CrashLog::ToJson(state.known_crashes);
-  value["unconfirmed_crashes"] = CrashLog::ToJson(state.unconfirmed_crashes);
+  value["crashes"] = RequestRecordLog::ToJson(state.known_records);
+  value["unconfirmed_crashes"] =
+      RequestRecordLog::ToJson(state.unconfirmed_records);
   return WriteJson(value);
 }
 
@@ -68,9 +69,9 @@
   state.reaches_log = (*body)["reaches_log"].asBool();
   state.operator_records = DecodeRecords((*body)["operator"]);
   state.server_records = DecodeRecords((*body)["servers"]);
-  state.known_crashes = CrashLog::FromJson((*body)["crashes"]);
-  state.unconfirmed_crashes =
-      CrashLog::FromJson((*body)["unconfirmed_crashes"]);
+  state.known_records = RequestRecordLog::FromJson((*body)["crashes"]);
+  state.unconfirmed_records =
+      RequestRecordLog::FromJson((*body)["unconfirmed_crashes"]);
   return state;
 }
 
@@ -139,8 +140,8 @@
           successful ? DecodePeerState(outcome.Value().body) : std::nullopt) {
     ++this->responses;
     this->peer_reaches_log = this->peer_reaches_log || state->reaches_log;
-    if (this->handlers.on_crashes) {
-      this->handlers.on_crashes(*state);
+    if (this->handlers.on_request_records) {
+      this->handlers.on_request_records(*state);
     }
     if (!state->operator_records.empty() && this->handlers.wants_records()) {
       this->handlers.on_records(*state);
--- a/Services/Gateway/peer_state_poller.h
+++ b/Services/Gateway/peer_state_poller.h
@@ -23,8 +23,8 @@
   std::vector<KeyedLogRecord> operator_records;
   std::vector<KeyedLogRecord> server_records;
   // All known crashes, and those that the log has not confirmed yet.
-  std::vector<KeyedRecord> known_crashes;
-  std::vector<KeyedRecord> unconfirmed_crashes;
+  std::vector<KeyedRecord> known_records;
+  std::vector<KeyedRecord> unconfirmed_records;
 
   // A waiting read and its response take up to two seconds.
   static constexpr Milliseconds kFreshness{2'500};
@@ -42,7 +42,7 @@
   std::function<void(const PeerState&)> on_records;
   std::function<bool()> wants_records;
   // Receives a peer's crashes; may be empty.
-  std::function<void(const PeerState&)> on_crashes;
+  std::function<void(const PeerState&)> on_request_records;
 };
 
 class PeerStatePoller {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -62,8 +62,8 @@
   this->log.Start();
 }
 
-CrashLogHandlers RequestQuarantine::LogHandlers() {
-  CrashLogHandlers handlers;
+RequestRecordHandlers RequestQuarantine::LogHandlers() {
+  RequestRecordHandlers handlers;
   handlers.on_crash = [this](const CrashReport& report) {
     this->Apply(report);
   };
@@ -345,16 +345,16 @@
 std::vector<KeyedRecord> RequestQuarantine::KnownRecords() const {
   std::vector<KeyedRecord> records;
   for (const SampleFailure& failure : this->failures.All()) {
-    records.push_back(CrashLog::EncodeFailure(failure));
+    records.push_back(RequestRecordLog::EncodeFailure(failure));
   }
   for (const std::string& digest : this->quarantine.Tracked()) {
     for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
-      records.push_back(CrashLog::EncodeCrash({crash.instance,
-                                               {digest},
-                                               false,
-                                               crash.started_at,
-                                               crash.outlived_start,
-                                               crash.at}));
+      records.push_back(RequestRecordLog::EncodeCrash({crash.instance,
+                                                       {digest},
+                                                       false,
+                                                       crash.started_at,
+                                                       crash.outlived_start,
+                                                       crash.at}));
     }
   }
   return records;
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -12,8 +12,8 @@
 #include <string_view>
 #include <vector>
 
-#include "crash_log.h"
 #include "gateway_environment.h"
+#include "request_record_log.h"
 
 namespace carobbank {
 
@@ -84,14 +84,14 @@
   // samples, for all gateways.
   void RemoveOldRecords();
 
-  CrashLog& Log() { return this->log; }
+  RequestRecordLog& Log() { return this->log; }
   // The records of other gateways were read, or can't be.
   bool Settled() const { return this->log.Settled(); }
   // All counted crashes and failures, as records for peers.
   std::vector<KeyedRecord> KnownRecords() const;
 
  private:
-  CrashLogHandlers LogHandlers();
+  RequestRecordHandlers LogHandlers();
   void Probe(const ServerAttempt& attempt);
   bool IsStillUp(const ServerAttempt& attempt,
                  const Outcome<HttpResponse>& outcome) const;
@@ -113,7 +113,7 @@
   SampleFailures failures;
   // Time by which this gateway ends refusals later than it could.
   Milliseconds refusal_delay;
-  CrashLog log;
+  RequestRecordLog log;
   // Servers of the attempts in flight, by digest.
   std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/crash_log.cc
+++ b/Services/Gateway/request_record_log.cc
@@ -1,7 +1,7 @@
 // Records of crashes and of failed samples: their format, appends with retries,
 // and the exchange with peers.
 
-#include "crash_log.h"
+#include "request_record_log.h"
 
 #include <algorithm>
 #include <optional>
@@ -68,10 +68,10 @@
 
 }  // namespace
 
-CrashLog::CrashLog(GatewayEnvironment& environment,
-                   TopicPartition partition,
-                   std::vector<std::string> peers,
-                   CrashLogHandlers handlers)
+RequestRecordLog::RequestRecordLog(GatewayEnvironment& environment,
+                                   TopicPartition partition,
+                                   std::vector<std::string> peers,
+                                   RequestRecordHandlers handlers)
     : environment(environment),
       peers(std::move(peers)),
       handlers(std::move(handlers)),
@@ -82,16 +82,16 @@
                {.wait = kReadWait},
                this->FollowerHandlers()) {}
 
-CrashLog::~CrashLog() {
+RequestRecordLog::~RequestRecordLog() {
   *this->alive = false;
 }
 
-void CrashLog::Start() {
+void RequestRecordLog::Start() {
   this->started = true;
   this->follower.Start();
 }
 
-LogFollowerHandlers CrashLog::FollowerHandlers() {
+LogFollowerHandlers RequestRecordLog::FollowerHandlers() {
   LogFollowerHandlers followed;
   followed.on_snapshot = [this](std::span<const KeyedLogRecord> records) {
     this->ApplySnapshot(records);
@@ -114,7 +114,7 @@
   return followed;
 }
 
-void CrashLog::ApplySnapshot(std::span<const KeyedLogRecord> records) {
+void RequestRecordLog::ApplySnapshot(std::span<const KeyedLogRecord> records) {
   this->handlers.on_reset();
   for (const KeyedLogRecord& record : records) {
     this->Confirm(record.record);
@@ -125,7 +125,7 @@
   }
 }
 
-void CrashLog::ApplyRecord(const KeyedRecord& record) {
+void RequestRecordLog::ApplyRecord(const KeyedRecord& record) {
   const auto failure = DecodeSampleFailure(record.key);
   if (!failure) {
     this->ApplyCrash(record);
@@ -136,7 +136,7 @@
   }
 }
 
-void CrashLog::ApplyCrash(const KeyedRecord& record) {
+void RequestRecordLog::ApplyCrash(const KeyedRecord& record) {
   const std::optional<CrashKey> key = DecodeKey(record.key);
   if (!key) {
     return;
@@ -148,7 +148,7 @@
   const std::optional<Json::Value> value = ParseJsonObject(record.value);
   if (!value) {
     WriteLog(LogLevel::kWarning,
-             "crash record ignored: it is malformed; compare the versions of "
+             "request record ignored: it is malformed; compare the versions of "
              "the instances",
              {{"key", record.key}});
     return;
@@ -163,7 +163,7 @@
 }
 
 // Another gateway may have recorded the same crash with another time.
-void CrashLog::Confirm(const KeyedRecord& record) {
+void RequestRecordLog::Confirm(const KeyedRecord& record) {
   const auto found = this->unconfirmed.find(record.key);
   if (found != this->unconfirmed.end() &&
       found->second.empty() == record.value.empty()) {
@@ -172,27 +172,27 @@
   }
 }
 
-KeyedRecord CrashLog::EncodeCrash(const CrashReport& report) {
+KeyedRecord RequestRecordLog::EncodeCrash(const CrashReport& report) {
   return {EncodeKey(report.digests.front(), report.instance, report.started_at),
           EncodeValue(report)};
 }
 
-KeyedRecord CrashLog::EncodeFailure(const SampleFailure& failure) {
+KeyedRecord RequestRecordLog::EncodeFailure(const SampleFailure& failure) {
   // The key says all; a record with an empty value would delete it.
   return {EncodeSampleFailure(failure), "{}"};
 }
 
-void CrashLog::Record(const CrashReport& report) {
+void RequestRecordLog::Record(const CrashReport& report) {
   this->Put(EncodeCrash(report), Milliseconds(0));
 }
 
-void CrashLog::Record(const SampleFailure& failure) {
+void RequestRecordLog::Record(const SampleFailure& failure) {
   this->Put(EncodeFailure(failure), this->DelayOfFailure());
 }
 
 // The first failure after a while is shared at once, because its owner may be
 // lost.
-Milliseconds CrashLog::DelayOfFailure() const {
+Milliseconds RequestRecordLog::DelayOfFailure() const {
   const MonotonicTime now = this->environment.clock.Now();
   if (this->last_flush == MonotonicTime::min() ||
       now - this->last_flush >= kFailurePeriod) {
@@ -202,20 +202,20 @@
                                                   kFailurePeriod - now);
 }
 
-void CrashLog::Remove(const SampleFailure& failure) {
+void RequestRecordLog::Remove(const SampleFailure& failure) {
   this->Put({EncodeSampleFailure(failure), ""}, kRetractionDelay);
 }
 
-void CrashLog::Retract(std::string_view digest,
-                       const ServerCrashRecord& crash) {
+void RequestRecordLog::Retract(std::string_view digest,
+                               const ServerCrashRecord& crash) {
   this->Put({EncodeKey(digest, crash.instance, crash.started_at), ""},
             kRetractionDelay);
 }
 
-void CrashLog::Put(KeyedRecord record, Milliseconds delay) {
+void RequestRecordLog::Put(KeyedRecord record, Milliseconds delay) {
   if (this->unconfirmed.size() >= kMaxUnconfirmed) {
     WriteLog(LogLevel::kWarning,
-             "crash record dropped: too many wait for the log",
+             "request record dropped: too many wait for the log",
              {{"key", this->unconfirmed.begin()->first}});
     this->unconfirmed.erase(this->unconfirmed.begin());
   }
@@ -228,7 +228,7 @@
 }
 
 // A running backoff after a failure is not shortened.
-void CrashLog::ScheduleFlush(Milliseconds delay) {
+void RequestRecordLog::ScheduleFlush(Milliseconds delay) {
   if (this->flush_timer && (this->backoff.count() > 0 || delay.count() > 0)) {
     return;
   }
@@ -238,7 +238,7 @@
   });
 }
 
-void CrashLog::Flush() {
+void RequestRecordLog::Flush() {
   if (this->appending || this->unconfirmed.empty()) {
     return;
   }
@@ -262,12 +262,12 @@
       });
 }
 
-void CrashLog::OnAppended(const std::vector<KeyedRecord>& records,
-                          const AppendOutcome& outcome) {
+void RequestRecordLog::OnAppended(const std::vector<KeyedRecord>& records,
+                                  const AppendOutcome& outcome) {
   this->appending = false;
   if (outcome.status == AppendStatus::kAppended) {
     if (this->backoff.count() > 0) {
-      WriteLog(LogLevel::kInfo, "crash records appended to the log again",
+      WriteLog(LogLevel::kInfo, "request records appended to the log again",
                {{"records", std::to_string(records.size())}});
     }
     this->backoff = Milliseconds(0);
@@ -284,11 +284,12 @@
     return;
   }
   if (this->backoff.count() == 0) {
-    WriteLog(LogLevel::kWarning,
-             "crash records not appended to the log; sending them to peers and "
-             "retrying",
-             {{"records", std::to_string(records.size())},
-              {"reason", outcome.reason}});
+    WriteLog(
+        LogLevel::kWarning,
+        "request records not appended to the log; sending them to peers and "
+        "retrying",
+        {{"records", std::to_string(records.size())},
+         {"reason", outcome.reason}});
   }
   this->SendToPeers();
   this->backoff =
@@ -297,7 +298,7 @@
   this->ScheduleFlush(this->backoff);
 }
 
-std::vector<KeyedRecord> CrashLog::Unconfirmed() const {
+std::vector<KeyedRecord> RequestRecordLog::Unconfirmed() const {
   std::vector<KeyedRecord> records;
   for (const auto& [key, value] : this->unconfirmed) {
     records.push_back({key, value});
@@ -305,7 +306,8 @@
   return records;
 }
 
-void CrashLog::ReceiveFromPeer(const std::vector<KeyedRecord>& records) {
+void RequestRecordLog::ReceiveFromPeer(
+    const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (this->unconfirmed.contains(record.key) ||
         this->unconfirmed.size() >= kMaxUnconfirmed) {
@@ -319,7 +321,7 @@
   this->ScheduleFlush(kRetractionDelay);
 }
 
-void CrashLog::ApplyConfirmed(const std::vector<KeyedRecord>& records) {
+void RequestRecordLog::ApplyConfirmed(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (!this->unconfirmed.contains(record.key)) {
       this->ApplyRecord(record);
@@ -327,7 +329,7 @@
   }
 }
 
-void CrashLog::SendToPeers() {
+void RequestRecordLog::SendToPeers() {
   std::vector<KeyedRecord> records;
   for (const auto& [key, value] : this->unconfirmed) {
     if (this->sent_to_peers.insert(key).second) {
@@ -352,7 +354,7 @@
   }
 }
 
-Json::Value CrashLog::ToJson(const std::vector<KeyedRecord>& records) {
+Json::Value RequestRecordLog::ToJson(const std::vector<KeyedRecord>& records) {
   Json::Value rows(Json::arrayValue);
   for (const KeyedRecord& record : records) {
     Json::Value row(Json::arrayValue);
@@ -363,18 +365,18 @@
   return rows;
 }
 
-std::string CrashLog::Encode(const std::vector<KeyedRecord>& records) {
+std::string RequestRecordLog::Encode(const std::vector<KeyedRecord>& records) {
   Json::Value body;
   body["crashes"] = ToJson(records);
   return WriteJson(body);
 }
 
-std::vector<KeyedRecord> CrashLog::Decode(std::string_view text) {
+std::vector<KeyedRecord> RequestRecordLog::Decode(std::string_view text) {
   const std::optional<Json::Value> body = ParseJsonObject(text);
   return body ? FromJson((*body)["crashes"]) : std::vector<KeyedRecord>();
 }
 
-std::vector<KeyedRecord> CrashLog::FromJson(const Json::Value& rows) {
+std::vector<KeyedRecord> RequestRecordLog::FromJson(const Json::Value& rows) {
   std::vector<KeyedRecord> records;
   if (!rows.isArray()) {
     return records;
--- a/Services/Gateway/crash_log.h
+++ b/Services/Gateway/request_record_log.h
@@ -19,7 +19,7 @@
 
 namespace carobbank {
 
-struct CrashLogHandlers {
+struct RequestRecordHandlers {
   // `report` names a single digest.
   std::function<void(const CrashReport& report)> on_crash;
   std::function<void(std::string_view digest,
@@ -32,16 +32,16 @@
   std::function<void()> on_reset;
 };
 
-class CrashLog {
+class RequestRecordLog {
  public:
   // `peers`: addresses such as "10.1.0.10:8166"; they may be stale.
-  CrashLog(GatewayEnvironment& environment,
-           TopicPartition partition,
-           std::vector<std::string> peers,
-           CrashLogHandlers handlers);
-  ~CrashLog();
-  CrashLog(const CrashLog&) = delete;
-  CrashLog& operator=(const CrashLog&) = delete;
+  RequestRecordLog(GatewayEnvironment& environment,
+                   TopicPartition partition,
+                   std::vector<std::string> peers,
+                   RequestRecordHandlers handlers);
+  ~RequestRecordLog();
+  RequestRecordLog(const RequestRecordLog&) = delete;
+  RequestRecordLog& operator=(const RequestRecordLog&) = delete;
 
   void Start();
   // Start() was not called, all records were read once, or the log can't be
@@ -92,7 +92,7 @@
 
   GatewayEnvironment& environment;
   std::vector<std::string> peers;
-  CrashLogHandlers handlers;
+  RequestRecordHandlers handlers;
   LogFollower follower;
   bool started = false;
   // Values by key, to be appended.
--- a/Services/Gateway/sample_failures.cc
+++ b/Services/Gateway/sample_failures.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Keys of crash records begin with a digest, which is longer.
+// Keys of request records begin with a digest, which is longer.
 constexpr std::string_view kPrefix = "f/";
 constexpr char kSeparator = '/';
 
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -114,22 +114,23 @@
   }
 
   HttpResponse HandlePeer(const HttpClientRequest& request) {
-    if (request.url.ends_with(CrashLog::kPath)) {
-      this->quarantine.Log().ReceiveFromPeer(CrashLog::Decode(request.body));
+    if (request.url.ends_with(RequestRecordLog::kPath)) {
+      this->quarantine.Log().ReceiveFromPeer(
+          RequestRecordLog::Decode(request.body));
       return {200, {}, ""};
     }
     PeerState state;
-    state.known_crashes = this->quarantine.KnownRecords();
-    state.unconfirmed_crashes = this->quarantine.Log().Unconfirmed();
+    state.known_records = this->quarantine.KnownRecords();
+    state.unconfirmed_records = this->quarantine.Log().Unconfirmed();
     return {200, {}, EncodePeerState(state)};
   }
   PeerStatePollerHandlers PeerHandlers() {
     PeerStatePollerHandlers handlers;
     handlers.on_cut_off_changed = [](bool) {};
     handlers.wants_records = [] { return false; };
-    handlers.on_crashes = [this](const PeerState& state) {
-      this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_crashes);
-      this->quarantine.Log().ApplyConfirmed(state.known_crashes);
+    handlers.on_request_records = [this](const PeerState& state) {
+      this->quarantine.Log().ReceiveFromPeer(state.unconfirmed_records);
+      this->quarantine.Log().ApplyConfirmed(state.known_records);
     };
     return handlers;
   }
--- a/Tests/Gateway/crash_log_test.cc
+++ b/Tests/Gateway/request_record_log_test.cc
@@ -1,7 +1,7 @@
 // Guards against crashes that other gateways never learn of, or go on counting
 // after their retraction, whatever happens to the log's responses.
 
-#include "Services/Gateway/crash_log.h"
+#include "Services/Gateway/request_record_log.h"
 #include "gateway_fixture.h"
 
 #include <set>
@@ -31,8 +31,8 @@
     this->log.Start();
   }
 
-  CrashLogHandlers Handlers() {
-    CrashLogHandlers handlers;
+  RequestRecordHandlers Handlers() {
+    RequestRecordHandlers handlers;
     handlers.on_crash = [this](const CrashReport& report) {
       this->crashes.insert(report.digests.front() + "/" + report.instance);
       this->last = report;
@@ -48,10 +48,10 @@
 
   std::set<std::string> crashes;
   CrashReport last;
-  CrashLog log;
+  RequestRecordLog log;
 };
 
-TEST_GROUP(CrashLog) {
+TEST_GROUP(RequestRecordLog) {
   GatewayFixture fixture;
   std::unique_ptr<CrashReader> writer;
   std::unique_ptr<CrashReader> reader;
@@ -74,7 +74,7 @@
   }
 };
 
-TEST(CrashLog, ACrashAndItsRetractionReachOtherGateways) {
+TEST(RequestRecordLog, ACrashAndItsRetractionReachOtherGateways) {
   this->writer->log.Record(Crash("x", "s1"));
   CHECK_TRUE(this->ReaderSees({"x/s1"}));
   LONGS_EQUAL(7, this->reader->last.started_at);
@@ -85,7 +85,7 @@
   CHECK_TRUE(this->writer->log.Unconfirmed().empty());
 }
 
-TEST(CrashLog, FaultsOfTheLogDelayCrashesWithoutLosingThem) {
+TEST(RequestRecordLog, FaultsOfTheLogDelayCrashesWithoutLosingThem) {
   FakePartitionedLogFaults& faults = this->fixture.log.faults;
   faults.refused_appends = 2;
   this->writer->log.Record(Crash("refused", "s1"));
@@ -109,7 +109,8 @@
       [this] { return this->writer->log.Unconfirmed().empty(); }));
 }
 
-TEST(CrashLog, ASnapshotDropsWhatWasRetractedAndKeepsWhatIsUnconfirmed) {
+TEST(RequestRecordLog,
+     ASnapshotDropsWhatWasRetractedAndKeepsWhatIsUnconfirmed) {
   this->writer->log.Record(Crash("x", "s1"));
   this->writer->log.Record(Crash("y", "s1"));
   CHECK_TRUE(this->ReaderSees({"x/s1", "y/s1"}));
@@ -126,12 +127,12 @@
   CHECK_TRUE(this->ReaderSees({"y/s1", "z/s1"}));
 }
 
-TEST(CrashLog, RecordsOfAPeerThatIsLostAreAppended) {
+TEST(RequestRecordLog, RecordsOfAPeerThatIsLostAreAppended) {
   this->fixture.log.faults.outage = true;
   this->fixture.log.FailWaitingReads();
   this->writer->log.Record(Crash("x", "s1"));
-  const std::vector<KeyedRecord> records =
-      CrashLog::Decode(CrashLog::Encode(this->writer->log.Unconfirmed()));
+  const std::vector<KeyedRecord> records = RequestRecordLog::Decode(
+      RequestRecordLog::Encode(this->writer->log.Unconfirmed()));
   this->writer.reset();
   this->reader->log.ReceiveFromPeer(records);
   CHECK_TRUE(this->reader->crashes.contains("x/s1"));
@@ -142,7 +143,7 @@
   }));
 }
 
-TEST(CrashLog, MalformedRecordsAreSkipped) {
+TEST(RequestRecordLog, MalformedRecordsAreSkipped) {
   const char* const texts[] = {
       "",
       "[]",
@@ -151,9 +152,10 @@
       R"({"crashes":[1,[],["a"],["no slashes",""],["a/b",""],[1,""]]})",
       R"({"crashes":[["a/b/not a number",""],["a/b/1",2]]})"};
   for (const char* const text : texts) {
-    CHECK_TRUE_TEXT(CrashLog::Decode(text).empty(), text);
+    CHECK_TRUE_TEXT(RequestRecordLog::Decode(text).empty(), text);
   }
-  LONGS_EQUAL(1, CrashLog::Decode(R"({"crashes":[["a/b/1",""],[]]})").size());
+  LONGS_EQUAL(
+      1, RequestRecordLog::Decode(R"({"crashes":[["a/b/1",""],[]]})").size());
   // A value in another form, as another version may write it.
   this->fixture.log.Put(
       CrashesPartition(),
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -34,6 +34,13 @@
   JsonPlatformDialect dialect;
 };
 
+TEST(JsonPlatformDialect, HeadersOfServersThatLeaveHaveTheirPlatformNames) {
+  STRCMP_EQUAL("Server-Leaving",
+               std::string(this->dialect.HeaderNames().leaving).c_str());
+  STRCMP_EQUAL("X-Instance-Id",
+               std::string(this->dialect.HeaderNames().server_id).c_str());
+}
+
 TEST(JsonPlatformDialect, AConfigurationIsDecodedIntoRoutesAndServices) {
   const auto decoded = this->dialect.DecodeConfiguration(kConfiguration);
   CHECK_TRUE(decoded.Ok());
