Soak: Compare deadlines within one job, and claim ports

The check of reward calls that let a repeat end with a later job's deadline took any open job's 12 s as the caller's own, so the code before the fix passed it as well. Repeats are now compared with the first one for the same job; only a job that was submitted in between starts anew.

Soaks that ran side by side took each other's ports while a server was down (three runs, "address already in use"): each run now claims blocks of ports. SIGTERM ends the gateways too, and the report names the late retries of a request that crashes servers.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -36,9 +36,8 @@
 
     touch_s: float
     attempts: dict = field(default_factory=dict)  # by request id
-    # By request id of a reward call: when each job that carries its sample was submitted, and
-    # when the job's caller stops waiting.
-    job_deadlines: dict = field(default_factory=lambda: defaultdict(list))
+    # By request id of a reward call: when each job that carries its sample was first submitted.
+    job_submissions: dict = field(default_factory=lambda: defaultdict(list))
     runs: list = field(default_factory=list)
     # Intervals (from, to) in which a gateway, or the store, was disrupted.
     gateway_disruptions: dict = field(default_factory=lambda: defaultdict(list))
@@ -91,13 +90,22 @@
     return found if len(found) > MAX_OVERSPREAD_CALLS else []
 
 
+def runs_by_caller_request(history, routes):
+    """Runs of one request, with its id; a later job that carries a sample asks for its own."""
+    for request_id, runs in by_request(history.runs).items():
+        submissions = history.job_submissions.get(request_id, [])
+        grouped = defaultdict(list)
+        for run in runs:
+            if run.route in routes:
+                grouped[sum(at <= run.at for at in submissions)].append(run)
+        for of_one_job in grouped.values():
+            yield request_id, of_one_job
+
+
 def late_deadlines(history, routes):
-    """Runs whose deadline extends past the first one's, or past the caller's."""
+    """Runs whose deadline extends past the first one's and past the caller's."""
     late, counted = [], 0
-    for request_id, runs in by_request(history.runs).items():
-        runs = [run for run in runs if run.route in routes]
-        if not runs:
-            continue
+    for request_id, runs in runs_by_caller_request(history, routes):
         attempt = history.attempts.get(request_id)
         first_end = deadline_end(runs[0])
         for index, run in enumerate(runs):
@@ -107,7 +115,8 @@
             too_long = run.deadline_ms is None or (
                 attempt is not None and
                 run.deadline_ms / 1000 > attempt.deadline_s + DEADLINE_SLACK_S)
-            latest = max(first_end, caller_deadline(history, request_id, run.at))
+            latest = first_end if attempt is None else max(
+                first_end, attempt.sent_at + attempt.deadline_s)
             extended = repeated_late and (deadline_end(run) > latest + DEADLINE_SLACK_S)
             counted += 1 if repeated_late or too_long else 0
             if too_long or extended:
@@ -118,14 +127,6 @@
     return []
 
 
-def caller_deadline(history, request_id, at):
-    """The latest deadline of a caller who had sent the request, or its job, by then."""
-    attempt = history.attempts.get(request_id)
-    deadlines = [] if attempt is None else [attempt.sent_at + attempt.deadline_s]
-    deadlines += [end for sent_at, end in history.job_deadlines[request_id] if sent_at <= at]
-    return max(deadlines, default=0.0)
-
-
 def deadline_end(run):
     return run.at + (run.deadline_ms or 0) / 1000
 
@@ -146,7 +147,8 @@
                 and history.in_touch(history.gateway_of(run), run.at)]
         if len(late) > MAX_LATE_FATAL_RETRIES:
             found.append(f"{body!r} at {path} crashed {len(crashes)} servers and was sent "
-                         f"{len(late)} times later than {history.touch_s} s after the third")
+                         f"{len(late)} times later than {history.touch_s} s after the third: "
+                         + ", ".join(f"{run.request_id} {run.outcome}" for run in late))
     return found
 
 
--- a/Benchmarks/Soak/checks_test.py
+++ b/Benchmarks/Soak/checks_test.py
@@ -58,13 +58,13 @@
         self.assertEqual([], self.found(20, 0.8, 1000))
         self.assertEqual([], self.found(21, 0.8, 1000, attempt_deadline_s=2))
 
-    def test_only_a_later_job_of_the_sample_extends_its_reward_call(self):
+    def test_repeats_for_the_same_job_are_found_and_those_for_a_later_job_allowed(self):
         runs = [run(at, request_id=f"r{call}", route="score")
                 for call in range(21) for at in (0, 5)]
-        for submitted_at, found in ((4, 0), (6, 21)):
+        for submissions, found in (([-1], 21), ([-1, 4], 0), ([-1, 6], 21)):
             played = history(runs)
             for call in range(21):
-                played.job_deadlines[f"r{call}"] += [(0, 1), (submitted_at, 16)]
+                played.job_submissions[f"r{call}"] += submissions
             self.assertEqual(found, len(checks.late_deadlines(played, ("score",))))
 
     def test_more_time_than_the_caller_gave_is_found(self):
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -31,6 +32,8 @@
 BASE_PORT = 12000
 LAST_PORT = 32000
 PORTS_OF_GATEWAY = 4
+# For ports that other programs hold.
+SPARE_PORTS = 50
 ZONES = ["zone-a", "zone-b", "zone-c"]
 CALL_DEADLINE_S = 1.5
 MAX_CALL_ATTEMPTS = 2
@@ -122,6 +125,7 @@
         self.store = Store(random.Random(options.seed + 2_000_000))
         self.fleet = Fleet(self.store, random.Random(options.seed + 3_000_000))
         self.gateways = []
+        self.ports = None
         self.history = checks.History(TOUCH_S, sample_max_attempts=MAX_SAMPLE_ATTEMPTS)
         self.injected = collections.Counter()
         self.calls = collections.Counter()
@@ -132,7 +136,10 @@
         self.stopped = False
 
     async def run(self):
-        asyncio.get_running_loop().set_exception_handler(self.record_error)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.record_error)
+        # Ends the gateways too when the soak is ended.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await self.start()
             traffic_end = time.monotonic() + self.options.seconds
@@ -154,10 +161,10 @@
 
     async def start(self):
         names = [f"gateway-{index}" for index in range(self.options.gateways)]
-        ports = free_ports(self.options.gateways * PORTS_OF_GATEWAY +
-                           self.options.gateways * 2 * self.options.servers)
+        self.ports = PortBlocks(SPARE_PORTS + self.options.gateways * (
+            PORTS_OF_GATEWAY + 2 * self.options.servers))
         for index, name in enumerate(names):
-            own = [next(ports) for _ in range(PORTS_OF_GATEWAY)]
+            own = [self.ports.next_free() for _ in range(PORTS_OF_GATEWAY)]
             await self.store.listen(name, own[3])
             self.gateways.append(GatewayProcess(
                 self.options.program, self.folder, name, ZONES[index % len(ZONES)], own, own[3]))
@@ -165,7 +172,7 @@
         for service, slots in (("app", 6), ("llm", 12)):
             for index in range(self.options.servers):
                 await self.fleet.add(f"{service}-{index}", service, ZONES[index % len(ZONES)],
-                                     slots, {name: next(ports) for name in names})
+                                     slots, {name: self.ports.next_free() for name in names})
         peers = ",".join(f"127.0.0.1:{g.peer_port}" for g in self.gateways[:3])
         for gateway in self.gateways:
             gateway.write_settings(peers, self.options.log_level)
@@ -190,6 +197,8 @@
                 gateway.process.wait()
         self.fleet.close()
         self.store.close()
+        if self.ports is not None:
+            self.ports.close()
 
     # Callers.
 
@@ -299,12 +308,10 @@
                            "items": items}).encode()
         begin = time.monotonic()
         headers = {"Host": HOST, "X-Request-Id": job_id, "Content-Type": "application/json"}
+        for sample in items:
+            self.history.job_submissions[sample["scorer"]["id"]].append(begin)
         accepted = False
         while not accepted and time.monotonic() < begin + ABANDON_AFTER_S:
-            now = time.monotonic()
-            for sample in items:
-                self.history.job_deadlines[sample["scorer"]["id"]].append(
-                    (now, now + ABANDON_AFTER_S))
             response = await fetch(self.any_gateway().port, "POST", f"/train/{job_id}", headers,
                                    body, timeout_s=2.0)
             accepted = response is not None and response.status == 202
@@ -531,20 +538,44 @@
 }
 
 
-def free_ports(count):
-    """Yields `count` ports that were free a moment ago, below the ephemeral range."""
-    import socket
-    port = random.SystemRandom().randrange(BASE_PORT, LAST_PORT - 2 * count)
-    yielded = 0
-    while yielded < count:
-        port += 1
-        with socket.socket() as probe:
+class PortBlocks:
+    """Ports below the ephemeral range that other soaks on the machine leave alone.
+
+    The first port of each block stays bound as a claim on the block, because a server that is
+    down does not hold its own ports.
+    """
+
+    BLOCK = 400
+
+    def __init__(self, count):
+        blocks = -(-count // (self.BLOCK - 1))
+        while True:
+            first = random.SystemRandom().randrange(BASE_PORT, LAST_PORT - blocks * self.BLOCK)
+            first -= first % self.BLOCK
+            self.claims = []
             try:
-                probe.bind(("127.0.0.1", port))
+                for block in range(blocks):
+                    self.claims.append(socket.socket())
+                    self.claims[-1].bind(("127.0.0.1", first + block * self.BLOCK))
+                break
             except OSError:
-                continue
-        yielded += 1
-        yield port
+                self.close()
+        self.ports = iter(port for port in range(first, first + blocks * self.BLOCK)
+                          if port % self.BLOCK != 0)
+
+    def close(self):
+        for claim in self.claims:
+            claim.close()
+
+    def next_free(self):
+        while True:
+            port = next(self.ports)
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
 
 
 def parse_seeds(text):
