Gateway: Log and count what suspects of crashes are sent to

Whether crashes stop counting because a run completed, or attempts go on because servers refuse them, could not be told from the logs: a cleared request, a refused attempt of a suspect and an answered probe left no line.

Each attempt of a request that crashed servers now leaves a line with its outcome and is counted in carobbank_suspect_attempts_total; a request that is cleared and a probe that a server answers leave a line.

--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -106,6 +106,10 @@
 inline constexpr MetricDefinition kServerCrashes{
     "carobbank_server_crashes_total", MetricType::kCounter, "service",
     "Crashes of backend servers that broke off requests of this process"};
+inline constexpr MetricDefinition kSuspectAttempts{
+    "carobbank_suspect_attempts_total", MetricType::kCounter, "service,outcome",
+    "Attempts of requests that crashed servers before, by outcome as in "
+    "carobbank_attempts_total"};
 inline constexpr MetricDefinition kLeavingServers{
     "carobbank_leaving_servers_total", MetricType::kCounter, "service,source",
     "Backend servers that this process learned to be leaving, by source: "
@@ -157,6 +161,7 @@
     metrics::kLinksReplaced,
     metrics::kQuarantined,
     metrics::kServerCrashes,
+    metrics::kSuspectAttempts,
     metrics::kLeavingServers,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -110,8 +110,7 @@
                          const BackendRequest& request,
                          Callback done)
     : environment(environment),
-      attempt(environment, server, request.digest),
-      request_id(request.request_id),
+      attempt(environment, server, request.request_id, request.digest),
       time_left(request.time_left),
       done(std::move(done)) {}
 
@@ -174,7 +173,7 @@
   // A late response to an earlier request on the connection carries the id of
   // the earlier request.
   const auto echoed = FindHeader(headers, names.request_id);
-  if (echoed && *echoed != this->request_id) {
+  if (echoed && *echoed != this->attempt.RequestId()) {
     return {BackendCallOutcome::kMayHaveRun,
             {},
             "the response belongs to another request"};
@@ -208,7 +207,7 @@
 
 void BackendCall::LogWithoutResponse(std::string_view reason) const {
   WriteLog(LogLevel::kInfo, "attempt ended without a response",
-           {{"request", this->request_id},
+           {{"request", this->attempt.RequestId()},
             {"digest", this->attempt.Digest()},
             {"server", this->attempt.ServerId()},
             {"server_started_at", std::to_string(this->attempt.ServerStart())},
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -100,7 +100,6 @@
 
   GatewayEnvironment& environment;
   InFlightAttempt attempt;
-  std::string request_id;
   // The time that the server was given.
   Milliseconds time_left;
   Callback done;
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "LibProcess/process.h"
 #include "leaving_servers.h"
 
 namespace carobbank {
@@ -34,10 +35,11 @@
 
 InFlightAttempt::InFlightAttempt(GatewayEnvironment& environment,
                                  const FleetServer& server,
+                                 std::string request_id,
                                  std::string digest)
     : environment(environment),
-      attempt{server.id, server.service, server.address, server.started_at,
-              std::move(digest)},
+      attempt{server.id,         server.service,        server.address,
+              server.started_at, std::move(request_id), std::move(digest)},
       began(environment.clock.Now()),
       sent_at(environment.clock.WallNow()) {
   environment.loads.Begin(this->attempt.server_id);
@@ -66,8 +68,31 @@
                   {{"service", this->attempt.service},
                    {"outcome", std::string(OutcomeLabel(end))}})
       .Add();
+  this->ReportSuspect(end);
   this->environment.quarantine.OnAttemptEnded(this->attempt, end,
                                               this->Elapsed());
 }
 
+void InFlightAttempt::ReportSuspect(const AttemptEnd& end) const {
+  const std::size_t crashes =
+      this->environment.quarantine.CrashesOf(this->attempt.digest);
+  if (crashes == 0) {
+    return;
+  }
+  const std::string outcome(OutcomeLabel(end));
+  this->environment.metrics
+      .GetCounter(metrics::kSuspectAttempts,
+                  {{"service", this->attempt.service}, {"outcome", outcome}})
+      .Add();
+  WriteLog(LogLevel::kInfo, "attempt of a request that crashed servers ended",
+           {{"request", this->attempt.request_id},
+            {"digest", this->attempt.digest},
+            {"server", this->attempt.server_id},
+            {"server_started_at", std::to_string(this->attempt.server_start)},
+            {"crashes_before", std::to_string(crashes)},
+            {"outcome", outcome},
+            {"status", std::to_string(end.status)},
+            {"attempt_ms", std::to_string(this->Elapsed().count())}});
+}
+
 }  // namespace carobbank
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -14,6 +14,7 @@
  public:
   InFlightAttempt(GatewayEnvironment& environment,
                   const FleetServer& server,
+                  std::string request_id,
                   std::string digest);
   ~InFlightAttempt() { this->End(AttemptEnd()); }
   InFlightAttempt(const InFlightAttempt&) = delete;
@@ -27,11 +28,15 @@
   const std::string& ServerId() const { return this->attempt.server_id; }
   // When the server had started, as of the start of the attempt.
   WallMilliseconds ServerStart() const { return this->attempt.server_start; }
+  const std::string& RequestId() const { return this->attempt.request_id; }
   const std::string& Digest() const { return this->attempt.digest; }
   MonotonicTime Began() const { return this->began; }
   Milliseconds Elapsed() const;
 
  private:
+  // Logs and counts the attempt if its request has crashed servers before.
+  void ReportSuspect(const AttemptEnd& end) const;
+
   GatewayEnvironment& environment;
   ServerAttempt attempt;
   MonotonicTime began;
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -178,11 +178,20 @@
           ObserveLeavingServer(this->environment, {attempt.server_id, sent_at},
                                outcome.Value().status, outcome.Value().headers);
         }
+        const bool still_up = this->IsStillUp(attempt, outcome);
+        if (still_up) {
+          WriteLog(
+              LogLevel::kInfo,
+              "backend server still responds after an attempt broke off",
+              {{"request", attempt.request_id},
+               {"digest", attempt.digest},
+               {"server", attempt.server_id},
+               {"server_started_at", std::to_string(attempt.server_start)}});
+        }
         this->OnServerCrashed(
             attempt.service,
             this->detector.OnProbed(attempt.server_id, attempt.server_start,
-                                    this->IsStillUp(attempt, outcome),
-                                    this->environment.clock.Now(),
+                                    still_up, this->environment.clock.Now(),
                                     this->environment.clock.WallNow()));
       });
 }
@@ -214,6 +223,10 @@
   if (!this->IsSuspect(digest)) {
     return;
   }
+  WriteLog(LogLevel::kInfo,
+           "request cleared of crashes: a server ran it to its end",
+           {{"digest", digest},
+            {"crashes", std::to_string(this->CrashesOf(digest))}});
   for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
     this->log.Retract(digest, crash);
   }
@@ -251,6 +264,10 @@
   return this->quarantine.StatusOf(digest) != DigestStatus::kClear;
 }
 
+std::size_t RequestQuarantine::CrashesOf(std::string_view digest) const {
+  return this->quarantine.CrashesOf(digest).size();
+}
+
 bool RequestQuarantine::MustWait(std::string_view digest) const {
   if (!this->IsSuspect(digest)) {
     return false;
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -37,6 +37,7 @@
   std::string address;
   // Start of the server, as known when the attempt was sent.
   WallMilliseconds server_start = 0;
+  std::string request_id;
   std::string digest;
 };
 
@@ -66,6 +67,8 @@
   // How long the request stays refused; zero when it may run.
   Milliseconds RefusedFor(std::string_view digest) const;
   bool IsSuspect(std::string_view digest) const;
+  // Number of crashes counted against the request.
+  std::size_t CrashesOf(std::string_view digest) const;
   // Another run of the suspect has not ended, or broke off and may have crashed
   // its server. False for any other request.
   bool MustWait(std::string_view digest) const;
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -22,8 +22,7 @@
                            const BackendRequest& request,
                            SampleStreamHandlers handlers)
     : environment(environment),
-      attempt(environment, server, request.digest),
-      request_id(request.request_id),
+      attempt(environment, server, request.request_id, request.digest),
       handlers(std::move(handlers)),
       last_activity(this->attempt.Began()) {}
 
@@ -71,7 +70,7 @@
   const auto echoed = FindHeader(headers, names.request_id);
   // A late response to an earlier request on the connection carries the id of
   // the earlier request.
-  const bool of_another = echoed && *echoed != this->request_id;
+  const bool of_another = echoed && *echoed != this->attempt.RequestId();
   if (of_another || (response_status == kOk && !echoed)) {
     this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
               "the response is for another request id");
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -86,7 +86,6 @@
 
   GatewayEnvironment& environment;
   InFlightAttempt attempt;
-  std::string request_id;
   SampleStreamHandlers handlers;
   ServerSentEventReader reader;
   MonotonicTime last_activity;
