--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -51,6 +52,11 @@
   // Requests whose body contains this text crash the server that begins to run
   // them.
   std::string fatal_text = "fatal";
+  // Each run with this number, counted per body, of a fatal request completes;
+  // zero for none.
+  std::size_t survived_run = 0;
+  // Further runs of fatal requests complete.
+  std::size_t max_fatal_crashes = std::numeric_limits<std::size_t>::max();
   // Time in which a server processes a sound request.
   Milliseconds duration{10};
   // Crashed servers break no connections; their clients hear nothing more.
@@ -231,7 +237,7 @@
                               run->request.body, TimeLeft(run->request),
                               std::chrono::steady_clock::now()});
     }
-    if (run->request.body.find(this->fatal_text) != std::string::npos) {
+    if (this->IsFatalRun(run->request)) {
       this->fatal_crashes.push_back(
           {server->registered.id, std::string(rest.substr(rest.find('/'))),
            run->request.body, run->client, std::chrono::steady_clock::now()});
@@ -244,6 +250,15 @@
     });
   }
 
+  bool IsFatalRun(const HttpClientRequest& request) {
+    if (request.body.find(this->fatal_text) == std::string::npos ||
+        this->fatal_crashes.size() >= this->max_fatal_crashes) {
+      return false;
+    }
+    const std::size_t number = ++this->fatal_runs[request.body];
+    return this->survived_run == 0 || number % this->survived_run != 0;
+  }
+
   void Complete(std::string_view id, const std::shared_ptr<Run>& run) {
     std::vector<std::weak_ptr<Run>>& runs = this->Find(id)->runs;
     const bool running =
@@ -287,6 +302,8 @@
 
   EventLoop& loop;
   std::vector<Server> servers;
+  // Runs of fatal requests, by body.
+  std::map<std::string, std::size_t, std::less<>> fatal_runs;
   std::list<std::unique_ptr<Timer>> timers;
 };
 
