LibRouting: Count each start of a server that a request crashed

A crash on a server that the same request had crashed before, or under work that had run for a while, weighed three quarters of another, so that a fourth crash was needed before the request was refused. The platform counts each start of a server: three had ended. Plain calls never outlive their start, and a client attempt avoids servers that it tried.

The test that pinned the weights is replaced by one that counts three starts of one server as three.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -12,16 +12,6 @@
 // Further crashes of a digest replace its latest one.
 constexpr std::size_t kMaxCrashesPerDigest = 32;
 
-// Weight of a crash that follows crashes on `servers`, to which its server is
-// added.
-std::size_t WeightOf(const ServerCrashRecord& crash,
-                     std::set<std::string_view>& servers) {
-  const bool first_on_server = servers.insert(crash.instance).second;
-  return first_on_server && !crash.outlived_start
-             ? CrashQuarantine::kFullWeight
-             : CrashQuarantine::kReducedWeight;
-}
-
 bool IsSameStart(const ServerCrashRecord& crash,
                  std::string_view instance,
                  WallMilliseconds started_at) {
@@ -66,22 +56,13 @@
                    [&report](const ServerCrashRecord& crash) {
                      return crash.at > report.at;
                    });
-  suspect.crashes.insert(later, {report.instance, report.started_at,
-                                 report.outlived_start, report.at});
-}
-
-std::size_t CrashQuarantine::SuspicionOf(const Suspect& suspect) const {
-  std::set<std::string_view> servers;
-  std::size_t suspicion = 0;
-  for (const ServerCrashRecord& crash : suspect.crashes) {
-    suspicion += WeightOf(crash, servers);
-  }
-  return suspicion;
+  suspect.crashes.insert(later,
+                         {report.instance, report.started_at, report.at});
 }
 
 bool CrashQuarantine::IsQuarantined(const Suspect& suspect) const {
   return suspect.identified ||
-         (this->Limit() > 0 && this->SuspicionOf(suspect) >= this->Limit());
+         (this->Limit() > 0 && suspect.crashes.size() >= this->Limit());
 }
 
 bool CrashQuarantine::AnyQuarantined(const CrashReport& report) const {
@@ -200,11 +181,10 @@
 CrashQuarantine::Refusal CrashQuarantine::RefusalOf(
     const Suspect& suspect) const {
   Refusal refusal{this->options.first_refusal, 0};
-  std::set<std::string_view> servers;
-  std::size_t suspicion = 0;
+  std::size_t counted = 0;
   for (const ServerCrashRecord& crash : suspect.crashes) {
-    const bool was_refused = suspicion >= this->Limit();
-    suspicion += WeightOf(crash, servers);
+    const bool was_refused = counted >= this->Limit();
+    ++counted;
     if (was_refused && crash.at >= refusal.until) {
       refusal.duration =
           std::min(refusal.duration * this->options.refusal_growth,
@@ -215,14 +195,9 @@
   return refusal;
 }
 
-std::size_t CrashQuarantine::Suspicion(std::string_view digest) const {
-  const auto found = this->suspects.find(digest);
-  return found == this->suspects.end() ? 0 : this->SuspicionOf(found->second);
-}
-
 bool CrashQuarantine::IsOnLastChance(std::string_view digest) const {
   return this->Limit() > 0 &&
-         this->Suspicion(digest) + kFullWeight >= this->Limit();
+         this->CrashesOf(digest).size() + 1 >= this->Limit();
 }
 
 std::span<const ServerCrashRecord> CrashQuarantine::CrashesOf(
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -31,9 +31,6 @@
   std::string instance;
   // Start of the crashed instance; zero when unknown.
   WallMilliseconds started_at = 0;
-  // The work had run for a while on the server, so its start did not crash the
-  // server.
-  bool outlived_start = false;
   WallMilliseconds at = 0;
 };
 
@@ -47,7 +44,6 @@
   bool lists_all_work = false;
   // As in ServerCrashRecord.
   WallMilliseconds started_at = 0;
-  bool outlived_start = false;
   WallMilliseconds at = 0;
 };
 
@@ -97,10 +93,6 @@
   DigestStatus StatusOf(std::string_view digest) const;
   // How long the digest stays refused; zero when it may run.
   Milliseconds RefusedFor(std::string_view digest, WallMilliseconds now) const;
-  // Weight of the crashes counted against the digest: kFullWeight for a crash
-  // of a further server at the start of the work, kReducedWeight for any other,
-  // which is more likely to have another cause.
-  std::size_t Suspicion(std::string_view digest) const;
   // One more crash may quarantine the digest, so the crash must not be
   // attributable to another suspect.
   bool IsOnLastChance(std::string_view digest) const;
@@ -111,9 +103,6 @@
   std::vector<std::string> Tracked() const;
   bool Empty() const { return this->suspects.empty(); }
 
-  static constexpr std::size_t kFullWeight = 4;
-  static constexpr std::size_t kReducedWeight = 3;
-
  private:
   struct Suspect {
     // In order of time. Invariant: no two of one start of a server.
@@ -130,9 +119,8 @@
 
   Suspect& SuspectFor(const std::string& digest);
   void AddCrash(Suspect& suspect, const CrashReport& report);
-  std::size_t SuspicionOf(const Suspect& suspect) const;
   std::size_t Limit() const {
-    return this->options.concurrent_crashes_to_quarantine * kFullWeight;
+    return this->options.concurrent_crashes_to_quarantine;
   }
   bool IsQuarantined(const Suspect& suspect) const;
   Refusal RefusalOf(const Suspect& suspect) const;
--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -14,7 +14,6 @@
   report.instance = attempt.server_id;
   report.digests = {attempt.digest};
   report.started_at = attempt.server_start;
-  report.outlived_start = attempt.outlived_start;
   report.at = wall_now;
   const auto [entry, added] =
       this->incidents.try_emplace(Key(attempt.server_id, attempt.server_start));
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -22,7 +22,6 @@
   // Start of the server, as known when the attempt was sent.
   WallMilliseconds server_start = 0;
   std::string digest;
-  bool outlived_start = false;
 };
 
 struct BrokenAttemptVerdict {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -113,8 +113,7 @@
     return;
   }
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
-      {attempt.server_id, attempt.server_start, attempt.digest,
-       end.outlived_start},
+      {attempt.server_id, attempt.server_start, attempt.digest},
       this->environment.clock.Now(), this->environment.clock.WallNow());
   this->CountCrashes(verdict.crashes);
   if (verdict.must_probe) {
@@ -277,10 +276,10 @@
 
 std::vector<std::string> RequestQuarantine::ServersWithSuspects(
     std::string_view digest,
-    std::size_t suspicion) const {
+    std::size_t crashes) const {
   std::vector<std::string> servers;
   for (const auto& [other, running_on] : this->in_flight) {
-    if (other != digest && this->quarantine.Suspicion(other) >= suspicion) {
+    if (other != digest && this->CrashesOf(other) >= crashes) {
       servers.insert(servers.end(), running_on.begin(), running_on.end());
     }
   }
@@ -298,7 +297,7 @@
     return choose(query);
   }
   std::vector<std::string> excluded =
-      this->ServersWithSuspects(digest, this->quarantine.Suspicion(digest));
+      this->ServersWithSuspects(digest, this->CrashesOf(digest));
   excluded.insert(excluded.end(), query.excluded.begin(), query.excluded.end());
   BackendQuery apart = query;
   apart.excluded = excluded;
@@ -370,7 +369,6 @@
                                                        {digest},
                                                        false,
                                                        crash.started_at,
-                                                       crash.outlived_start,
                                                        crash.at}));
     }
   }
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -106,9 +106,10 @@
   void Apply(const CrashReport& report);
   void UpdateGauge();
   void RemoveOldCrashes();
-  // Servers on which this gateway runs a suspect of at least that suspicion.
+  // Servers on which this gateway runs another suspect of at least that many
+  // crashes.
   std::vector<std::string> ServersWithSuspects(std::string_view digest,
-                                               std::size_t suspicion) const;
+                                               std::size_t crashes) const;
 
   GatewayEnvironment& environment;
   ServerCrashDetector detector;
--- a/Services/Gateway/request_record_log.cc
+++ b/Services/Gateway/request_record_log.cc
@@ -62,7 +62,6 @@
 std::string EncodeValue(const CrashReport& report) {
   Json::Value value;
   value["at"] = Json::Int64(report.at);
-  value["outlived_start"] = report.outlived_start;
   return WriteJson(value);
 }
 
@@ -157,7 +156,6 @@
   report.instance = key->instance;
   report.digests = {std::string(key->digest)};
   report.started_at = key->started_at;
-  report.outlived_start = JsonBoolean(*value, "outlived_start", false);
   report.at = JsonInteger(*value, "at");
   this->handlers.on_crash(report);
 }
--- a/Tests/Gateway/request_record_log_test.cc
+++ b/Tests/Gateway/request_record_log_test.cc
@@ -17,7 +17,6 @@
   report.instance = instance;
   report.digests = {digest};
   report.started_at = 7;
-  report.outlived_start = true;
   report.at = 1'000;
   return report;
 }
@@ -79,7 +78,6 @@
   CHECK_TRUE(this->ReaderSees({"x/s1"}));
   LONGS_EQUAL(7, this->reader->last.started_at);
   LONGS_EQUAL(1'000, this->reader->last.at);
-  CHECK_TRUE(this->reader->last.outlived_start);
   this->writer->log.Retract("x", {"s1", 7});
   CHECK_TRUE(this->ReaderSees({}));
   CHECK_TRUE(this->writer->log.Unconfirmed().empty());
--- a/Tests/LibRouting/retry_and_quarantine_test.cc
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -144,7 +144,7 @@
 TEST(CrashQuarantine, BesideOtherWorkTheThirdCrashRefusesForAWhile) {
   CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
   const auto crash = [&shared](const char* instance, WallMilliseconds at) {
-    shared.OnCrash({instance, {"x"}, false, 0, false, at});
+    shared.OnCrash({instance, {"x"}, false, 0, at});
   };
   crash("s1", 100);
   CHECK_FALSE(shared.IsOnLastChance("x"));
@@ -174,40 +174,33 @@
   constexpr WallMilliseconds kDay = 24 * 3'600'000;
   while (now < kDay) {
     shared.OnCrash(
-        {"s" + std::to_string(++crashes), {"x"}, false, 0, false, now});
+        {"s" + std::to_string(++crashes), {"x"}, false, 0, now});
     now += std::max<WallMilliseconds>(shared.RefusedFor("x", now).count(), 1);
   }
   // Three at once, six growing refusals, then one an hour.
   CHECK_TRUE(crashes <= 33);
 }
 
-TEST(CrashQuarantine, CrashesThatMayHaveOtherCausesWeighLess) {
+TEST(CrashQuarantine, EachStartOfAServerThatCrashedCounts) {
   CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
-  // After a while of running, and on one server again and again.
-  for (const char* instance : {"s1", "s2", "s3"}) {
-    shared.OnCrash({instance, {"streamed"}, false, 0, true, 0});
+  for (const WallMilliseconds start : {1, 2}) {
+    shared.OnCrash({"s1", {"x"}, false, start, 0});
   }
-  CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kSuspect);
-  shared.OnCrash({"s4", {"streamed"}, false, 0, true, 0});
-  CHECK_TRUE(shared.StatusOf("streamed") == DigestStatus::kQuarantined);
-  for (const WallMilliseconds start : {1, 2, 3}) {
-    shared.OnCrash({"s1", {"same server"}, false, start, false, 0});
-  }
-  CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kSuspect);
-  shared.OnCrash({"s1", {"same server"}, false, 4, false, 0});
-  CHECK_TRUE(shared.StatusOf("same server") == DigestStatus::kQuarantined);
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kSuspect);
+  shared.OnCrash({"s1", {"x"}, false, 3, 0});
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
 }
 
 TEST(CrashQuarantine, ACrashCountsOnceAndARetractedOneNotAtAll) {
   CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
   for (int report = 0; report < 5; ++report) {
-    shared.OnCrash({"s1", {"x"}, false, 7, false, 0});
+    shared.OnCrash({"s1", {"x"}, false, 7, 0});
   }
-  LONGS_EQUAL(CrashQuarantine::kFullWeight, shared.Suspicion("x"));
-  shared.OnCrash({"s2", {"x"}, false, 7, false, 0});
+  LONGS_EQUAL(1, shared.CrashesOf("x").size());
+  shared.OnCrash({"s2", {"x"}, false, 7, 0});
   shared.Retract("x", "s2", 7);
   shared.Retract("x", "s1", 8);
-  LONGS_EQUAL(CrashQuarantine::kFullWeight, shared.Suspicion("x"));
+  LONGS_EQUAL(1, shared.CrashesOf("x").size());
   shared.Retract("x", "s1", 7);
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kClear);
   CHECK_TRUE(shared.Empty());
--- a/Tests/LibRouting/server_crash_detector_test.cc
+++ b/Tests/LibRouting/server_crash_detector_test.cc
@@ -15,7 +15,7 @@
   WallMilliseconds wall_now = 1'000'000;
 
   BrokenAttemptVerdict Break(const char* digest, WallMilliseconds start = 7) {
-    return this->detector.OnBroken({"s", start, digest, false}, this->now,
+    return this->detector.OnBroken({"s", start, digest}, this->now,
                                    this->wall_now);
   }
   std::size_t Probe(bool reachable, WallMilliseconds start = 7) {
