Gateway: Try a quarantined request once over all gateways

What servers saw: after a refusal, each gateway sent a request that had crashed three servers on its own, and when a server refused it, to the next one: 11 sends of one client attempt, 544 in two seconds of attempts at three gateways (SuspectTrial, before).

Cause: the end of a refusal was each gateway's own decision, taken from its own clock and an offset, and an attempt that was let through was an ordinary one, with repeats.

Change: a trial is one send. A gateway claims it with a conditional append behind all records that it has read, so that gateways agree on its number and on the outcome of the trial before; the outcome is a record too. Failed trials multiply the refusal, whether the server crashed or refused; after three the refusal lasts an hour. A trial that was not sent is cancelled, one whose gateway was lost fails after five seconds. A gateway that can't reach the log starts no trial: the request stays refused.

After: one send in each of these cases, none without the log.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -160,41 +160,6 @@
                                             : DigestStatus::kSuspect;
 }
 
-Milliseconds CrashQuarantine::RefusedFor(std::string_view digest,
-                                         WallMilliseconds now) const {
-  const auto found = this->suspects.find(digest);
-  if (found == this->suspects.end() || !this->IsQuarantined(found->second)) {
-    return Milliseconds(0);
-  }
-  const Suspect& suspect = found->second;
-  if (suspect.identified) {
-    return this->options.longest_refusal;
-  }
-  const Refusal refusal = this->RefusalOf(suspect);
-  // The times come from the clocks of several machines.
-  return std::clamp(Milliseconds(refusal.until - now), Milliseconds(0),
-                    refusal.duration);
-}
-
-// A crash that was under way when the digest was quarantined doesn't lengthen
-// the refusal; one after the end of a refusal does.
-CrashQuarantine::Refusal CrashQuarantine::RefusalOf(
-    const Suspect& suspect) const {
-  Refusal refusal{this->options.first_refusal, 0};
-  std::size_t counted = 0;
-  for (const ServerCrashRecord& crash : suspect.crashes) {
-    const bool was_refused = counted >= this->Limit();
-    ++counted;
-    if (was_refused && crash.at >= refusal.until) {
-      refusal.duration =
-          std::min(refusal.duration * this->options.refusal_growth,
-                   this->options.longest_refusal);
-    }
-    refusal.until = crash.at + refusal.duration.count();
-  }
-  return refusal;
-}
-
 bool CrashQuarantine::IsOnLastChance(std::string_view digest) const {
   return this->Limit() > 0 &&
          this->CrashesOf(digest).size() + 1 >= this->Limit();
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -1,7 +1,8 @@
 // Quarantine of requests that crash every backend server that runs them. A
 // digest is quarantined when two distinct servers crashed while they ran it in
 // isolation, or, where work can't be isolated, when enough servers crashed
-// while they ran it beside other work.
+// while they ran it beside other work. QuarantineTrials then decides when such
+// a digest may run again, because the crashes may have had other causes.
 
 #pragma once
 
@@ -61,12 +62,6 @@
   // Crashes beside other work after which a digest is quarantined. Zero: only
   // crashes in isolation quarantine.
   std::size_t concurrent_crashes_to_quarantine = 0;
-  // A digest quarantined for crashes beside other work is refused for this long
-  // after its last crash, then may run again, because the crashes may have had
-  // other causes. Each crash after a refusal multiplies the time.
-  Milliseconds first_refusal{4'000};
-  std::int64_t refusal_growth = 4;
-  Milliseconds longest_refusal{3'600'000};
   // Maximum number of tracked suspects; the oldest is evicted first.
   std::size_t max_suspects = 65536;
 };
@@ -91,8 +86,6 @@
   void OnFinished(std::string_view digest);
 
   DigestStatus StatusOf(std::string_view digest) const;
-  // How long the digest stays refused; zero when it may run.
-  Milliseconds RefusedFor(std::string_view digest, WallMilliseconds now) const;
   // One more crash may quarantine the digest, so the crash must not be
   // attributable to another suspect.
   bool IsOnLastChance(std::string_view digest) const;
@@ -112,18 +105,12 @@
     bool identified = false;
   };
 
-  struct Refusal {
-    Milliseconds duration;
-    WallMilliseconds until = 0;
-  };
-
   Suspect& SuspectFor(const std::string& digest);
   void AddCrash(Suspect& suspect, const CrashReport& report);
   std::size_t Limit() const {
     return this->options.concurrent_crashes_to_quarantine;
   }
   bool IsQuarantined(const Suspect& suspect) const;
-  Refusal RefusalOf(const Suspect& suspect) const;
   bool AnyQuarantined(const CrashReport& report) const;
   void Identify(Suspect& suspect);
   void Erase(std::string_view digest);
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -110,7 +110,7 @@
                          const BackendRequest& request,
                          Callback done)
     : environment(environment),
-      attempt(environment, server, request.request_id, request.digest),
+      attempt(environment, server, request),
       time_left(request.time_left),
       done(std::move(done)) {}
 
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -29,6 +29,8 @@
 // likely at the least loaded ones.
 constexpr int kServersInLaterRounds = 2;
 constexpr Milliseconds kRetryAfter{250};
+// For a caller whose request needs a trial that this gateway could not claim.
+constexpr Milliseconds kTrialRetryAfter{1'000};
 // A suspect that has to wait is checked this often.
 constexpr Milliseconds kSuspectCheckPeriod{20};
 // A repeatable request goes to a second server after the first has used up this
@@ -141,7 +143,7 @@
 }
 
 void ForwardedCall::StartAttempt() {
-  if (!this->responder || !this->MayRunAgain()) {
+  if (!this->responder || this->claiming_trial || !this->MayRunAgain()) {
     return;
   }
   const bool first = this->calls.empty();
@@ -159,6 +161,12 @@
     }
     return;
   }
+  if (this->environment.quarantine.NeedsTrial(this->request.digest)) {
+    if (first) {
+      this->StartTrial();
+    }
+    return;
+  }
   const FleetServer* server = nullptr;
   if (!this->RoundIsOver()) {
     server = this->ChooseServer(false);
@@ -172,18 +180,58 @@
     }
     return;
   }
+  this->SendTo(*server);
+  this->ScheduleHedge();
+}
+
+void ForwardedCall::StartTrial() {
+  if (this->ChooseServer(true) == nullptr) {
+    this->RetryAfterBackoff();
+    return;
+  }
+  this->claiming_trial = true;
+  RequestQuarantine& quarantine = this->environment.quarantine;
+  quarantine.ClaimTrial(this->request.digest,
+                        [weak = this->weak_from_this(), &quarantine,
+                         digest = this->request.digest](std::int64_t number) {
+                          const auto self = weak.lock();
+                          if (self && self->responder) {
+                            self->OnTrialClaimed(number);
+                          } else if (number > 0) {
+                            quarantine.CancelTrial(digest, number);
+                          }
+                        });
+}
+
+void ForwardedCall::OnTrialClaimed(std::int64_t number) {
+  this->claiming_trial = false;
+  RequestQuarantine& quarantine = this->environment.quarantine;
+  const FleetServer* const server =
+      number == 0 ? nullptr : this->ChooseServer(true);
+  if (server != nullptr) {
+    this->request.trial = number;
+    this->SendTo(*server);
+    return;
+  }
+  if (number > 0) {
+    quarantine.CancelTrial(this->request.digest, number);
+  }
+  this->RefuseQuarantined(
+      std::max(quarantine.RefusedFor(this->request.digest), kTrialRetryAfter));
+}
+
+void ForwardedCall::SendTo(const FleetServer& server) {
   this->request.time_left = std::max(this->TimeLeft(), Milliseconds(1));
   ++this->possible_runs;
-  this->excluded.push_back(server->id);
+  this->excluded.push_back(server.id);
   this->calls.push_back(
-      BackendCall::Start(this->environment, *server, this->request,
+      BackendCall::Start(this->environment, server, this->request,
                          [weak = this->weak_from_this(),
-                          id = server->id](BackendCallResult result) {
+                          id = server.id](BackendCallResult result) {
                            if (const auto self = weak.lock()) {
                              self->OnCallDone(id, std::move(result));
                            }
                          }));
-  this->ScheduleHedge();
 }
 
 void ForwardedCall::ScheduleHedge() {
@@ -215,6 +263,10 @@
   // Kept until the end of this function, because its callback is running.
   const std::unique_ptr<BackendCall> finished_call = std::move(*found);
   this->calls.erase(found);
+  if (this->request.trial > 0) {
+    this->OnTrialDone(std::move(result));
+    return;
+  }
   switch (result.outcome) {
     case BackendCallOutcome::kNotRun:
       this->OnNotRun(result);
@@ -254,6 +306,24 @@
   }
 }
 
+// A trial is one send: whatever its outcome, no other server gets the request.
+void ForwardedCall::OnTrialDone(BackendCallResult result) {
+  switch (result.outcome) {
+    case BackendCallOutcome::kAnswered:
+      this->Finish(std::move(result.response));
+      return;
+    case BackendCallOutcome::kMayHaveRun:
+      this->Finish(MayHaveRunResponse(kBadGateway, "no_answer", result.reason));
+      return;
+    case BackendCallOutcome::kNotRun:
+      --this->possible_runs;
+      this->RefuseQuarantined(std::max(
+          this->environment.quarantine.RefusedFor(this->request.digest),
+          kRetryAfter));
+      return;
+  }
+}
+
 void ForwardedCall::StartAttemptAfter(Milliseconds delay) {
   this->retry_timer =
       this->environment.loop.CallAfter(delay, [weak = this->weak_from_this()] {
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -35,11 +35,16 @@
   Milliseconds TimeLeft() const;
   bool MayRunAgain() const;
   void StartAttempt();
+  void SendTo(const FleetServer& server);
+  // Sends the quarantined request once, if this gateway may.
+  void StartTrial();
+  void OnTrialClaimed(std::int64_t number);
   void StartAttemptAfter(Milliseconds delay);
   const FleetServer* ChooseServer(bool allow_backoff);
   void OnCallDone(const std::string& server_id, BackendCallResult result);
   void RefuseQuarantined(Milliseconds refused_for);
   void OnNotRun(const BackendCallResult& result);
+  void OnTrialDone(BackendCallResult result);
   void RetryAfterBackoff();
   // Whether the service's retry budget allows a further attempt or round.
   bool TryRepeat();
@@ -68,6 +73,7 @@
   int refused_rounds = 0;
   // Servers that have refused the request in this round.
   int refusals_in_round = 0;
+  bool claiming_trial = false;
   std::string last_failure = "no backend server is registered";
   std::unique_ptr<Timer> timeout;
   std::unique_ptr<Timer> retry_timer;
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -35,11 +35,11 @@
 
 InFlightAttempt::InFlightAttempt(GatewayEnvironment& environment,
                                  const FleetServer& server,
-                                 std::string request_id,
-                                 std::string digest)
+                                 const BackendRequest& request)
     : environment(environment),
-      attempt{server.id,         server.service,        server.address,
-              server.started_at, std::move(request_id), std::move(digest)},
+      attempt{server.id,         server.service,     server.address,
+              server.started_at, request.request_id, request.digest,
+              request.trial},
       began(environment.clock.Now()),
       sent_at(environment.clock.WallNow()) {
   environment.loads.Begin(this->attempt.server_id);
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "backend_request.h"
 #include "gateway_environment.h"
 #include "request_quarantine.h"
 
@@ -14,8 +15,7 @@
  public:
   InFlightAttempt(GatewayEnvironment& environment,
                   const FleetServer& server,
-                  std::string request_id,
-                  std::string digest);
+                  const BackendRequest& request);
   ~InFlightAttempt() { this->End(AttemptEnd()); }
   InFlightAttempt(const InFlightAttempt&) = delete;
   InFlightAttempt& operator=(const InFlightAttempt&) = delete;
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -23,11 +23,16 @@
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
 
+// A claim that finds the log longer than expected is repeated after this
+// gateway has read the new records.
+constexpr Milliseconds kClaimRetryDelay{20};
+constexpr int kMaxClaims = 5;
+
 // A trainer submits the unfinished samples of a step again with one of its next
 // steps.
 constexpr Milliseconds kFailureRetention{600'000};
 // Longer than the longest refusal, so that a digest whose refusal ends still
-// has its crashes.
+// has its crashes and trials.
 constexpr Milliseconds kCrashRetention{2 * 3'600'000};
 
 bool Broke(const AttemptEnd& end, Milliseconds elapsed) {
@@ -47,8 +52,6 @@
                                      std::vector<std::string> peers)
     : environment(environment),
       quarantine(kOptions),
-      refusal_delay(FastHash(environment.settings.instance) %
-                    kLongestRefusalDelay.count()),
       log(environment,
           std::move(partition),
           std::move(peers),
@@ -73,6 +76,12 @@
     this->quarantine.Retract(digest, instance, started_at);
     this->UpdateGauge();
   };
+  handlers.on_trial = [this](const QuarantineTrial& trial) {
+    this->trials.Put(trial);
+  };
+  handlers.on_trial_removed = [this](const QuarantineTrial& trial) {
+    this->trials.Remove(trial.digest, trial.number);
+  };
   handlers.on_sample_failure = [this](const SampleFailure& failure) {
     this->failures.Add(failure);
   };
@@ -81,6 +90,7 @@
   };
   handlers.on_reset = [this] {
     this->quarantine = CrashQuarantine(kOptions);
+    this->trials = QuarantineTrials();
     this->failures = SampleFailures();
   };
   return handlers;
@@ -105,6 +115,9 @@
       this->in_flight.erase(running);
     }
   }
+  if (attempt.trial > 0) {
+    this->EndTrial(attempt, end);
+  }
   if (end.completed) {
     this->OnFinished(attempt.digest);
     return;
@@ -229,10 +242,18 @@
   for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
     this->log.Retract(digest, crash);
   }
+  this->RemoveTrials(digest);
   this->quarantine.OnFinished(digest);
   this->UpdateGauge();
 }
 
+void RequestQuarantine::RemoveTrials(const std::string& digest) {
+  for (const QuarantineTrial& trial : this->trials.Of(digest)) {
+    this->log.Remove(trial);
+  }
+  this->trials.RemoveAll(digest);
+}
+
 void RequestQuarantine::OnServerRegistered(const FleetServer& server) {
   const MonotonicTime now = this->environment.clock.Now();
   const RegistrationVerdict verdict = this->detector.OnRegistered(
@@ -254,9 +275,112 @@
   }
 }
 
+WallMilliseconds RequestQuarantine::LastCrashOf(std::string_view digest) const {
+  const std::span<const ServerCrashRecord> crashes =
+      this->quarantine.CrashesOf(digest);
+  return crashes.empty() ? 0 : crashes.back().at;
+}
+
+bool RequestQuarantine::IsQuarantined(std::string_view digest) const {
+  return this->quarantine.StatusOf(digest) == DigestStatus::kQuarantined &&
+         !this->trials.Released(digest, this->LastCrashOf(digest));
+}
+
 Milliseconds RequestQuarantine::RefusedFor(std::string_view digest) const {
-  return this->quarantine.RefusedFor(
-      digest, this->environment.clock.WallNow() - this->refusal_delay.count());
+  if (!this->IsQuarantined(digest)) {
+    return Milliseconds(0);
+  }
+  return this->trials.RefusedFor(digest, this->LastCrashOf(digest),
+                                 this->environment.clock.WallNow());
+}
+
+bool RequestQuarantine::NeedsTrial(std::string_view digest) const {
+  return this->IsQuarantined(digest) && this->RefusedFor(digest).count() == 0;
+}
+
+void RequestQuarantine::ClaimTrial(const std::string& digest,
+                                   TrialCallback done) {
+  const auto [claim, added] = this->claims.try_emplace(digest);
+  if (!added) {
+    this->environment.loop.Post([done = std::move(done)] { done(0); });
+    return;
+  }
+  claim->second.done = std::move(done);
+  this->TryClaim(digest);
+}
+
+void RequestQuarantine::TryClaim(const std::string& digest) {
+  ++this->claims.at(digest).attempts;
+  QuarantineTrial trial;
+  trial.digest = digest;
+  trial.number = this->trials.NextNumber(digest);
+  trial.instance = this->environment.settings.instance;
+  trial.at = this->environment.clock.WallNow();
+  this->log.Claim(trial, [this, trial](AppendStatus status) {
+    this->OnClaimed(trial, status);
+  });
+}
+
+void RequestQuarantine::OnClaimed(const QuarantineTrial& trial,
+                                  AppendStatus status) {
+  PendingClaim& claim = this->claims.at(trial.digest);
+  if (status == AppendStatus::kConflict && claim.attempts < kMaxClaims) {
+    claim.retry = this->environment.loop.CallAfter(
+        kClaimRetryDelay, [this, digest = trial.digest] {
+          if (this->NeedsTrial(digest)) {
+            this->TryClaim(digest);
+          } else {
+            this->EndClaim(digest, 0);
+          }
+        });
+    return;
+  }
+  const bool claimed = status == AppendStatus::kAppended;
+  if (claimed) {
+    this->trials.Put(trial);
+    WriteLog(LogLevel::kInfo, "trial of a quarantined request claimed",
+             {{"digest", trial.digest},
+              {"trial", std::to_string(trial.number)},
+              {"crashes", std::to_string(this->CrashesOf(trial.digest))}});
+  } else {
+    WriteLog(LogLevel::kInfo,
+             "trial of a quarantined request not claimed: the log did not "
+             "accept it; the request stays refused",
+             {{"digest", trial.digest}});
+  }
+  this->EndClaim(trial.digest, claimed ? trial.number : 0);
+}
+
+void RequestQuarantine::EndClaim(const std::string& digest,
+                                 std::int64_t number) {
+  auto claim = this->claims.extract(digest);
+  claim.mapped().done(number);
+}
+
+void RequestQuarantine::CancelTrial(const std::string& digest,
+                                    std::int64_t number) {
+  QuarantineTrial trial;
+  trial.digest = digest;
+  trial.number = number;
+  this->trials.Remove(digest, number);
+  this->log.Remove(trial);
+}
+
+void RequestQuarantine::EndTrial(const ServerAttempt& attempt,
+                                 const AttemptEnd& end) {
+  const bool sent = end.may_have_run || end.status != 0;
+  if (!sent) {
+    this->CancelTrial(attempt.digest, attempt.trial);
+    return;
+  }
+  for (QuarantineTrial& trial : this->trials.Of(attempt.digest)) {
+    if (trial.number == attempt.trial) {
+      trial.outcome =
+          end.completed ? TrialOutcome::kCompleted : TrialOutcome::kFailed;
+      this->trials.Put(trial);
+      this->log.Record(trial);
+    }
+  }
 }
 
 bool RequestQuarantine::IsSuspect(std::string_view digest) const {
@@ -348,12 +472,13 @@
     const bool old = std::all_of(
         crashes.begin(), crashes.end(),
         [oldest](const ServerCrashRecord& crash) { return crash.at < oldest; });
-    if (!old || this->RefusedFor(digest).count() > 0) {
+    if (!old) {
       continue;
     }
     for (const ServerCrashRecord& crash : crashes) {
       this->log.Retract(digest, crash);
     }
+    this->RemoveTrials(digest);
     this->quarantine.OnFinished(digest);
   }
 }
@@ -365,13 +490,13 @@
   }
   for (const std::string& digest : this->quarantine.Tracked()) {
     for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
-      records.push_back(RequestRecordLog::EncodeCrash({crash.instance,
-                                                       {digest},
-                                                       false,
-                                                       crash.started_at,
-                                                       crash.at}));
+      records.push_back(RequestRecordLog::EncodeCrash(
+          {crash.instance, {digest}, false, crash.started_at, crash.at}));
     }
   }
+  for (const QuarantineTrial& trial : this->trials.All()) {
+    records.push_back(EncodeTrial(trial));
+  }
   return records;
 }
 
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -1,11 +1,14 @@
 // Refuses requests that crash backend servers: attributes broken attempts to
 // crashes of their servers, shares the crashes with the other gateways, and
 // keeps suspects apart, so that sound requests beside them are not quarantined.
+// A quarantined request runs again only in a trial that one gateway claims.
 // Also counts, over all gateways, the failures of samples that fail at each
 // run.
 
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,15 +42,12 @@
   WallMilliseconds server_start = 0;
   std::string request_id;
   std::string digest;
+  // Number of the request's trial that this attempt is; zero for none.
+  std::int64_t trial = 0;
 };
 
 class RequestQuarantine {
  public:
-  // Gateways end a refusal up to this much later than it could end, each at
-  // another time, so that one of them learns first whether the request still
-  // crashes servers.
-  static constexpr Milliseconds kLongestRefusalDelay{1'000};
-
   RequestQuarantine(GatewayEnvironment& environment,
                     TopicPartition partition,
                     std::vector<std::string> peers);
@@ -64,8 +64,18 @@
   // The registry has a new entry of the server.
   void OnServerRegistered(const FleetServer& server);
 
-  // How long the request stays refused; zero when it may run.
+  // How long the request stays refused; zero when it may run, or be tried.
   Milliseconds RefusedFor(std::string_view digest) const;
+  // The request is quarantined and no longer refused: it may run once, after
+  // ClaimTrial().
+  bool NeedsTrial(std::string_view digest) const;
+  // Claims the request's next trial for this gateway. `done` receives its
+  // number, which the attempt carries, or zero when another gateway was first
+  // or the log can't be reached. Called once from the event loop.
+  using TrialCallback = std::function<void(std::int64_t number)>;
+  void ClaimTrial(const std::string& digest, TrialCallback done);
+  // Nothing was sent for the claimed trial.
+  void CancelTrial(const std::string& digest, std::int64_t number);
   bool IsSuspect(std::string_view digest) const;
   // Number of crashes counted against the request.
   std::size_t CrashesOf(std::string_view digest) const;
@@ -90,7 +100,7 @@
   RequestRecordLog& Log() { return this->log; }
   // The records of other gateways were read, or can't be.
   bool Settled() const { return this->log.Settled(); }
-  // All counted crashes and failures, as records for peers.
+  // All counted crashes, trials and failures, as records for peers.
   std::vector<KeyedRecord> KnownRecords() const;
 
  private:
@@ -103,6 +113,13 @@
                        const std::vector<CrashReport>& crashes);
   void CountCrashes(const std::vector<CrashReport>& reports);
   void OnFinished(const std::string& digest);
+  bool IsQuarantined(std::string_view digest) const;
+  WallMilliseconds LastCrashOf(std::string_view digest) const;
+  void TryClaim(const std::string& digest);
+  void OnClaimed(const QuarantineTrial& trial, AppendStatus status);
+  void EndClaim(const std::string& digest, std::int64_t number);
+  void EndTrial(const ServerAttempt& attempt, const AttemptEnd& end);
+  void RemoveTrials(const std::string& digest);
   void Apply(const CrashReport& report);
   void UpdateGauge();
   void RemoveOldCrashes();
@@ -111,13 +128,21 @@
   std::vector<std::string> ServersWithSuspects(std::string_view digest,
                                                std::size_t crashes) const;
 
+  // A claim of a trial that has not ended yet.
+  struct PendingClaim {
+    TrialCallback done;
+    int attempts = 0;
+    std::unique_ptr<Timer> retry;
+  };
+
   GatewayEnvironment& environment;
   ServerCrashDetector detector;
   CrashQuarantine quarantine;
+  QuarantineTrials trials;
   SampleFailures failures;
-  // Time by which this gateway ends refusals later than it could.
-  Milliseconds refusal_delay;
   RequestRecordLog log;
+  // By digest.
+  std::map<std::string, PendingClaim, std::less<>> claims;
   // Servers of the attempts in flight, by digest.
   std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/request_record_log.cc
+++ b/Services/Gateway/request_record_log.cc
@@ -1,5 +1,5 @@
-// Records of crashes and of failed samples: their format, appends with retries,
-// and the exchange with peers.
+// Records of crashes, trials and failed samples: their format, appends with
+// retries, and the exchange with peers.
 
 #include "request_record_log.h"
 
@@ -46,6 +46,9 @@
 }
 
 std::optional<CrashKey> DecodeKey(std::string_view key) {
+  if (IsTrialKey(key)) {
+    return std::nullopt;
+  }
   const std::size_t first = key.find(kSeparator);
   const std::size_t last = key.rfind(kSeparator);
   if (first == std::string_view::npos || first == last) {
@@ -59,6 +62,17 @@
                   *started_at};
 }
 
+bool IsRecordKey(const std::string& key) {
+  return DecodeTrial({key, ""}) || DecodeKey(key) || DecodeSampleFailure(key);
+}
+
+void LogMalformed(const KeyedRecord& record) {
+  WriteLog(LogLevel::kWarning,
+           "request record ignored: it is malformed; compare the versions of "
+           "the instances",
+           {{"key", record.key}});
+}
+
 std::string EncodeValue(const CrashReport& report) {
   Json::Value value;
   value["at"] = Json::Int64(report.at);
@@ -125,6 +139,10 @@
 }
 
 void RequestRecordLog::ApplyRecord(const KeyedRecord& record) {
+  if (IsTrialKey(record.key)) {
+    this->ApplyTrial(record);
+    return;
+  }
   const auto failure = DecodeSampleFailure(record.key);
   if (!failure) {
     this->ApplyCrash(record);
@@ -135,6 +153,17 @@
   }
 }
 
+void RequestRecordLog::ApplyTrial(const KeyedRecord& record) {
+  const std::optional<QuarantineTrial> trial = DecodeTrial(record);
+  if (!trial) {
+    LogMalformed(record);
+  } else if (record.value.empty()) {
+    this->handlers.on_trial_removed(*trial);
+  } else {
+    this->handlers.on_trial(*trial);
+  }
+}
+
 void RequestRecordLog::ApplyCrash(const KeyedRecord& record) {
   const std::optional<CrashKey> key = DecodeKey(record.key);
   if (!key) {
@@ -146,10 +175,7 @@
   }
   const std::optional<Json::Value> value = ParseJsonObject(record.value);
   if (!value) {
-    WriteLog(LogLevel::kWarning,
-             "request record ignored: it is malformed; compare the versions of "
-             "the instances",
-             {{"key", record.key}});
+    LogMalformed(record);
     return;
   }
   CrashReport report;
@@ -184,6 +210,39 @@
   this->Put(EncodeCrash(report), Milliseconds(0));
 }
 
+void RequestRecordLog::Record(const QuarantineTrial& trial) {
+  this->Put(EncodeTrial(trial), Milliseconds(0));
+}
+
+void RequestRecordLog::Remove(const QuarantineTrial& trial) {
+  this->Put({EncodeTrial(trial).key, ""}, Milliseconds(0));
+}
+
+void RequestRecordLog::Claim(const QuarantineTrial& trial, ClaimCallback done) {
+  if (!this->started || !this->follower.Synced() ||
+      !this->follower.Reachable()) {
+    this->environment.loop.Post([done = std::move(done), kept = this->alive] {
+      if (*kept) {
+        done(AppendStatus::kRefused);
+      }
+    });
+    return;
+  }
+  const std::vector<KeyedRecord> records = {EncodeTrial(trial)};
+  this->environment.log.Append(
+      this->follower.Partition(), records, this->follower.Next(),
+      [this, kept = this->alive, records,
+       done = std::move(done)](const AppendOutcome& outcome) {
+        if (!*kept) {
+          return;
+        }
+        if (outcome.status == AppendStatus::kAppended) {
+          this->follower.DeliverOwnAppend(records, outcome.offset, outcome.end);
+        }
+        done(outcome.status);
+      });
+}
+
 void RequestRecordLog::Record(const SampleFailure& failure) {
   this->Put(EncodeFailure(failure), this->DelayOfFailure());
 }
@@ -381,9 +440,7 @@
   }
   for (const Json::Value& row : rows) {
     if (row.isArray() && row.size() == 2 && row[0].isString() &&
-        row[1].isString() &&
-        (DecodeKey(row[0].asString()) ||
-         DecodeSampleFailure(row[0].asString()))) {
+        row[1].isString() && IsRecordKey(row[0].asString())) {
       records.push_back({row[0].asString(), row[1].asString()});
     }
   }
--- a/Services/Gateway/request_record_log.h
+++ b/Services/Gateway/request_record_log.h
@@ -1,6 +1,7 @@
-// Shares among gateways which servers crashed under which requests, and which
-// samples failed, through one partition of the log. While the log is
-// unreachable, records go directly to the peers, and wait to be appended.
+// Shares among gateways which servers crashed under which requests, the trials
+// of quarantined requests, and which samples failed, through one partition of
+// the log. While the log is unreachable, records go directly to the peers, and
+// wait to be appended.
 
 #pragma once
 
@@ -16,6 +17,7 @@
 #include "gateway_environment.h"
 #include "log_follower.h"
 #include "sample_failures.h"
+#include "trial_record.h"
 
 namespace carobbank {
 
@@ -26,6 +28,9 @@
                      std::string_view instance,
                      WallMilliseconds started_at)>
       on_retracted;
+  std::function<void(const QuarantineTrial& trial)> on_trial;
+  // Only digest and number of `trial` are set.
+  std::function<void(const QuarantineTrial& trial)> on_trial_removed;
   std::function<void(const SampleFailure& failure)> on_sample_failure;
   std::function<void(const SampleFailure& failure)> on_sample_failure_removed;
   // The crashes and failures reported next replace all earlier ones.
@@ -53,6 +58,14 @@
   // Shares a crash, or its retraction. `report` names a single digest.
   void Record(const CrashReport& report);
   void Retract(std::string_view digest, const ServerCrashRecord& crash);
+  // Appends the trial, provided that this gateway has read all records of the
+  // log. `done` receives kAppended when the trial is this gateway's; kConflict
+  // when another record came first; otherwise it may be appended later.
+  using ClaimCallback = std::function<void(AppendStatus status)>;
+  void Claim(const QuarantineTrial& trial, ClaimCallback done);
+  // Shares the outcome of a trial, or that it no longer counts.
+  void Record(const QuarantineTrial& trial);
+  void Remove(const QuarantineTrial& trial);
   // Shares a failure of a sample, or that it no longer counts.
   void Record(const SampleFailure& failure);
   void Remove(const SampleFailure& failure);
@@ -81,6 +94,7 @@
   void ApplySnapshot(std::span<const KeyedLogRecord> records);
   void ApplyRecord(const KeyedRecord& record);
   void ApplyCrash(const KeyedRecord& record);
+  void ApplyTrial(const KeyedRecord& record);
   void Confirm(const KeyedRecord& record);
   void Put(KeyedRecord record, Milliseconds delay);
   Milliseconds DelayOfFailure() const;
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -22,7 +22,7 @@
                            const BackendRequest& request,
                            SampleStreamHandlers handlers)
     : environment(environment),
-      attempt(environment, server, request.request_id, request.digest),
+      attempt(environment, server, request),
       handlers(std::move(handlers)),
       last_activity(this->attempt.Began()) {}
 
