LibRouting: Keep the crashes of a request that a server survives

Entry and its control plane call the same code: a request that crashed a server in company and completed in isolation started anew, too.

Cause: the end of a run was taken as proof that the request crashes no server. It proves that only for that server at that time: crashes may depend on weights, version, state or memory.

Change: a complete run ends the suspicion until the next crash, so that a sound request is neither isolated nor serialized for long, but the crashes still count with the next one. They are forgotten after 16 complete runs for each, without a crash between them.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -48,6 +48,7 @@
   if (counted) {
     return;
   }
+  suspect.complete_runs = 0;
   if (suspect.crashes.size() == kMaxCrashesPerDigest) {
     suspect.crashes.pop_back();
   }
@@ -131,7 +132,23 @@
   this->Identify(this->SuspectFor(std::string(digest)));
 }
 
-void CrashQuarantine::OnFinished(std::string_view digest) {
+FinishEffect CrashQuarantine::OnFinished(std::string_view digest) {
+  const auto found = this->suspects.find(digest);
+  if (found == this->suspects.end() || found->second.identified) {
+    return FinishEffect::kNone;
+  }
+  Suspect& suspect = found->second;
+  ++suspect.complete_runs;
+  if (suspect.complete_runs >=
+      this->options.runs_to_forget_crash * suspect.crashes.size()) {
+    this->Erase(digest);
+    return FinishEffect::kForgotten;
+  }
+  return suspect.complete_runs == 1 ? FinishEffect::kLifted
+                                    : FinishEffect::kNone;
+}
+
+void CrashQuarantine::Forget(std::string_view digest) {
   const auto found = this->suspects.find(digest);
   if (found != this->suspects.end() && !found->second.identified) {
     this->Erase(digest);
@@ -156,8 +173,11 @@
   if (found == this->suspects.end()) {
     return DigestStatus::kClear;
   }
-  return this->IsQuarantined(found->second) ? DigestStatus::kQuarantined
-                                            : DigestStatus::kSuspect;
+  if (this->IsQuarantined(found->second)) {
+    return DigestStatus::kQuarantined;
+  }
+  return found->second.complete_runs > 0 ? DigestStatus::kClear
+                                         : DigestStatus::kSuspect;
 }
 
 bool CrashQuarantine::IsOnLastChance(std::string_view digest) const {
--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -57,11 +57,24 @@
   kQuarantined,
 };
 
+// What the end of a run changed for its digest.
+enum class FinishEffect {
+  kNone,
+  // The digest is no longer suspect; its crashes still count with the next one.
+  kLifted,
+  // Its crashes no longer count.
+  kForgotten,
+};
+
 struct CrashQuarantineOptions {
   std::size_t servers_to_quarantine = 2;
   // Crashes beside other work after which a digest is quarantined. Zero: only
   // crashes in isolation quarantine.
   std::size_t concurrent_crashes_to_quarantine = 0;
+  // Complete runs, per crash and since the last one, after which the crashes
+  // no longer count: fewer would clear a request that crashes only some of the
+  // servers that run it.
+  std::size_t runs_to_forget_crash = 16;
   // Maximum number of tracked suspects; the oldest is evicted first.
   std::size_t max_suspects = 65536;
 };
@@ -82,8 +95,10 @@
                WallMilliseconds started_at);
   // Another process quarantined the digest.
   void OnQuarantined(std::string_view digest);
-  // The work finished on some server, so it is no longer suspect.
-  void OnFinished(std::string_view digest);
+  // The work finished on some server. No effect on an identified digest.
+  FinishEffect OnFinished(std::string_view digest);
+  // The crashes of the digest no longer count.
+  void Forget(std::string_view digest);
 
   DigestStatus StatusOf(std::string_view digest) const;
   // One more crash may quarantine the digest, so the crash must not be
@@ -92,7 +107,7 @@
   // Crashes counted against the digest. Valid until the next change.
   std::span<const ServerCrashRecord> CrashesOf(std::string_view digest) const;
   std::vector<std::string> Quarantined() const;
-  // Digests that are suspect or quarantined.
+  // Digests with crashes that count, and identified ones.
   std::vector<std::string> Tracked() const;
   bool Empty() const { return this->suspects.empty(); }
 
@@ -103,6 +118,8 @@
     std::list<std::string>::iterator position;
     // Identified by a crash in isolation, or by another process.
     bool identified = false;
+    // Complete runs since the last crash.
+    std::size_t complete_runs = 0;
   };
 
   Suspect& SuspectFor(const std::string& digest);
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -273,11 +273,8 @@
 }
 
 void RoutedPools::OnFinished(std::string_view digest) {
-  if (this->quarantine.StatusOf(digest) != DigestStatus::kSuspect) {
-    return;
-  }
-  this->quarantine.OnFinished(digest);
-  if (this->cleared_listener) {
+  const FinishEffect effect = this->quarantine.OnFinished(digest);
+  if (effect == FinishEffect::kLifted && this->cleared_listener) {
     this->cleared_listener(digest);
   }
 }
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -232,18 +232,26 @@
 }
 
 void RequestQuarantine::OnFinished(const std::string& digest) {
-  if (!this->IsSuspect(digest)) {
+  const std::span<const ServerCrashRecord> counted =
+      this->quarantine.CrashesOf(digest);
+  const std::vector<ServerCrashRecord> crashes(counted.begin(), counted.end());
+  const FinishEffect effect = this->quarantine.OnFinished(digest);
+  if (effect == FinishEffect::kNone) {
     return;
   }
+  const bool forgotten = effect == FinishEffect::kForgotten;
   WriteLog(LogLevel::kInfo,
-           "request cleared of crashes: a server ran it to its end",
-           {{"digest", digest},
-            {"crashes", std::to_string(this->CrashesOf(digest))}});
-  for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
-    this->log.Retract(digest, crash);
-  }
-  this->RemoveTrials(digest);
-  this->quarantine.OnFinished(digest);
+           forgotten
+               ? "crashes of a request no longer count: servers ran it to "
+                 "its end often enough"
+               : "request no longer suspect: a server ran it to its end",
+           {{"digest", digest}, {"crashes", std::to_string(crashes.size())}});
+  if (forgotten) {
+    for (const ServerCrashRecord& crash : crashes) {
+      this->log.Retract(digest, crash);
+    }
+    this->RemoveTrials(digest);
+  }
   this->UpdateGauge();
 }
 
@@ -479,7 +487,7 @@
       this->log.Retract(digest, crash);
     }
     this->RemoveTrials(digest);
-    this->quarantine.OnFinished(digest);
+    this->quarantine.Forget(digest);
   }
 }
 
--- a/Tests/LibRouting/retry_and_quarantine_test.cc
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -154,10 +154,43 @@
   crash("s3", 1'000);
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
   LONGS_EQUAL(1'000, shared.CrashesOf("x").back().at);
+  // Only trials end the quarantine.
   shared.OnFinished("x");
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
+  shared.Forget("x");
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kClear);
 }
 
+TEST(CrashQuarantine, ACompleteRunDoesNotClearEarlierCrashes) {
+  CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
+  for (const WallMilliseconds start : {1, 2}) {
+    shared.OnCrash({"s1", {"x"}, false, start, 0});
+    CHECK_TRUE(shared.OnFinished("x") == FinishEffect::kLifted);
+    CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kClear);
+  }
+  shared.OnCrash({"s1", {"x"}, false, 3, 0});
+  CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
+}
+
+TEST(CrashQuarantine, ACompleteRunDoesNotClearCrashesBeforeOneInIsolation) {
+  Crash("s1", {"x", "a"});
+  quarantine.OnFinished("x");
+  CHECK_TRUE(StatusOf("x") == DigestStatus::kClear);
+  STRCMP_EQUAL("x", Crash("s2", {"x"}).c_str());
+}
+
+TEST(CrashQuarantine, CrashesAreForgottenAfterManyCompleteRuns) {
+  CrashQuarantine shared{
+      {.concurrent_crashes_to_quarantine = 3, .runs_to_forget_crash = 4}};
+  shared.OnCrash({"s1", {"x"}, false, 1, 0});
+  shared.OnCrash({"s2", {"x"}, false, 1, 0});
+  for (int run = 0; run < 7; ++run) {
+    CHECK_TRUE(shared.OnFinished("x") != FinishEffect::kForgotten);
+  }
+  CHECK_TRUE(shared.OnFinished("x") == FinishEffect::kForgotten);
+  CHECK_TRUE(shared.Empty());
+}
+
 TEST(CrashQuarantine, EachStartOfAServerThatCrashedCounts) {
   CrashQuarantine shared{{.concurrent_crashes_to_quarantine = 3}};
   for (const WallMilliseconds start : {1, 2}) {
