Gateway: Never refuse samples and reward calls for crashes

Cause: what is handed in for later was treated like a caller's request that may be fatal. The users' rule: such an item never crashes servers by itself, so it is still owed. Besides, a suspect waited for a server without other suspects, which after a burst leaves one sample a server, or none.

Change: crashes under samples and reward calls are counted apart from those of plain calls, under digests of their own. They only space the repeats: 50, 200 and 800 ms after the first three crashes, then a second; one copy at a time once a server crashed, at another server than its group's. A crash under owed work that had been through two others already is not held against a plain call beside it. Plain calls are refused and tried as before.

--- a/Libraries/LibRouting/crash_quarantine.h
+++ b/Libraries/LibRouting/crash_quarantine.h
@@ -46,6 +46,8 @@
   // As in ServerCrashRecord.
   WallMilliseconds started_at = 0;
   WallMilliseconds at = 0;
+  // The work is owed; see owed_work.h.
+  bool owed = false;
 };
 
 enum class DigestStatus {
--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -8,6 +8,7 @@
 #include "LibRouting/crash_quarantine.h"
 #include "LibRouting/host_routes.h"
 #include "LibRouting/idle_lower_bound.h"
+#include "LibRouting/owed_work.h"
 #include "LibRouting/quarantine_trials.h"
 #include "LibRouting/retry_policy.h"
 #include "LibRouting/router.h"
--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -15,6 +15,7 @@
   report.digests = {attempt.digest};
   report.started_at = attempt.server_start;
   report.at = wall_now;
+  report.owed = attempt.owed;
   const auto [entry, added] =
       this->incidents.try_emplace(Key(attempt.server_id, attempt.server_start));
   Incident& incident = entry->second;
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -22,6 +22,8 @@
   // Start of the server, as known when the attempt was sent.
   WallMilliseconds server_start = 0;
   std::string digest;
+  // The request is owed; see owed_work.h.
+  bool owed = false;
 };
 
 struct BrokenAttemptVerdict {
--- a/Services/Gateway/backend_request.h
+++ b/Services/Gateway/backend_request.h
@@ -18,8 +18,11 @@
   HttpHeaders headers;
   std::string body;
   std::string request_id;
-  // Equal for all repetitions of the request; see DigestOfRequest().
+  // Equal for all repetitions of the request; see DigestOfRequest() and
+  // DigestOfOwedWork().
   std::string digest;
+  // A sample or a reward call.
+  bool owed = false;
   // Number of the request's trial; zero for none. See RequestQuarantine.
   std::int64_t trial = 0;
   // The request must not run twice, so it needs a connection that the server
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -39,7 +39,7 @@
     : environment(environment),
       attempt{server.id,         server.service,     server.address,
               server.started_at, request.request_id, request.digest,
-              request.trial},
+              request.owed,      request.trial},
       began(environment.clock.Now()),
       sent_at(environment.clock.WallNow()) {
   environment.loads.Begin(this->attempt.server_id);
@@ -74,8 +74,10 @@
 }
 
 void InFlightAttempt::ReportSuspect(const AttemptEnd& end) const {
+  const RequestQuarantine& quarantine = this->environment.quarantine;
   const std::size_t crashes =
-      this->environment.quarantine.CrashesOf(this->attempt.digest);
+      this->attempt.owed ? quarantine.OwedCrashesOf(this->attempt.digest)
+                         : quarantine.CrashesOf(this->attempt.digest);
   if (crashes == 0) {
     return;
   }
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -54,9 +54,6 @@
   // Delay before a sample that a server refused is sent again.
   static constexpr Milliseconds kRefusalBackoff{40};
   static constexpr Milliseconds kFailureBackoff{30};
-  // A quarantined sample is checked this often, because the quarantine may end
-  // early.
-  static constexpr Milliseconds kQuarantineCheckPeriod{1'000};
 
   enum class Stage {
     // Waits for a backend server.
@@ -160,8 +157,9 @@
                                   std::string_view preferred_id,
                                   double max_in_flight_per_slot,
                                   std::string_view digest) const;
-  // True when the sample or its reward call is quarantined, or a suspect with
-  // another run; then no attempt starts before `not_before`.
+  // True when the sample or its reward call has to wait after a crash of its
+  // server, or for another run of it; then no attempt starts before
+  // `not_before`.
   bool MustNotStart(Progress& progress, std::string_view digest) const;
   // The sample, or its reward call, has failed in this way too often to run
   // again in this job.
@@ -171,10 +169,6 @@
   void RecordFailure(const JobState& state,
                      std::size_t index,
                      SampleFailureKind kind);
-  // No server was found. False when none has free capacity for other samples
-  // either; a suspect is only delayed, so that they don't wait for it.
-  bool OnNoServer(Progress& progress, std::string_view digest) const;
-  void DelaySuspect(Progress& progress) const;
   void StartScores(ActiveJob& job, const JobState& state);
   bool StartScore(ActiveJob& job, const JobState& state, std::size_t index);
   // Delay before the repeat of a sample or reward call that was rejected this
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -116,38 +116,28 @@
   query.servers = servers;
   query.excluded = excluded;
   query.data_center = this->environment.settings.data_center;
-  query.preferred_id = preferred_id;
+  // After a crash a sample doesn't follow its group, so that repeats are
+  // spread.
+  if (this->environment.quarantine.OwedCrashesOf(digest) == 0) {
+    query.preferred_id = preferred_id;
+  }
   query.max_in_flight_per_slot = max_in_flight_per_slot;
-  return this->environment.quarantine.Choose(query, digest);
+  return ChooseBackend(query, this->environment.loads,
+                       this->environment.clock.Now(), this->environment.random);
 }
 
 bool JobRunner::MustNotStart(Progress& progress,
                              std::string_view digest) const {
   const RequestQuarantine& quarantine = this->environment.quarantine;
-  const Milliseconds refused = quarantine.RefusedFor(digest);
-  if (refused.count() > 0) {
-    progress.not_before = this->environment.clock.Now() +
-                          std::min(refused, kQuarantineCheckPeriod);
-    return true;
-  }
-  if (quarantine.MustWait(digest)) {
-    this->DelaySuspect(progress);
-    return true;
+  Milliseconds delay = quarantine.OwedDelay(digest);
+  if (delay.count() == 0 && quarantine.OwedMustWait(digest)) {
+    delay = kRefusalBackoff;
   }
-  return false;
-}
-
-bool JobRunner::OnNoServer(Progress& progress, std::string_view digest) const {
-  if (this->environment.quarantine.IsSuspect(digest)) {
-    this->DelaySuspect(progress);
-    return true;
+  if (delay.count() == 0) {
+    return false;
   }
-  return progress.excluded.Clear();
-}
-
-void JobRunner::DelaySuspect(Progress& progress) const {
-  progress.excluded.Clear();
-  progress.not_before = this->environment.clock.Now() + kRefusalBackoff;
+  progress.not_before = this->environment.clock.Now() + delay;
+  return true;
 }
 
 bool JobRunner::FailedTooOften(const JobState& state,
@@ -194,8 +184,7 @@
     return true;
   }
   if (progress.digest.empty()) {
-    progress.digest =
-        DigestOfRequest(kMethod, state.job.host + sample.path, *body);
+    progress.digest = DigestOfOwedWork(state.job.host + sample.path, *body);
   }
   if (this->FailedTooOften(state, index, SampleFailureKind::kServerError) ||
       this->FailedTooOften(state, index, SampleFailureKind::kUnprocessable)) {
@@ -208,7 +197,7 @@
   const FleetServer* const server =
       this->ChooseEngine(job, state, index, ServiceOf(*route, sample));
   if (server == nullptr) {
-    return this->OnNoServer(progress, progress.digest);
+    return progress.excluded.Clear();
   }
   BackendRequest request;
   request.method = kMethod;
@@ -222,9 +211,10 @@
   request.body = *body;
   request.request_id = sample.id;
   request.digest = progress.digest;
+  request.owed = true;
   request.time_left = this->TimeLeftOf(state);
   if (!sample.group.empty() &&
-      !this->environment.quarantine.IsSuspect(progress.digest)) {
+      this->environment.quarantine.OwedCrashesOf(progress.digest) == 0) {
     job.group_servers[sample.group] = server->id;
   }
   SampleStreamHandlers handlers;
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -51,8 +51,7 @@
     return true;
   }
   if (progress.reward_digest.empty()) {
-    progress.reward_digest =
-        DigestOfRequest(kMethod, reward.host + reward.path, *body);
+    progress.reward_digest = DigestOfOwedWork(reward.host + reward.path, *body);
   }
   if (this->FailedTooOften(state, index,
                            SampleFailureKind::kRewardServerError)) {
@@ -74,7 +73,7 @@
       this->ChooseServer(servers, progress.excluded.Ids(), "",
                          kMaxRewardCallsPerSlot, progress.reward_digest);
   if (server == nullptr) {
-    return this->OnNoServer(progress, progress.reward_digest);
+    return progress.excluded.Clear();
   }
   BackendRequest request;
   request.method = kMethod;
@@ -86,6 +85,7 @@
   request.body = *body;
   request.request_id = reward.id;
   request.digest = progress.reward_digest;
+  request.owed = true;
   request.time_left = this->TimeLeftOf(state);
   request.attempt_timeout = route->timeout;
   --job.waiting_for_score;
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -17,6 +17,7 @@
 constexpr CrashQuarantineOptions kOptions = {
     .concurrent_crashes_to_quarantine = 3,
     .max_suspects = 4'096};
+constexpr CrashQuarantineOptions kOwedOptions = {.max_suspects = 4'096};
 // An attempt that its caller gave up after this long without a response may
 // have been sent to a server that went silent.
 constexpr Milliseconds kSilentAttempt{1'000};
@@ -30,7 +31,7 @@
 
 // A trainer submits the unfinished samples of a step again with one of its next
 // steps.
-constexpr Milliseconds kFailureRetention{600'000};
+constexpr Milliseconds kOwedRetention{600'000};
 // Longer than the longest refusal, so that a digest whose refusal ends still
 // has its crashes and trials.
 constexpr Milliseconds kCrashRetention{2 * 3'600'000};
@@ -52,6 +53,7 @@
                                      std::vector<std::string> peers)
     : environment(environment),
       quarantine(kOptions),
+      owed(kOwedOptions),
       log(environment,
           std::move(partition),
           std::move(peers),
@@ -73,8 +75,7 @@
   handlers.on_retracted = [this](std::string_view digest,
                                  std::string_view instance,
                                  WallMilliseconds started_at) {
-    this->quarantine.Retract(digest, instance, started_at);
-    this->UpdateGauge();
+    this->Retract(digest, instance, started_at);
   };
   handlers.on_trial = [this](const QuarantineTrial& trial) {
     this->trials.Put(trial);
@@ -90,6 +91,7 @@
   };
   handlers.on_reset = [this] {
     this->quarantine = CrashQuarantine(kOptions);
+    this->owed = CrashQuarantine(kOwedOptions);
     this->trials = QuarantineTrials();
     this->failures = SampleFailures();
   };
@@ -119,14 +121,18 @@
     this->EndTrial(attempt, end);
   }
   if (end.completed) {
-    this->OnFinished(attempt.digest);
+    if (attempt.owed) {
+      this->OnOwedFinished(attempt.digest);
+    } else {
+      this->OnFinished(attempt.digest);
+    }
     return;
   }
   if (!Broke(end, elapsed)) {
     return;
   }
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
-      {attempt.server_id, attempt.server_start, attempt.digest},
+      {attempt.server_id, attempt.server_start, attempt.digest, attempt.owed},
       this->environment.clock.Now(), this->environment.clock.WallNow());
   this->CountCrashes(verdict.crashes);
   if (verdict.must_probe) {
@@ -209,17 +215,31 @@
 }
 
 void RequestQuarantine::CountCrashes(const std::vector<CrashReport>& reports) {
-  for (const CrashReport& report : reports) {
-    this->Apply(report);
-    this->log.Record(report);
+  // Crashes under owed work may explain the others.
+  for (const bool owed_work : {true, false}) {
+    for (const CrashReport& report : reports) {
+      if (report.owed == owed_work) {
+        this->Apply(report);
+        this->log.Record(report);
+      }
+    }
   }
 }
 
-void RequestQuarantine::Apply(const CrashReport& report) {
+void RequestQuarantine::Apply(CrashReport report) {
+  // The reporter's clock may be ahead; waits must not be longer for it.
+  report.at = std::min(report.at, this->environment.clock.WallNow());
+  if (report.owed) {
+    this->ApplyOwed(report);
+    return;
+  }
+  if (this->IsExplained(report)) {
+    return;
+  }
   const std::string& digest = report.digests.front();
-  const std::size_t before = this->quarantine.CrashesOf(digest).size();
+  const std::size_t before = this->CrashesOf(digest);
   this->quarantine.OnCrash(report);
-  const std::size_t crashes = this->quarantine.CrashesOf(digest).size();
+  const std::size_t crashes = this->CrashesOf(digest);
   const Milliseconds refused = this->RefusedFor(digest);
   if (crashes > before && refused.count() > 0) {
     WriteLog(LogLevel::kWarning, "request quarantined: it crashed servers",
@@ -231,6 +251,57 @@
   this->UpdateGauge();
 }
 
+void RequestQuarantine::ApplyOwed(const CrashReport& report) {
+  this->owed.OnCrash(report);
+  for (const std::string& digest : this->quarantine.Tracked()) {
+    for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
+      CrashReport counted;
+      counted.instance = crash.instance;
+      counted.digests = {digest};
+      counted.started_at = crash.started_at;
+      counted.at = crash.at;
+      if (crash.instance == report.instance &&
+          crash.started_at == report.started_at && this->IsExplained(counted)) {
+        this->quarantine.Retract(digest, report.instance, report.started_at);
+        break;
+      }
+    }
+  }
+  this->UpdateGauge();
+}
+
+bool RequestQuarantine::IsExplained(const CrashReport& report) const {
+  std::size_t own_crashes = 0;
+  for (const ServerCrashRecord& crash :
+       this->quarantine.CrashesOf(report.digests.front())) {
+    own_crashes += crash.instance != report.instance ||
+                           crash.started_at != report.started_at
+                       ? 1
+                       : 0;
+  }
+  const std::vector<std::string> owed_work = this->owed.Tracked();
+  return std::any_of(
+      owed_work.begin(), owed_work.end(), [&](const std::string& digest) {
+        return ExplainsCrash(this->owed.CrashesOf(digest), report, own_crashes);
+      });
+}
+
+void RequestQuarantine::Retract(std::string_view digest,
+                                std::string_view instance,
+                                WallMilliseconds started_at) {
+  this->quarantine.Retract(digest, instance, started_at);
+  this->owed.Retract(digest, instance, started_at);
+  this->UpdateGauge();
+}
+
+// Owed work never crashes servers, so its complete run ends the matter.
+void RequestQuarantine::OnOwedFinished(const std::string& digest) {
+  for (const ServerCrashRecord& crash : this->owed.CrashesOf(digest)) {
+    this->log.Retract(digest, crash);
+  }
+  this->owed.Forget(digest);
+}
+
 void RequestQuarantine::OnFinished(const std::string& digest) {
   const std::span<const ServerCrashRecord> counted =
       this->quarantine.CrashesOf(digest);
@@ -270,7 +341,7 @@
   this->OnServerCrashed(server.service, verdict.crashes);
   for (const CrashReport& report : verdict.retracted) {
     const std::string& digest = report.digests.front();
-    this->quarantine.Retract(digest, report.instance, report.started_at);
+    this->Retract(digest, report.instance, report.started_at);
     this->log.Retract(digest, {report.instance, report.started_at});
   }
   if (!verdict.retracted.empty()) {
@@ -279,7 +350,6 @@
              {{"server", server.id},
               {"server_started_at", std::to_string(server.started_at)},
               {"requests", std::to_string(verdict.retracted.size())}});
-    this->UpdateGauge();
   }
 }
 
@@ -406,6 +476,21 @@
   return this->in_flight.contains(digest) || this->detector.AwaitsProbe(digest);
 }
 
+std::size_t RequestQuarantine::OwedCrashesOf(std::string_view digest) const {
+  return this->owed.CrashesOf(digest).size();
+}
+
+Milliseconds RequestQuarantine::OwedDelay(std::string_view digest) const {
+  return OwedWorkDelay(this->owed.CrashesOf(digest),
+                       this->environment.clock.WallNow());
+}
+
+bool RequestQuarantine::OwedMustWait(std::string_view digest) const {
+  return this->OwedCrashesOf(digest) > 0 &&
+         (this->in_flight.contains(digest) ||
+          this->detector.AwaitsProbe(digest));
+}
+
 std::vector<std::string> RequestQuarantine::ServersWithSuspects(
     std::string_view digest,
     std::size_t crashes) const {
@@ -461,9 +546,10 @@
 }
 
 void RequestQuarantine::RemoveOldRecords() {
-  this->RemoveOldCrashes();
-  const WallMilliseconds oldest =
-      this->environment.clock.WallNow() - kFailureRetention.count();
+  const WallMilliseconds now = this->environment.clock.WallNow();
+  this->RemoveOldCrashes(this->quarantine, now - kCrashRetention.count());
+  this->RemoveOldCrashes(this->owed, now - kOwedRetention.count());
+  const WallMilliseconds oldest = now - kOwedRetention.count();
   for (const SampleFailure& failure : this->failures.All()) {
     if (failure.at < oldest) {
       this->log.Remove(failure);
@@ -472,22 +558,21 @@
   }
 }
 
-void RequestQuarantine::RemoveOldCrashes() {
-  const WallMilliseconds oldest =
-      this->environment.clock.WallNow() - kCrashRetention.count();
-  for (const std::string& digest : this->quarantine.Tracked()) {
-    const auto crashes = this->quarantine.CrashesOf(digest);
+void RequestQuarantine::RemoveOldCrashes(CrashQuarantine& crashes,
+                                         WallMilliseconds oldest) {
+  for (const std::string& digest : crashes.Tracked()) {
+    const auto of_digest = crashes.CrashesOf(digest);
     const bool old = std::all_of(
-        crashes.begin(), crashes.end(),
+        of_digest.begin(), of_digest.end(),
         [oldest](const ServerCrashRecord& crash) { return crash.at < oldest; });
     if (!old) {
       continue;
     }
-    for (const ServerCrashRecord& crash : crashes) {
+    for (const ServerCrashRecord& crash : of_digest) {
       this->log.Retract(digest, crash);
     }
     this->RemoveTrials(digest);
-    this->quarantine.Forget(digest);
+    crashes.Forget(digest);
   }
 }
 
@@ -496,10 +581,18 @@
   for (const SampleFailure& failure : this->failures.All()) {
     records.push_back(RequestRecordLog::EncodeFailure(failure));
   }
-  for (const std::string& digest : this->quarantine.Tracked()) {
-    for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
-      records.push_back(RequestRecordLog::EncodeCrash(
-          {crash.instance, {digest}, false, crash.started_at, crash.at}));
+  for (const CrashQuarantine* const crashes :
+       {&this->quarantine, &this->owed}) {
+    for (const std::string& digest : crashes->Tracked()) {
+      for (const ServerCrashRecord& crash : crashes->CrashesOf(digest)) {
+        CrashReport report;
+        report.instance = crash.instance;
+        report.digests = {digest};
+        report.started_at = crash.started_at;
+        report.at = crash.at;
+        report.owed = crashes == &this->owed;
+        records.push_back(RequestRecordLog::EncodeCrash(report));
+      }
     }
   }
   for (const QuarantineTrial& trial : this->trials.All()) {
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -2,6 +2,7 @@
 // crashes of their servers, shares the crashes with the other gateways, and
 // keeps suspects apart, so that sound requests beside them are not quarantined.
 // A quarantined request runs again only in a trial that one gateway claims.
+// Samples and reward calls are never refused: they only wait between crashes.
 // Also counts, over all gateways, the failures of samples that fail at each
 // run.
 
@@ -42,6 +43,8 @@
   WallMilliseconds server_start = 0;
   std::string request_id;
   std::string digest;
+  // The request is a sample or a reward call.
+  bool owed = false;
   // Number of the request's trial that this attempt is; zero for none.
   std::int64_t trial = 0;
 };
@@ -82,6 +85,11 @@
   // Another run of the suspect has not ended, or broke off and may have crashed
   // its server. False for any other request.
   bool MustWait(std::string_view digest) const;
+  // The same for samples and reward calls, which are never refused.
+  std::size_t OwedCrashesOf(std::string_view digest) const;
+  // How long the next run waits; zero when it may start.
+  Milliseconds OwedDelay(std::string_view digest) const;
+  bool OwedMustWait(std::string_view digest) const;
   // ChooseBackend(), with suspects kept apart from each other.
   const FleetServer* Choose(const BackendQuery& query,
                             std::string_view digest) const;
@@ -120,9 +128,19 @@
   void EndClaim(const std::string& digest, std::int64_t number);
   void EndTrial(const ServerAttempt& attempt, const AttemptEnd& end);
   void RemoveTrials(const std::string& digest);
-  void Apply(const CrashReport& report);
+  void Apply(CrashReport report);
+  void ApplyOwed(const CrashReport& report);
+  // Crashes under owed work show that this one has another cause than the
+  // plain request of the report.
+  bool IsExplained(const CrashReport& report) const;
+  void OnOwedFinished(const std::string& digest);
+  void Retract(std::string_view digest,
+               std::string_view instance,
+               WallMilliseconds started_at);
+  // Deletes the crashes of the digests of `crashes` without a crash since
+  // `oldest`.
+  void RemoveOldCrashes(CrashQuarantine& crashes, WallMilliseconds oldest);
   void UpdateGauge();
-  void RemoveOldCrashes();
   // Servers on which this gateway runs another suspect of at least that many
   // crashes.
   std::vector<std::string> ServersWithSuspects(std::string_view digest,
@@ -137,7 +155,10 @@
 
   GatewayEnvironment& environment;
   ServerCrashDetector detector;
+  // Of plain requests.
   CrashQuarantine quarantine;
+  // Of samples and reward calls; quarantines none.
+  CrashQuarantine owed;
   QuarantineTrials trials;
   SampleFailures failures;
   RequestRecordLog log;
--- a/Services/Gateway/request_record_log.cc
+++ b/Services/Gateway/request_record_log.cc
@@ -76,6 +76,9 @@
 std::string EncodeValue(const CrashReport& report) {
   Json::Value value;
   value["at"] = Json::Int64(report.at);
+  if (report.owed) {
+    value["owed"] = true;
+  }
   return WriteJson(value);
 }
 
@@ -183,6 +186,7 @@
   report.digests = {std::string(key->digest)};
   report.started_at = key->started_at;
   report.at = JsonInteger(*value, "at");
+  report.owed = JsonBoolean(*value, "owed", false);
   this->handlers.on_crash(report);
 }
 
