Gateway: Use a restarted server at once

Cause: each request in flight at a crash counted as a further failure of the server, so that five of them reached the longest backoff at once, and a new start of the server inherited the backoff.

Change: attempts that began before a server's last failure don't count again, and a registry entry with another start discards what was observed of the earlier one.

--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -130,6 +130,11 @@
           std::max(state.backoff_until, now + kRefusalBackoff);
       break;
     case SendOutcome::kFailed: {
+      if (state.last_failure != MonotonicTime::min() &&
+          now - elapsed < state.last_failure) {
+        break;
+      }
+      state.last_failure = now;
       constexpr std::int64_t kMaxDoublings = 4;
       const std::int64_t doublings =
           std::min(state.failures_in_row, kMaxDoublings);
@@ -145,6 +150,17 @@
   }
 }
 
+void BackendLoads::OnRestarted(std::string_view server_id) {
+  const auto found = this->states.find(server_id);
+  if (found != this->states.end()) {
+    State fresh;
+    fresh.in_flight = found->second.in_flight;
+    // Attempts at the earlier start may still end.
+    fresh.last_failure = found->second.last_failure;
+    found->second = fresh;
+  }
+}
+
 std::int64_t BackendLoads::InFlight(std::string_view server_id) const {
   const auto found = this->states.find(server_id);
   return found == this->states.end() ? 0 : found->second.in_flight;
--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -37,6 +37,10 @@
            Milliseconds elapsed,
            MonotonicTime now);
 
+  // The server has started again: what was observed of its earlier start no
+  // longer holds, but for the requests that have not ended yet.
+  void OnRestarted(std::string_view server_id);
+
   std::int64_t InFlight(std::string_view server_id) const;
   // The backoff after a failure or refusal of the server has not ended yet.
   bool InBackoff(std::string_view server_id, MonotonicTime now) const;
@@ -61,7 +65,8 @@
   // A full server frees a slot within about the time of one request.
   static constexpr Milliseconds kRefusalBackoff{60};
   // The backoff doubles with each consecutive failure, up to the time within
-  // which a crashed server is back or its registration has expired.
+  // which a crashed server is back or its registration has expired. Attempts
+  // that were in flight at a failure don't count again.
   static constexpr Milliseconds kInitialFailureBackoff{250};
   static constexpr Milliseconds kMaximumFailureBackoff{4'000};
   // A server's shortest gap covers the last one to two windows of this length.
@@ -71,6 +76,8 @@
   struct State {
     std::int64_t in_flight = 0;
     std::int64_t failures_in_row = 0;
+    // Attempts that began before it failed for the same reason.
+    MonotonicTime last_failure = MonotonicTime::min();
     MonotonicTime backoff_until = MonotonicTime::min();
     double mean_response_ms = 0;
     // Shortest gaps between events in the previous and the current window.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "LibProcess/process.h"
 #include "leaving_servers.h"
 #include "refusals.h"
+#include "server_restarts.h"
 
 namespace carobbank {
 
@@ -305,7 +306,7 @@
   }
   this->server_records[keyed.key] = record;
   if (std::optional<FleetServer> server = this->DecodeServer(keyed)) {
-    this->LogRestart(*server);
+    ObserveRestart(this->environment, *server);
     this->ReportDraining(*server);
     this->quarantine.OnServerRegistered(*server);
     this->fleet.Put(std::move(*server));
@@ -314,17 +315,6 @@
   }
 }
 
-void Gateway::LogRestart(const FleetServer& server) const {
-  const FleetServer* const before = this->fleet.Find(server.id);
-  if (before != nullptr && before->started_at != server.started_at) {
-    WriteLog(LogLevel::kInfo, "backend server restarted",
-             {{"server", server.id},
-              {"service", server.service},
-              {"started_at_before", std::to_string(before->started_at)},
-              {"started_at", std::to_string(server.started_at)}});
-  }
-}
-
 void Gateway::ReportDraining(const FleetServer& server) {
   const FleetServer* const before = this->fleet.Find(server.id);
   const bool is_new = before == nullptr || !before->draining ||
@@ -343,6 +333,7 @@
     }
     this->server_records[record.record.key] = record;
     if (std::optional<FleetServer> server = this->DecodeServer(record.record)) {
+      ObserveRestart(this->environment, *server);
       this->quarantine.OnServerRegistered(*server);
       this->ReportDraining(*server);
       servers.push_back(std::move(*server));
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -49,7 +49,6 @@
   void ApplyConfiguration(std::string_view text);
   std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void ApplyServerRecord(const KeyedLogRecord& record);
-  void LogRestart(const FleetServer& server) const;
   // Reports a server whose entry announces for the first time that it leaves.
   void ReportDraining(const FleetServer& server);
   void ReplaceServers(std::span<const KeyedLogRecord> records);
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -10,6 +10,7 @@
 #include "Services/Gateway/forwarded_call.h"
 #include "Services/Gateway/job_runner.h"
 #include "Services/Gateway/peer_state_poller.h"
+#include "Services/Gateway/server_restarts.h"
 #include "Support/fake_servers.h"
 #include "gateway_fixture.h"
 
@@ -75,6 +76,7 @@
       return this->HandlePeer(request);
     };
     servers.registries[this] = [this](const FleetServer& server) {
+      ObserveRestart(this->environment, server);
       this->quarantine.OnServerRegistered(server);
       this->fleet.Put(server);
     };
--- a/Tests/LibRouting/backend_choice_test.cc
+++ b/Tests/LibRouting/backend_choice_test.cc
@@ -83,6 +83,30 @@
   CHECK_FALSE(this->loads.InBackoff("a", this->clock.Now()));
 }
 
+TEST(BackendChoice, OneFailureOfAServerCountsForEachOfItsRequests) {
+  constexpr Milliseconds kRunning{30};
+  for (int request = 0; request < 8; ++request) {
+    this->loads.Begin("a");
+  }
+  this->clock.Advance(kRunning);
+  for (int request = 0; request < 8; ++request) {
+    this->loads.End("a", SendOutcome::kFailed, kRunning, this->clock.Now());
+    this->clock.Advance(Milliseconds(1));
+  }
+  this->clock.Advance(BackendLoads::kInitialFailureBackoff);
+  CHECK_FALSE(this->loads.InBackoff("a", this->clock.Now()));
+}
+
+TEST(BackendChoice, AServerThatRestartedStaysInBackoff) {
+  for (int failure = 0; failure < 5; ++failure) {
+    this->Fail("a");
+  }
+  this->loads.Begin("a");
+  this->loads.OnRestarted("a");
+  CHECK_FALSE(this->loads.InBackoff("a", this->clock.Now()));
+  LONGS_EQUAL(1, this->loads.InFlight("a"));
+}
+
 TEST(BackendChoice, ServerInBackoffIsChosenOnlyWhenAllowed) {
   this->Fail("a");
   this->Fail("b");
