LibRouting: Count crashes whose server's next entry comes late

A server that restarts under its id before its probe answers the probe. Its crash was counted only if its next registry entry arrived within three seconds, so that crashes were missed while the store was slow or away (ServerCrashDetector.ACrashIsMissedWhoseServersNextEntryComesLate: 0 crashes before, 1 now). The entry states when the server started: a start at the time of a broken attempt shows the crash whenever the entry arrives, for up to a minute. A later restart is not taken for it.

--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -23,7 +23,9 @@
   if (incident.state == State::kCrashed) {
     verdict.crashes.push_back(report);
   } else if (added || incident.state == State::kReachable) {
-    incident = {now, State::kProbing, {}, 0};
+    incident.began = now;
+    incident.state = State::kProbing;
+    incident.entries = 0;
     verdict.must_probe = true;
   }
   incident.reports.push_back(std::move(report));
@@ -46,6 +48,13 @@
   incident.began = now;
   incident.state = reachable ? State::kReachable : State::kCrashed;
   if (reachable) {
+    std::vector<CrashReport>& undecided = incident.undecided;
+    undecided.insert(undecided.end(), incident.reports.begin(),
+                     incident.reports.end());
+    incident.reports.clear();
+    if (undecided.size() > kMaxUndecided) {
+      undecided.erase(undecided.begin(), undecided.end() - kMaxUndecided);
+    }
     return {};
   }
   for (CrashReport& report : incident.reports) {
@@ -54,6 +63,27 @@
   return incident.reports;
 }
 
+std::vector<CrashReport> ServerCrashDetector::TakeCrashes(
+    Incident& incident,
+    WallMilliseconds started_at,
+    WallMilliseconds wall_now) {
+  std::vector<CrashReport> crashes;
+  for (std::vector<CrashReport>* const reports :
+       {&incident.undecided, &incident.reports}) {
+    std::erase_if(*reports, [&](CrashReport& report) {
+      const bool recent = wall_now - report.at <= kEntryDelay.count();
+      const bool started_then =
+          started_at >= report.at - kClockDifference.count() &&
+          started_at <= report.at + kEntryDelay.count();
+      if (recent || started_then) {
+        crashes.push_back(std::move(report));
+      }
+      return recent || started_then;
+    });
+  }
+  return crashes;
+}
+
 RegistrationVerdict ServerCrashDetector::OnRegistered(
     std::string_view server_id,
     WallMilliseconds started_at,
@@ -65,12 +95,15 @@
     const WallMilliseconds incident_start = entry->first.second;
     Incident& incident = entry->second;
     const MonotonicTime::duration age = now - incident.began;
-    if (incident_start != started_at && incident.state != State::kCrashed &&
-        age <= kEntryDelay) {
-      incident.state = State::kCrashed;
-      for (CrashReport& report : incident.reports) {
-        report.at = wall_now;
-        verdict.crashes.push_back(report);
+    if (incident_start != started_at && incident.state != State::kCrashed) {
+      const std::vector<CrashReport> crashes =
+          TakeCrashes(incident, started_at, wall_now);
+      if (!crashes.empty()) {
+        incident.state = State::kCrashed;
+        incident.began = now;
+        incident.reports = crashes;
+        verdict.crashes.insert(verdict.crashes.end(), crashes.begin(),
+                               crashes.end());
       }
     }
     const bool alive_long_after = incident_start == started_at &&
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -66,11 +66,17 @@
   // stale ones.
   static constexpr Milliseconds kLatestOldEntry{4'000};
   static constexpr int kEntriesToRetract = 2;
-  // A server that was reachable may already have been its next start, whose
-  // entry arrives within this time.
+  // A server that was reachable may already have been its next start. It was if
+  // an entry with another start arrives within this time, or later states a
+  // start within this time.
   static constexpr Milliseconds kEntryDelay{3'000};
-  // Attempts at a crashed server may take this long to time out.
-  static constexpr Milliseconds kRetention{15'000};
+  // Difference between the clocks of the server and of this process.
+  static constexpr Milliseconds kClockDifference{500};
+  // Attempts at a crashed server may take this long to time out, and entries
+  // may arrive this late.
+  static constexpr Milliseconds kRetention{60'000};
+  // Maximum number of undecided reports of one start of a server.
+  static constexpr std::size_t kMaxUndecided = 64;
 
  private:
   enum class State { kProbing, kReachable, kCrashed };
@@ -79,12 +85,21 @@
     // Of the current state.
     MonotonicTime began;
     State state = State::kProbing;
+    // Of the attempts that broke off since the last probe that was answered.
     std::vector<CrashReport> reports;
+    // Of earlier attempts: the server responded, maybe as its next start.
+    std::vector<CrashReport> undecided;
     // Entries since the crash that may show that it did not happen.
     int entries = 0;
   };
   using Key = std::pair<std::string, WallMilliseconds>;
 
+  // Removes the reports whose attempt broke off as the server started again at
+  // `started_at`, and returns them.
+  static std::vector<CrashReport> TakeCrashes(Incident& incident,
+                                              WallMilliseconds started_at,
+                                              WallMilliseconds wall_now);
+
   std::map<Key, Incident> incidents;
 };
 
--- a/Tests/LibRouting/server_crash_detector_test.cc
+++ b/Tests/LibRouting/server_crash_detector_test.cc
@@ -72,6 +72,26 @@
   LONGS_EQUAL(0, Register(9).crashes.size());
 }
 
+TEST(ServerCrashDetector, ACrashIsMissedWhoseServersNextEntryComesLate) {
+  const WallMilliseconds next_start = wall_now + 60;
+  Break("a");
+  LONGS_EQUAL(0, Probe(true));
+  Pass(Milliseconds(1'000));
+  Break("b");
+  LONGS_EQUAL(0, Probe(true));
+  Pass(Milliseconds(10'000));
+  const RegistrationVerdict verdict = Register(next_start);
+  LONGS_EQUAL(1, verdict.crashes.size());
+  STRCMP_EQUAL("a", verdict.crashes[0].digests.front().c_str());
+}
+
+TEST(ServerCrashDetector, ALaterRestartIsTakenForTheCrash) {
+  Break("a");
+  LONGS_EQUAL(0, Probe(true));
+  Pass(Milliseconds(10'000));
+  LONGS_EQUAL(0, Register(wall_now - 1'000).crashes.size());
+}
+
 TEST(ServerCrashDetector, EntriesOfTheSameStartLongAfterwardsRetractTheCrash) {
   Break("a");
   LONGS_EQUAL(1, Probe(false));
