Gateway: Hold calls until a started gateway knows the crashes

A gateway that had just started sent a quarantined call to a server and crashed it, because it had not read the records yet (FatalRequest.AGatewayThatHasJustStartedSendsAQuarantinedCall: 502 before, 503 now). Calls wait for the records, which are read with the configuration, for half a second at most.

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -155,7 +155,8 @@
     }
     return;
   }
-  if (this->environment.quarantine.MustWait(this->request.digest)) {
+  if (this->environment.quarantine.AwaitsRecords() ||
+      this->environment.quarantine.MustWait(this->request.digest)) {
     if (first) {
       this->StartAttemptAfter(kSuspectCheckPeriod);
     }
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -24,6 +24,8 @@
 // A crashed server refuses a connection at once or doesn't respond.
 constexpr Milliseconds kProbeTimeout{400};
 
+// A slow log must not hold up calls for longer.
+constexpr Milliseconds kLongestSettling{500};
 // A claim that finds the log longer than expected is repeated after this
 // gateway has read the new records.
 constexpr Milliseconds kClaimRetryDelay{20};
@@ -63,7 +65,13 @@
   *this->alive = false;
 }
 
+bool RequestQuarantine::AwaitsRecords() const {
+  return !this->Settled() &&
+         this->environment.clock.Now() - this->started_at < kLongestSettling;
+}
+
 void RequestQuarantine::Start() {
+  this->started_at = this->environment.clock.Now();
   this->log.Start();
 }
 
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -108,6 +108,9 @@
   RequestRecordLog& Log() { return this->log; }
   // The records of other gateways were read, or can't be.
   bool Settled() const { return this->log.Settled(); }
+  // This gateway has just started and may not know yet which requests are
+  // quarantined.
+  bool AwaitsRecords() const;
   // All counted crashes, trials and failures, as records for peers.
   std::vector<KeyedRecord> KnownRecords() const;
 
@@ -162,6 +165,7 @@
   QuarantineTrials trials;
   SampleFailures failures;
   RequestRecordLog log;
+  MonotonicTime started_at = MonotonicTime::min();
   // By digest.
   std::map<std::string, PendingClaim, std::less<>> claims;
   // Servers of the attempts in flight, by digest.
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -249,6 +249,17 @@
   LONGS_EQUAL(crashes, this->fleet.servers.fatal_crashes.size());
 }
 
+TEST(FatalRequest, AGatewayThatHasJustStartedSendsAQuarantinedCall) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    this->fleet.Call(*this->fleet.gateways[0], "/app/x", "fatal body");
+  }
+  this->fleet.RunFor(Milliseconds(50));
+  const std::size_t crashes = this->fleet.servers.fatal_crashes.size();
+  GatewayParts& gateway = this->fleet.RestartGateway(2);
+  LONGS_EQUAL(503, this->fleet.Call(gateway, "/app/x", "fatal body").status);
+  LONGS_EQUAL(crashes, this->fleet.servers.fatal_crashes.size());
+}
+
 TEST(FatalRequest, InnocentSamplesBesideAFatalOneWaitLong) {
   // Groups of four prefer one server, so each fatal sample has company.
   constexpr Milliseconds kTimeToFinish{2'000};
