LibHTTP: End responses that don't end

A server in trouble may send bytes until the caller closes. In a table of twelve such responses at the client read six on for the whole time limit of 5 s: bodies with and without chunks, of a success or a failure, or with a huge length (up to 268 MB held), trailers, and a chunk extension. libcurl ends the rest within 20 ms: its bound on heads, 300 KB, also counts interim responses.

Each exchange now has a limit of its body, 1 MB unless its reader states another, of all heads and trailers together, and of reads that deliver neither. The bodies that a client's readers hold together are bounded: in a gateway, by an eighth of its machine's memory for each of its two clients. Past a limit the connection is closed and the exchange fails as one that may have run, so that its attempt is repeated where allowed and the server is set aside; a line and carobbank_response_limits_total say so.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -14,6 +14,9 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// A read returns up to 16 KB; a header line or the size of a chunk arrives in a
+// few reads, whatever its sender.
+constexpr std::size_t kMaxEmptyReads = 128;
 
 bool IsSafeInHeader(std::string_view text) {
   return text.find_first_of(std::string_view("\r\n\0", 3)) ==
@@ -189,10 +192,50 @@
     return 0;
   }
   transfer->last_activity = std::chrono::steady_clock::now();
+  transfer->empty_reads = 0;
+  transfer->multi.OnDelivery();
+  if (!transfer->CountBytes(transfer->header_bytes, length,
+                            transfer->request.max_header_bytes,
+                            ResponseLimit::kHeader)) {
+    return 0;
+  }
   transfer->ProcessHeaderLine(std::string_view(bytes, length));
   return transfer->cancelled ? 0 : length;
 }
 
+bool ClientTransfer::CountBytes(std::size_t& counter,
+                                std::size_t bytes,
+                                std::size_t limit,
+                                ResponseLimit kind) {
+  counter += bytes;
+  if (counter > limit) {
+    this->exceeded = kind;
+  }
+  return !this->exceeded;
+}
+
+bool ClientTransfer::CountEmptyRead() {
+  if (this->cancelled || ++this->empty_reads <= kMaxEmptyReads) {
+    return false;
+  }
+  this->exceeded = ResponseLimit::kFraming;
+  return true;
+}
+
+std::optional<ResponseLimitExceeded> ClientTransfer::ExceededLimit(
+    CURLcode result) {
+  // libcurl's limit of a single line.
+  if (!this->exceeded && result == CURLE_OUT_OF_MEMORY) {
+    this->exceeded = ResponseLimit::kHeader;
+  }
+  if (!this->exceeded) {
+    return std::nullopt;
+  }
+  return ResponseLimitExceeded{
+      this->request.url.substr(0, this->request.url.find('?')),
+      *this->exceeded};
+}
+
 void ClientTransfer::ProcessHeaderLine(std::string_view line) {
   // Trailers after the body are ignored.
   if (this->headers_complete) {
@@ -237,10 +280,17 @@
     return CURL_WRITEFUNC_ERROR;
   }
   transfer->last_activity = std::chrono::steady_clock::now();
+  transfer->empty_reads = 0;
+  transfer->multi.OnDelivery();
   if (transfer->paused) {
     transfer->body_withheld = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  if (!transfer->CountBytes(transfer->body_bytes, length,
+                            transfer->request.max_body_bytes,
+                            ResponseLimit::kBody)) {
+    return CURL_WRITEFUNC_ERROR;
+  }
   if (transfer->handlers.on_body) {
     transfer->handlers.on_body(std::string_view(bytes, length));
   }
@@ -294,7 +344,10 @@
 Error ClientTransfer::DescribeFailure(CURLcode result,
                                       SendState send_state) const {
   std::string reason = this->error_text.data();
-  if (this->idle_expired) {
+  if (this->exceeded) {
+    reason = "the response exceeds the limit of its " +
+             std::string(ResponseLimitName(*this->exceeded));
+  } else if (this->idle_expired) {
     reason = "no byte was received for " +
              std::to_string(this->request.idle_timeout.count()) + " ms";
   } else if (this->resend_refused) {
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -44,6 +44,12 @@
   // Reports libcurl's result to on_done or on_failure.
   void Complete(CURLcode result);
   void Fail(SendState send_state, Error error);
+  // A read from the connection delivered neither a header nor a part of the
+  // body. True when there were too many in a row, so that the transfer must be
+  // removed from `multi` and completed.
+  bool CountEmptyRead();
+  // The limit for which the transfer has ended with `result`, if any.
+  std::optional<ResponseLimitExceeded> ExceededLimit(CURLcode result);
 
  private:
   static std::size_t OnHeader(char* bytes,
@@ -63,6 +69,11 @@
   std::optional<Error> AddRequestHeaders();
   void SetMethodAndBody();
   void ProcessHeaderLine(std::string_view line);
+  // Counts received bytes. False when a limit is exceeded.
+  bool CountBytes(std::size_t& counter,
+                  std::size_t bytes,
+                  std::size_t limit,
+                  ResponseLimit kind);
   void OnHeadersComplete();
   void ArmIdleTimer(MonotonicTime due);
   void CheckIdleTimeout();
@@ -89,6 +100,10 @@
   bool body_withheld = false;
   bool idle_expired = false;
   bool resend_refused = false;
+  std::size_t header_bytes = 0;
+  std::size_t body_bytes = 0;
+  std::size_t empty_reads = 0;
+  std::optional<ResponseLimit> exceeded;
   MonotonicTime last_activity;
   asio::steady_timer idle_timer;
 };
--- a/Libraries/LibHTTP/curl_multi.cc
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -42,6 +42,8 @@
 
   asio::posix::stream_descriptor descriptor;
   curl_socket_t socket;
+  // The transfer that used the socket last. Valid while `wants_read`.
+  CURL* easy = nullptr;
   bool wants_read = false;
   bool wants_write = false;
   // Invariant: at most one wait of each direction is outstanding.
@@ -51,10 +53,12 @@
 
 CurlMulti::CurlMulti(asio::io_context& context,
                      HttpClientOptions options,
-                     DoneHandler done)
+                     DoneHandler done,
+                     EmptyReadHandler empty_read)
     : context(context),
       options(std::move(options)),
       done(std::move(done)),
+      empty_read(std::move(empty_read)),
       timer(context) {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(initialized);
@@ -139,7 +143,7 @@
   }
 }
 
-int CurlMulti::OnSocket(CURL* /*easy*/,
+int CurlMulti::OnSocket(CURL* easy,
                         curl_socket_t socket,
                         int action,
                         void* self,
@@ -150,6 +154,7 @@
     return 0;
   }
   const std::shared_ptr<Watch> watch = found->second;
+  watch->easy = easy;
   watch->wants_read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
   watch->wants_write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
   multi->WaitRead(watch);
@@ -170,7 +175,7 @@
           return;
         }
         if (watch->wants_read) {
-          this->RunSocketAction(watch->socket, CURL_CSELECT_IN);
+          this->Read(watch);
         }
         if (*alive && watch->descriptor.is_open()) {
           this->WaitRead(watch);
@@ -178,6 +183,15 @@
       });
 }
 
+void CurlMulti::Read(const std::shared_ptr<Watch>& watch) {
+  const std::shared_ptr<bool> still_alive = this->alive;
+  const std::uint64_t before = this->deliveries;
+  this->RunSocketAction(watch->socket, CURL_CSELECT_IN);
+  if (*still_alive && this->deliveries == before && watch->wants_read) {
+    this->empty_read(watch->easy);
+  }
+}
+
 void CurlMulti::WaitWrite(const std::shared_ptr<Watch>& watch) {
   if (!watch->wants_write || watch->writing) {
     return;
--- a/Libraries/LibHTTP/curl_multi.h
+++ b/Libraries/LibHTTP/curl_multi.h
@@ -7,6 +7,7 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -23,9 +24,14 @@
   // Called for every transfer that ended, outside of libcurl's callbacks.
   using DoneHandler = std::function<void(CURL* easy, CURLcode result)>;
 
+  // Called when a read of the transfer's socket delivered nothing to its
+  // callbacks, outside of libcurl's callbacks.
+  using EmptyReadHandler = std::function<void(CURL* easy)>;
+
   CurlMulti(asio::io_context& context,
             HttpClientOptions options,
-            DoneHandler done);
+            DoneHandler done,
+            EmptyReadHandler empty_read);
   ~CurlMulti();
   CurlMulti(const CurlMulti&) = delete;
   CurlMulti& operator=(const CurlMulti&) = delete;
@@ -39,6 +45,8 @@
   void Unpause(CURL* easy);
   // Sets the options that route a handle's socket calls to this object.
   void Prepare(CURL* easy);
+  // A callback of a transfer received bytes.
+  void OnDelivery() { ++this->deliveries; }
 
  private:
   struct Watch;
@@ -63,11 +71,14 @@
   void OnTimerExpired();
   void ReportCompletedTransfers();
   void WaitRead(const std::shared_ptr<Watch>& watch);
+  void Read(const std::shared_ptr<Watch>& watch);
   void WaitWrite(const std::shared_ptr<Watch>& watch);
 
   asio::io_context& context;
   HttpClientOptions options;
   DoneHandler done;
+  EmptyReadHandler empty_read;
+  std::uint64_t deliveries = 0;
   // `due` is the time that libcurl requested last, `armed_for` the time at
   // which the timer expires. A timer that expires early is rearmed, which is
   // cheaper than moving the timer on each of libcurl's many requests.
--- a/Libraries/LibHTTP/http.h
+++ b/Libraries/LibHTTP/http.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "LibHTTP/buffer_budget.h"
 #include "LibHTTP/event_loop.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_message.h"
--- a/Libraries/LibHTTP/http_client.cc
+++ b/Libraries/LibHTTP/http_client.cc
@@ -23,9 +23,14 @@
  public:
   ClientCore(asio::io_context& context, HttpClientOptions options)
       : context(context),
-        multi(context, options, [this](CURL* easy, CURLcode result) {
-          this->OnTransferDone(easy, result);
-        }) {}
+        on_limit_exceeded(options.on_limit_exceeded),
+        multi(
+            context,
+            options,
+            [this](CURL* easy, CURLcode result) {
+              this->OnTransferDone(easy, result);
+            },
+            [this](CURL* easy) { this->OnEmptyRead(easy); }) {}
 
   std::shared_ptr<ClientTransfer> Start(HttpClientRequest request,
                                         HttpClientHandlers handlers) {
@@ -100,10 +105,29 @@
     }
     const std::shared_ptr<ClientTransfer> transfer = found->second;
     this->Remove(transfer);
-    transfer->Complete(result);
+    this->Complete(*transfer, result);
+  }
+
+  void OnEmptyRead(CURL* easy) {
+    const auto found = this->transfers.find(easy);
+    if (found == this->transfers.end() || !found->second->CountEmptyRead()) {
+      return;
+    }
+    const std::shared_ptr<ClientTransfer> transfer = found->second;
+    this->Remove(transfer);
+    this->Complete(*transfer, CURLE_WRITE_ERROR);
+  }
+
+  void Complete(ClientTransfer& transfer, CURLcode result) const {
+    const auto exceeded = transfer.ExceededLimit(result);
+    if (exceeded && this->on_limit_exceeded) {
+      this->on_limit_exceeded(*exceeded);
+    }
+    transfer.Complete(result);
   }
 
   asio::io_context& context;
+  std::function<void(const ResponseLimitExceeded&)> on_limit_exceeded;
   CurlMulti multi;
   // Invariant: every handle that was added to `multi` has an entry here.
   std::unordered_map<CURL*, std::shared_ptr<ClientTransfer>> transfers;
@@ -131,8 +155,9 @@
 
 class CurlClient final : public HttpClient {
  public:
-  CurlClient(asio::io_context& context, HttpClientOptions options)
-      : core(std::make_shared<ClientCore>(context, options)) {}
+  CurlClient(asio::io_context& context, const HttpClientOptions& options)
+      : HttpClient(options),
+        core(std::make_shared<ClientCore>(context, options)) {}
   ~CurlClient() override { this->core->Shutdown(); }
 
   std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
@@ -149,9 +174,12 @@
 // owns the exchange. Complete(), called on success and failure, breaks that
 // cycle.
 struct FetchState {
+  explicit FetchState(std::shared_ptr<BufferBudget> budget)
+      : body(std::move(budget)) {}
+
   std::unique_ptr<HttpExchange> exchange;
   HttpResponse response;
-  std::size_t max_body_bytes = 0;
+  BufferedBody body;
   HttpClient::FetchCallback callback;
 
   void Complete(Outcome<HttpResponse> outcome) {
@@ -162,22 +190,22 @@
   }
 };
 
-void AppendBody(FetchState& state, std::string_view bytes) {
-  if (!state.callback) {
-    return;
-  }
-  if (state.response.body.size() + bytes.size() > state.max_body_bytes) {
-    state.Complete(Error{ErrorKind::kOutcomeUnknown,
-                         "the response body is longer than " +
-                             std::to_string(state.max_body_bytes) + " bytes",
-                         "request less data, or raise max_body_bytes"});
-    return;
+}  // namespace
+
+std::string_view ResponseLimitName(ResponseLimit limit) {
+  switch (limit) {
+    case ResponseLimit::kHeader:
+      return "header";
+    case ResponseLimit::kBody:
+      return "body";
+    case ResponseLimit::kMemory:
+      return "memory";
+    case ResponseLimit::kFraming:
+      return "framing";
   }
-  state.response.body.append(bytes);
+  return "";
 }
 
-}  // namespace
-
 std::unique_ptr<HttpClient> HttpClient::Create(EventLoop& loop,
                                                HttpClientOptions options) {
   return std::make_unique<CurlClient>(loop.GetImplementation().context,
@@ -185,18 +213,29 @@
 }
 
 void HttpClient::Fetch(HttpClientRequest request, FetchCallback callback) {
-  auto state = std::make_shared<FetchState>();
-  state->max_body_bytes = request.max_body_bytes;
+  auto state = std::make_shared<FetchState>(this->budget);
   state->callback = std::move(callback);
   HttpClientHandlers handlers;
   handlers.on_headers = [state](int status, const HttpHeaders& headers) {
     state->response.status = status;
     state->response.headers = headers;
   };
-  handlers.on_body = [state](std::string_view bytes) {
-    AppendBody(*state, bytes);
+  handlers.on_body = [this, state,
+                      url = request.url.substr(0, request.url.find('?'))](
+                         std::string_view bytes) {
+    if (!state->callback || state->body.Append(bytes)) {
+      return;
+    }
+    this->ReportLimit({url, ResponseLimit::kMemory});
+    state->Complete(Error{
+        ErrorKind::kOutcomeUnknown,
+        url + ": the responses in memory reached the limit of this process",
+        "send fewer or smaller requests at once"});
+  };
+  handlers.on_done = [state] {
+    state->response.body = state->body.Take();
+    state->Complete(std::move(state->response));
   };
-  handlers.on_done = [state] { state->Complete(std::move(state->response)); };
   handlers.on_failure = [state](const HttpClientFailure& failure) {
     state->Complete(failure.error);
   };
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "LibHTTP/buffer_budget.h"
 #include "LibHTTP/event_loop.h"
 #include "LibHTTP/http_message.h"
 
@@ -31,8 +33,30 @@
   // (RFC 9112, section 6.3). Otherwise such a response fails, because
   // truncation can't be distinguished from its end.
   bool accept_close_delimited_response = false;
-  // Fetch() fails when the response's body exceeds this size.
-  std::size_t max_body_bytes = 64 * 1024 * 1024;
+  // The exchange fails when the response's body exceeds this size.
+  std::size_t max_body_bytes = kDefaultMaxBodyBytes;
+  // The exchange fails when the heads of all interim responses, the response's
+  // own and its trailers exceed this size together.
+  std::size_t max_header_bytes = 64 * 1024;
+
+  static constexpr std::size_t kDefaultMaxBodyBytes = 1024 * 1024;
+};
+
+// What of a response went beyond its limit, so that the connection was closed.
+enum class ResponseLimit {
+  kHeader,
+  kBody,
+  // The responses that the client holds together.
+  kMemory,
+  // Bytes that are neither headers nor body, such as chunk extensions.
+  kFraming,
+};
+std::string_view ResponseLimitName(ResponseLimit limit);
+
+struct ResponseLimitExceeded {
+  // Without the query.
+  std::string url;
+  ResponseLimit limit = ResponseLimit::kBody;
 };
 
 // Whether the peer may have received the request of a failed exchange.
@@ -80,6 +104,12 @@
   // A pooled connection that was idle for longer is not reused. Must be below
   // the servers' keep-alive timeout.
   Milliseconds max_idle_time{30'000};
+  // Limit of the bodies that are held in BufferedBody objects, over all
+  // exchanges; see buffer_budget.h.
+  std::size_t max_buffered_bytes = 256 * 1024 * 1024;
+  // Called on the loop's thread when a response exceeds a limit, before the
+  // exchange fails.
+  std::function<void(const ResponseLimitExceeded&)> on_limit_exceeded;
   // PEM file of the certificate authorities to trust; empty uses the system's
   // trust store.
   std::string certificate_authority_file;
@@ -96,12 +126,30 @@
       HttpClientRequest request,
       HttpClientHandlers handlers) = 0;
 
+  // The bytes that the responses of this client may hold together.
+  const std::shared_ptr<BufferBudget>& Budget() const { return this->budget; }
+  // Reports that a reader of a response has reached a limit of its own.
+  void ReportLimit(const ResponseLimitExceeded& exceeded) const {
+    if (this->on_limit_exceeded) {
+      this->on_limit_exceeded(exceeded);
+    }
+  }
+
   // Reads a complete response of at most `max_body_bytes`. Owns the exchange,
   // which can't be cancelled. Destroying the client destroys the callback
   // without calling it.
   using FetchCallback = std::function<void(Outcome<HttpResponse>)>;
   // Failures: kUnavailable when nothing was sent, else kOutcomeUnknown.
   void Fetch(HttpClientRequest request, FetchCallback callback);
+
+ protected:
+  explicit HttpClient(const HttpClientOptions& options = {})
+      : budget(std::make_shared<BufferBudget>(options.max_buffered_bytes)),
+        on_limit_exceeded(options.on_limit_exceeded) {}
+
+ private:
+  std::shared_ptr<BufferBudget> budget;
+  std::function<void(const ResponseLimitExceeded&)> on_limit_exceeded;
 };
 
 }  // namespace carobbank
--- a/Libraries/LibOperator/system_environment.cc
+++ b/Libraries/LibOperator/system_environment.cc
@@ -11,12 +11,15 @@
 namespace {
 
 constexpr Milliseconds kFetchTimeout{5'000};
+// A page of the timeline.
+constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
 constexpr int kStatusOk = 200;
 
 HttpClientRequest GetRequest(std::string url, std::string_view token) {
   HttpClientRequest request;
   request.url = std::move(url);
   request.timeout = kFetchTimeout;
+  request.max_body_bytes = kMaxResponseBytes;
   if (!token.empty()) {
     SetHeader(request.headers, "Authorization", "Bearer " + std::string(token));
   }
--- a/Libraries/LibPlatform/platform_call.cc
+++ b/Libraries/LibPlatform/platform_call.cc
@@ -13,6 +13,8 @@
 constexpr int kNotFoundStatus = 404;
 constexpr int kGone = 410;
 constexpr int kRequestTimeout = 408;
+// The list of instances grows with their number.
+constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 std::string Describe(std::string_view subject, const HttpResponse& response) {
   return std::string(subject) + ": HTTP status " +
@@ -42,6 +44,7 @@
   request.body = std::move(body);
   request.timeout = endpoint.options.timeout + long_poll_wait;
   request.connect_timeout = endpoint.options.connect_timeout;
+  request.max_body_bytes = kMaxResponseBytes;
   if (!request.body.empty()) {
     SetHeader(request.headers, "Content-Type", "application/json");
   }
--- a/Libraries/LibProcess/http_options.cc
+++ b/Libraries/LibProcess/http_options.cc
@@ -2,6 +2,8 @@
 
 #include "LibProcess/http_options.h"
 
+#include "LibProcess/logger.h"
+
 namespace carobbank {
 
 HttpServerOptions ServerOptionsOf(const InstanceSettings& instance,
@@ -18,10 +20,24 @@
   return options;
 }
 
-HttpClientOptions ClientOptionsOf(const TrafficLimits& limits) {
+HttpClientOptions ClientOptionsOf(const TrafficLimits& limits,
+                                  MetricRegistry& metrics) {
   HttpClientOptions options;
   options.silent_timeout = Milliseconds(limits.silent_timeout_ms);
+  options.on_limit_exceeded =
+      [&metrics](const ResponseLimitExceeded& exceeded) {
+        ReportResponseLimit(metrics, exceeded);
+      };
   return options;
 }
 
+void ReportResponseLimit(MetricRegistry& metrics,
+                         const ResponseLimitExceeded& exceeded) {
+  const std::string limit(ResponseLimitName(exceeded.limit));
+  metrics.GetCounter(metrics::kResponseLimits, {{"limit", limit}}).Add();
+  WriteLog(LogLevel::kWarning,
+           "response ended at a limit; its connection is closed",
+           {{"url", exceeded.url}, {"limit", limit}});
+}
+
 }  // namespace carobbank
--- a/Libraries/LibProcess/http_peer_rpc_client.cc
+++ b/Libraries/LibProcess/http_peer_rpc_client.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kRpcPath = "/rpc";
 constexpr Milliseconds kConnectTimeout{1'000};
+// A peer's state grows with the number of servers.
+constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
 constexpr int kStatusOk = 200;
 
 Outcome<Json::Value> ToRpcResult(const HttpResponse& response) {
@@ -42,6 +44,7 @@
   request.body = ComposeRpcRequest(std::string(method), parameters);
   request.timeout = timeout;
   request.connect_timeout = kConnectTimeout;
+  request.max_body_bytes = kMaxResponseBytes;
   SetHeader(request.headers, "Content-Type", "application/json");
   SetHeader(request.headers, "X-Carobbank-Time", this->timeline.Stamp().Text());
   SetHeader(request.headers, kPeerProofHeader,
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -110,6 +110,10 @@
     "carobbank_suspect_attempts_total", MetricType::kCounter, "service,outcome",
     "Attempts of requests that crashed servers before, by outcome as in "
     "carobbank_attempts_total"};
+inline constexpr MetricDefinition kResponseLimits{
+    "carobbank_response_limits_total", MetricType::kCounter, "limit",
+    "Responses of servers, peers and the log that were ended at a limit: "
+    "header, body, memory, framing, output"};
 inline constexpr MetricDefinition kLeavingServers{
     "carobbank_leaving_servers_total", MetricType::kCounter, "service,source",
     "Backend servers that this process learned to be leaving, by source: "
@@ -162,6 +166,7 @@
     metrics::kQuarantined,
     metrics::kServerCrashes,
     metrics::kSuspectAttempts,
+    metrics::kResponseLimits,
     metrics::kLeavingServers,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
--- a/Services/Entry/attempt.cc
+++ b/Services/Entry/attempt.cc
@@ -15,6 +15,8 @@
 constexpr Milliseconds kIdleTimeout{15'000};
 // Allows for a response that the sidecar sends just at the deadline.
 constexpr Milliseconds kDeadlineGrace{500};
+// Bodies are forwarded as they arrive, not held.
+constexpr std::size_t kMaxForwardedBytes = 1024UL * 1024 * 1024;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
@@ -118,6 +120,7 @@
   sent.headers = request.headers;
   sent.body = request.body;
   sent.connect_timeout = kConnectTimeout;
+  sent.max_body_bytes = kMaxForwardedBytes;
   if (metadata.kept_alive) {
     sent.idle_timeout = kIdleTimeout;
   } else {
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -47,8 +47,9 @@
       signer(this->settings.peer.secret),
       verifier(std::move(verifier)),
       control(std::make_shared<const EntryControlSnapshot>()),
-      client(HttpClient::Create(this->traffic_loop,
-                                ClientOptionsOf(this->settings.limits))),
+      client(HttpClient::Create(
+          this->traffic_loop,
+          ClientOptionsOf(this->settings.limits, this->metrics))),
       log(CreateHttpLogClient(*this->client, this->settings.platform.log_url)),
       sender(*this->client, this->clock, this->signer, this->timeline),
       peers(*this->client, this->clock, this->signer, this->timeline),
--- a/Services/Entry/entry_control_plane.cc
+++ b/Services/Entry/entry_control_plane.cc
@@ -89,7 +89,8 @@
       listener(std::move(listener)),
       random(settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
                                 : SeedFromSystem()),
-      client(HttpClient::Create(loop)),
+      client(
+          HttpClient::Create(loop, ClientOptionsOf(settings.limits, metrics))),
       log(CreateHttpLogClient(*this->client, settings.platform.log_url)),
       instance_list(
           CreateHttpInstanceListClient(*this->client,
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -22,7 +22,7 @@
 // A new connection within a region takes milliseconds; a machine that is down
 // does not respond at all.
 constexpr Milliseconds kConnectTimeout{400};
-constexpr std::size_t kMaxResponseBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 constexpr std::array<std::string_view, 10> kConnectionHeaders = {
     "connection",     "keep-alive", "transfer-encoding",  "te",
@@ -112,7 +112,8 @@
     : environment(environment),
       attempt(environment, server, request),
       time_left(request.time_left),
-      done(std::move(done)) {}
+      done(std::move(done)),
+      body(environment.client.Budget()) {}
 
 std::unique_ptr<BackendCall> BackendCall::Start(GatewayEnvironment& environment,
                                                 const FleetServer& server,
@@ -123,6 +124,7 @@
   HttpClientRequest sent =
       RequestForServer(request, server, environment.dialect.HeaderNames());
   sent.accept_close_delimited_response = true;
+  sent.max_body_bytes = kMaxResponseBytes;
   call->exchange = environment.client.Start(std::move(sent), call->Handlers());
   return call;
 }
@@ -145,17 +147,19 @@
 }
 
 void BackendCall::AppendBody(std::string_view bytes) {
-  if (this->response.body.size() + bytes.size() > kMaxResponseBytes) {
-    this->End({BackendCallOutcome::kMayHaveRun,
-               {},
-               "the response exceeds the size limit"},
-              SendOutcome::kFailed);
+  if (!this->done || this->body.Append(bytes)) {
     return;
   }
-  this->response.body.append(bytes);
+  ReportResponseLimit(this->environment.metrics,
+                      {this->attempt.ServerId(), ResponseLimit::kMemory});
+  this->End({BackendCallOutcome::kMayHaveRun,
+             {},
+             "the responses in memory reached the limit of this process"},
+            SendOutcome::kFailed);
 }
 
 void BackendCall::OnDone() {
+  this->response.body = this->body.Take();
   BackendCallResult result = this->ClassifyResponse();
   SendOutcome outcome = SendOutcome::kAnswered;
   if (result.outcome == BackendCallOutcome::kNotRun) {
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -84,7 +84,9 @@
   // The time that the server was given.
   Milliseconds time_left;
   Callback done;
+  // The body is in `body` until the response is complete.
   HttpResponse response;
+  BufferedBody body;
   std::unique_ptr<HttpExchange> exchange;
 };
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -62,10 +62,26 @@
   return options;
 }
 
-HttpClientOptions ClientOptions(Milliseconds idle_time) {
+// An eighth of the machine's memory: a growing body needs up to three times its
+// size for a moment.
+std::size_t MaxBufferedBytes(const GatewaySettings& settings) {
+  constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+  constexpr double kShareOfMemory = 0.125;
+  return static_cast<std::size_t>(settings.machine.memory_mb * kShareOfMemory *
+                                  kBytesPerMegabyte);
+}
+
+HttpClientOptions ClientOptions(Milliseconds idle_time,
+                                const GatewaySettings& settings,
+                                MetricRegistry& metrics) {
   HttpClientOptions options;
   options.max_idle_time = idle_time;
   options.silent_timeout = kSilentTimeout;
+  options.max_buffered_bytes = MaxBufferedBytes(settings);
+  options.on_limit_exceeded =
+      [&metrics](const ResponseLimitExceeded& exceeded) {
+        ReportResponseLimit(metrics, exceeded);
+      };
   return options;
 }
 
@@ -97,8 +113,12 @@
       dialect(dialect),
       random(MakeRandom(this->settings.seed)),
       metrics(this->clock),
-      client(HttpClient::Create(this->loop, ClientOptions(kBackendIdleTime))),
-      log_client(HttpClient::Create(this->loop, ClientOptions(kLogWait * 30))),
+      client(HttpClient::Create(
+          this->loop,
+          ClientOptions(kBackendIdleTime, this->settings, this->metrics))),
+      log_client(HttpClient::Create(
+          this->loop,
+          ClientOptions(kLogWait * 30, this->settings, this->metrics))),
       log(make_log(*this->log_client)),
       retries(this->metrics, this->random),
       environment{this->settings,     dialect,          this->clock,
--- a/Services/Gateway/job_relay.cc
+++ b/Services/Gateway/job_relay.cc
@@ -34,6 +34,8 @@
 // change after its own timeout for the log.
 constexpr Milliseconds kResponseTimeout{3'000};
 constexpr Milliseconds kConnectTimeout{300};
+// A page of results has about 1 MB.
+constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
 // Longer than the replacement of a lost owner takes: an owner that still has
 // its partitions is running, and only this instance can't reach it.
 constexpr Milliseconds kUnreachableTime{3'000};
@@ -306,6 +308,7 @@
   sent.body = call->request.body;
   sent.timeout = kResponseTimeout;
   sent.connect_timeout = kConnectTimeout;
+  sent.max_body_bytes = kMaxResponseBytes;
   this->environment.client.Fetch(
       std::move(sent), [this, kept = this->alive, owner = std::string(address),
                         on_response = std::move(on_response)](
--- a/Services/Gateway/peer_state_poller.cc
+++ b/Services/Gateway/peer_state_poller.cc
@@ -15,6 +15,8 @@
 constexpr int kOk = 200;
 constexpr Milliseconds kRoundPeriod{500};
 constexpr Milliseconds kCallTimeout{400};
+// The state grows with the number of servers.
+constexpr std::size_t kMaxStateBytes = 16 * 1024 * 1024;
 // Consecutive rounds in which a peer reached the log, or no peer responded at
 // all. One round is not enough: peers notice an outage at different moments,
 // and single peers are down.
@@ -118,6 +120,7 @@
         "http://" + peer + std::string(kPath) + (records ? "?records=1" : "");
     request.timeout = kCallTimeout;
     request.connect_timeout = kCallTimeout;
+    request.max_body_bytes = kMaxStateBytes;
     this->environment.client.Fetch(
         std::move(request),
         [this, alive = this->alive,
--- a/Services/Sidecar/backend.cc
+++ b/Services/Sidecar/backend.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Milliseconds kConnectTimeout{1'000};
+// Bodies are forwarded as they arrive, not held.
+constexpr std::size_t kMaxForwardedBytes = 1024UL * 1024 * 1024;
 constexpr Milliseconds kProbeTimeout{1'000};
 
 // The server may close a pooled connection while a request is being sent, so
@@ -28,6 +30,7 @@
   request.headers = work.forward.headers;
   request.body = work.forward.body;
   request.connect_timeout = kConnectTimeout;
+  request.max_body_bytes = kMaxForwardedBytes;
   request.fresh_connection =
       !this->IsEngine() && NeedsFreshConnection(work.forward.method);
   return this->client.Start(std::move(request), std::move(handlers));
--- a/Services/Sidecar/sidecar_process.cc
+++ b/Services/Sidecar/sidecar_process.cc
@@ -58,9 +58,9 @@
       registry(this->clock),
       signer(this->settings.peer.secret),
       verifier(std::move(verifier)),
-      traffic_client(
-          HttpClient::Create(this->traffic_loop,
-                             ClientOptionsOf(this->settings.limits))),
+      traffic_client(HttpClient::Create(
+          this->traffic_loop,
+          ClientOptionsOf(this->settings.limits, this->registry))),
       traffic_engine(EngineOf(this->settings, *this->traffic_client)),
       backend(*this->traffic_client,
               this->traffic_engine.get(),
@@ -79,9 +79,9 @@
       traffic({this->settings, this->clock, this->timeline, this->registry,
                this->verifier, this->work_dispatcher, this->incarnation}),
       control_timers(this->control_loop),
-      control_client(
-          HttpClient::Create(this->control_loop,
-                             ClientOptionsOf(this->settings.limits))),
+      control_client(HttpClient::Create(
+          this->control_loop,
+          ClientOptionsOf(this->settings.limits, this->registry))),
       peers(*this->control_client, this->clock, this->signer, this->timeline) {}
 
 SidecarProcess::~SidecarProcess() = default;
--- /dev/null
+++ b/Tests/LibHTTP/endless_response_test.cc
@@ -0,0 +1,171 @@
+// The client with servers that send bytes until the client closes. Guards
+// against exchanges and memory without a bound.
+
+#include "LibHTTP/http.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "Support/endless_server.h"
+#include "http_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace carobbank {
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 256 * 1024;
+// Far above all limits together, with the buffers of both sockets.
+constexpr std::size_t kMaxSentBytes = 24 * 1024 * 1024;
+constexpr Milliseconds kTimeout{5'000};
+constexpr Milliseconds kExpectedEnd{3'000};
+
+constexpr const char* kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::vector<EndlessResponse> EndlessResponses() {
+  const std::string chunked = kChunked;
+  return {
+      {"status line", "HTTP/1.1 200 ", "aaaaaaaa"},
+      {"header line", "HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"},
+      {"headers", "HTTP/1.1 200 OK\r\n", "X-Header: aaaaaaaa\r\n"},
+      {"interim heads", "", "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"},
+      {"body until close", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+      {"chunked body", chunked, "8\r\naaaaaaaa\r\n"},
+      {"body of a failure",
+       "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "8\r\naaaaaaaa\r\n"},
+      {"huge length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+       "aaaaaaaa"},
+      {"trailers", chunked + "2\r\nok\r\n0\r\n", "X-Trailer: aaaaaaaa\r\n"},
+      {"trailer line", chunked + "2\r\nok\r\n0\r\nX-Trailer: ", "aaaaaaaa"},
+      {"chunk extension", chunked + "2;x=", "aaaaaaaa"},
+      {"no HTTP", "", "aaaaaaaa"},
+  };
+}
+
+}  // namespace
+
+TEST_GROUP(EndlessResponse) {
+  HttpFixture fixture;
+
+  HttpClientRequest RequestTo(const EndlessServer& server) {
+    HttpClientRequest request;
+    request.url = HttpFixture::Url(server.Port());
+    request.timeout = kTimeout;
+    request.max_body_bytes = kMaxBodyBytes;
+    request.accept_close_delimited_response = true;
+    return request;
+  }
+  std::vector<ResponseLimitExceeded> exceeded;
+
+  void setup() override {
+    HttpClientOptions options;
+    options.on_limit_exceeded = [this](const ResponseLimitExceeded& limit) {
+      this->exceeded.push_back(limit);
+    };
+    options.max_buffered_bytes = 2 * kMaxBodyBytes;
+    this->fixture.client =
+        HttpClient::Create(this->fixture.runner.loop, options);
+  }
+
+  // Serves until the exchange has ended and the client has closed.
+  void RunExchange(EndlessServer & server, Observed & observed) {
+    const auto exchange =
+        this->fixture.client->Start(RequestTo(server), observed.Handlers());
+    const MonotonicTime end =
+        std::chrono::steady_clock::now() + 2 * kExpectedEnd;
+    this->fixture.runner.RunUntil([&] {
+      server.Serve();
+      return (observed.Ended() && server.AllClosed()) ||
+             std::chrono::steady_clock::now() > end;
+    });
+  }
+};
+
+TEST(EndlessResponse, AResponseWithoutEndIsReadOnAndOn) {
+  for (const EndlessResponse& response : EndlessResponses()) {
+    constexpr std::size_t kFast = 64 * 1024;
+    EndlessServer server(response, kFast);
+    Observed observed;
+    const MonotonicTime began = std::chrono::steady_clock::now();
+    this->RunExchange(server, observed);
+    const auto elapsed = std::chrono::steady_clock::now() - began;
+    CHECK_TRUE_TEXT(observed.EndedWith(SendState::kMayHaveBeenSent),
+                    response.name);
+    CHECK_TRUE_TEXT(elapsed < kExpectedEnd, response.name);
+    CHECK_TRUE_TEXT(server.AllClosed(), response.name);
+    CHECK_TRUE_TEXT(server.Sent() <= kMaxSentBytes, response.name);
+    CHECK_TRUE_TEXT(observed.body.size() <= kMaxBodyBytes, response.name);
+  }
+  // libcurl rejects two as malformed: no HTTP, and a trailer line without end.
+  LONGS_EQUAL(EndlessResponses().size() - 2, this->exceeded.size());
+  STRCMP_CONTAINS("/path", this->exceeded.front().url.c_str());
+  CHECK_TRUE(this->exceeded.front().url.find('?') == std::string::npos);
+}
+
+TEST(EndlessResponse, ResponsesTogetherExceedTheMemoryOfTheClient) {
+  constexpr std::size_t kResponses = 8;
+  EndlessServer server({"", kChunked, "8\r\naaaaaaaa\r\n"}, 4 * 1024);
+  std::size_t failures = 0;
+  std::size_t most = 0;
+  for (std::size_t response = 0; response < kResponses; ++response) {
+    this->fixture.client->Fetch(this->RequestTo(server),
+                                [&failures](const Outcome<HttpResponse>& got) {
+                                  failures += got.Ok() ? 0 : 1;
+                                });
+  }
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+    server.Serve();
+    most = std::max(most, this->fixture.client->Budget()->Used());
+    return failures == kResponses && server.AllClosed();
+  }));
+  CHECK_TRUE(most > kMaxBodyBytes);
+  CHECK_TRUE(most <= 2 * kMaxBodyBytes);
+  LONGS_EQUAL(0, this->fixture.client->Budget()->Used());
+  CHECK_TRUE(std::any_of(this->exceeded.begin(), this->exceeded.end(),
+                         [](const ResponseLimitExceeded& limit) {
+                           return limit.limit == ResponseLimit::kMemory;
+                         }));
+}
+
+TEST(EndlessResponse, AResponseThatTricklesOutlastsItsTime) {
+  for (const EndlessResponse& response : EndlessResponses()) {
+    EndlessServer server(response, 1);
+    Observed observed;
+    HttpClientRequest request = this->RequestTo(server);
+    constexpr Milliseconds kShort{300};
+    request.timeout = kShort;
+    const auto exchange =
+        this->fixture.client->Start(std::move(request), observed.Handlers());
+    constexpr Milliseconds kBetweenBytes{20};
+    MonotonicTime next = MonotonicTime::min();
+    CHECK_TRUE_TEXT(this->fixture.runner.RunUntil([&] {
+      if (std::chrono::steady_clock::now() >= next) {
+        server.Serve();
+        next = std::chrono::steady_clock::now() + kBetweenBytes;
+      }
+      return observed.Ended();
+    }),
+                    response.name);
+    CHECK_TRUE_TEXT(observed.EndedWith(SendState::kMayHaveBeenSent),
+                    response.name);
+  }
+}
+
+TEST(EndlessResponse, BytesBehindACompleteResponseReachTheNextRequest) {
+  EndlessServer server(
+      {"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "aaaaaaaa"},
+      64 * 1024);
+  for (std::size_t request = 1; request <= 2; ++request) {
+    Observed observed;
+    this->RunExchange(server, observed);
+    LONGS_EQUAL(1, observed.done);
+    STRCMP_EQUAL("ok", observed.body.c_str());
+    LONGS_EQUAL(request, server.Connections());
+  }
+  CHECK_TRUE(server.AllClosed());
+}
+
+}  // namespace carobbank
--- a/Tests/Support/raw_socket.h
+++ b/Tests/Support/raw_socket.h
@@ -54,6 +54,13 @@
            static_cast<ssize_t>(bytes.size());
   }
 
+  // Number of bytes that were sent without blocking.
+  std::size_t SendSome(std::string_view bytes) {
+    const ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(),
+                                 MSG_NOSIGNAL | MSG_DONTWAIT);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+
   // Everything received so far.
   const std::string& Received() {
     std::array<char, 65536> buffer;
