Gateway: End samples whose server sends without end

Events without end filled the memory.

Only events count as activity. The body of a failure has 64 KB at most, a stream 32 MB, an output 8 MB and as many events as its sample has tokens and some more; a longer output is discarded and generated at another server.

--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -177,11 +177,13 @@
   // When a reward call that was rejected is repeated; the latest time when it
   // isn't. Its sample is abandoned with its job then.
   MonotonicTime NextRewardCall(const JobState& state, std::size_t index) const;
-  bool AppendEvent(ActiveJob& job,
-                   std::size_t index,
-                   std::string_view data,
-                   std::string_view event_id,
-                   std::int64_t version);
+  EventVerdict AppendEvent(ActiveJob& job,
+                           std::size_t index,
+                           std::string_view data,
+                           std::string_view event_id,
+                           std::int64_t version);
+  // Discards an output that is longer than its sample allows.
+  void OnOverrun(const JobState& state, std::size_t index, Progress& progress);
   void OnStreamEnd(ActiveJob& job,
                    std::size_t index,
                    SampleStreamOutcome outcome,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -4,6 +4,7 @@
 #include "job_runner.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "request_quarantine.h"
@@ -28,6 +29,16 @@
 // all go to the same server.
 constexpr std::size_t kMovesPerTick = 6;
 
+constexpr std::size_t kMaxOutputBytes = 8 * 1024 * 1024;
+
+// Each event has a token at least, but for a few at the ends of an output.
+std::size_t MaxEvents(const JobSample& sample) {
+  constexpr std::size_t kEventsWithoutToken = 64;
+  return sample.tokens <= 0
+             ? std::numeric_limits<std::size_t>::max()
+             : static_cast<std::size_t>(sample.tokens) + kEventsWithoutToken;
+}
+
 // Samples of a group share their prompt, so they go to the same service.
 const std::string& ServiceOf(const HostRoute& route, const JobSample& sample) {
   return ChooseService(
@@ -236,31 +247,50 @@
   return true;
 }
 
-bool JobRunner::AppendEvent(ActiveJob& job,
-                            std::size_t index,
-                            std::string_view data,
-                            std::string_view event_id,
-                            std::int64_t version) {
+EventVerdict JobRunner::AppendEvent(ActiveJob& job,
+                                    std::size_t index,
+                                    std::string_view data,
+                                    std::string_view event_id,
+                                    std::int64_t version) {
   const JobState* const state = job.State();
   if (state == nullptr) {
-    return false;
+    return EventVerdict::kRejected;
   }
   Progress& progress = job.samples[index];
   if (!state->job.model.empty()) {
     this->environment.fleet.ObserveVersion(progress.stream->ServerId(),
                                            state->job.model, version);
     if (version < state->job.min_version) {
-      return false;
+      return EventVerdict::kRejected;
     }
     progress.versions.insert(version);
   }
+  if (progress.output.size() + data.size() > kMaxOutputBytes ||
+      progress.events >= MaxEvents(state->job.samples[index])) {
+    this->OnOverrun(*state, index, progress);
+    return EventVerdict::kOverrun;
+  }
   if (progress.events > 0) {
     progress.output.push_back('\n');
   }
   progress.output.append(data);
   progress.last_event_id = event_id;
   ++progress.events;
-  return true;
+  return EventVerdict::kAccepted;
+}
+
+void JobRunner::OnOverrun(const JobState& state,
+                          std::size_t index,
+                          Progress& progress) {
+  this->environment.metrics
+      .GetCounter(metrics::kResponseLimits, {{"limit", "output"}})
+      .Add();
+  WriteLog(LogLevel::kWarning,
+           "sample output ended at a limit; it is generated again",
+           {{"sample", state.job.samples[index].id},
+            {"server", progress.stream->ServerId()},
+            {"events", std::to_string(progress.events)}});
+  ResetOutput(progress);
 }
 
 void JobRunner::ResetOutput(Progress& progress) {
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -4,11 +4,16 @@
 
 #include <utility>
 
+#include "LibProcess/process.h"
+
 namespace carobbank {
 
 namespace {
 
 constexpr int kEventsPerGap = 4;
+constexpr std::size_t kMaxStreamBytes = 32 * 1024 * 1024;
+// A response without events only explains a failure.
+constexpr std::size_t kMaxFailureBytes = 64 * 1024;
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
@@ -36,6 +41,7 @@
   auto stream = std::unique_ptr<SampleStream>(
       new SampleStream(environment, server, request, std::move(handlers)));
   HttpClientRequest sent = RequestForServer(request, server, names);
+  sent.max_body_bytes = kMaxStreamBytes;
   if (!last_event_id.empty()) {
     sent.headers.push_back(
         {std::string(names.last_event_id), std::string(last_event_id)});
@@ -82,8 +88,18 @@
 }
 
 void SampleStream::OnBody(std::string_view bytes) {
-  this->last_activity = this->environment.clock.Now();
-  if (this->status != kOk || !this->handlers.on_end) {
+  if (!this->handlers.on_end) {
+    return;
+  }
+  if (this->status != kOk) {
+    this->failure_bytes += bytes.size();
+    if (this->failure_bytes > kMaxFailureBytes) {
+      ReportResponseLimit(this->environment.metrics,
+                          {this->ServerId(), ResponseLimit::kBody});
+      this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
+                "the body of a response with status " +
+                    std::to_string(this->status) + " exceeds its limit");
+    }
     return;
   }
   const auto events = Capture([&] { return this->reader.Feed(bytes); });
@@ -94,9 +110,6 @@
   }
   for (const ServerSentEvent& event : events.Value()) {
     if (!this->DeliverEvent(event)) {
-      this->End(SampleStreamOutcome::kBroken, SendOutcome::kRefused,
-                "an event was rejected: its weight version is too old, or the "
-                "job no longer exists");
       return;
     }
   }
@@ -119,6 +132,7 @@
 
 bool SampleStream::DeliverEvent(const ServerSentEvent& event) {
   ++this->events;
+  this->last_activity = this->environment.clock.Now();
   this->RecordEventGap();
   const std::string_view field =
       this->environment.dialect.HeaderNames().weight_version_field;
@@ -128,7 +142,20 @@
           ParseInteger<std::int64_t>(extension.value).value_or(this->version);
     }
   }
-  return this->handlers.on_event(event.data, event.id, this->version);
+  switch (this->handlers.on_event(event.data, event.id, this->version)) {
+    case EventVerdict::kAccepted:
+      return true;
+    case EventVerdict::kRejected:
+      this->End(SampleStreamOutcome::kBroken, SendOutcome::kRefused,
+                "an event was rejected: its weight version is too old, or the "
+                "job no longer exists");
+      break;
+    case EventVerdict::kOverrun:
+      this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
+                "the output is longer than the sample allows");
+      break;
+  }
+  return false;
 }
 
 void SampleStream::OnDone() {
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -31,12 +31,20 @@
   kRejected,
 };
 
+enum class EventVerdict {
+  kAccepted,
+  // The event is of no use to the job; the server is not to blame.
+  kRejected,
+  // The output is longer than the sample allows.
+  kOverrun,
+};
+
 struct SampleStreamHandlers {
   // Receives an event's data, its id and the weight version that generated it.
-  // Returning false ends the stream as broken.
-  std::function<bool(std::string_view data,
-                     std::string_view event_id,
-                     std::int64_t version)>
+  // Any verdict but kAccepted ends the stream as broken.
+  std::function<EventVerdict(std::string_view data,
+                             std::string_view event_id,
+                             std::int64_t version)>
       on_event;
   // Called once, not before Start() has returned. May destroy the stream.
   std::function<void(SampleStreamOutcome outcome, std::string_view reason)>
@@ -60,7 +68,8 @@
   // The attempt's digest, and when its server had started.
   const std::string& Digest() const { return this->attempt.Digest(); }
   WallMilliseconds ServerStart() const { return this->attempt.ServerStart(); }
-  // When the server last sent data; initially the start of the attempt.
+  // When the server last sent its response's head or an event; initially the
+  // start of the attempt.
   MonotonicTime LastActivity() const { return this->last_activity; }
   bool HasBegun() const { return this->events > 0; }
   // Ends the attempt as broken. `send_outcome` states whether the server has
@@ -76,6 +85,7 @@
   void OnHeaders(int status, const HttpHeaders& headers);
   void OnBody(std::string_view bytes);
   void RecordEventGap();
+  // False if the stream has ended.
   bool DeliverEvent(const ServerSentEvent& event);
   void OnDone();
   void OnFailure(const HttpClientFailure& failure);
@@ -93,6 +103,8 @@
   std::deque<MonotonicTime> event_times;
   int status = 0;
   bool not_run = false;
+  // Of the body of a response without events.
+  std::size_t failure_bytes = 0;
   // Events received in this attempt.
   std::size_t events = 0;
   // Weight version of the next event, unless that event states another.
--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/Gateway/fatal_request_test.cc
@@ -228,9 +228,8 @@
     job.samples[2].body_base64 = EncodeBase64("fatal body");
     this->fleet.PutJob(job);
     this->fleet.gateways[0]->runner->SetOwned({0});
-    CHECK_TRUE(this->fleet.RunUntil([this] {
-      return !this->fleet.servers.fatal_crashes.empty();
-    }));
+    CHECK_TRUE(this->fleet.RunUntil(
+        [this] { return !this->fleet.servers.fatal_crashes.empty(); }));
   }
   this->fleet.RunFor(Milliseconds(5'000));
   this->CheckRepeatsAreSpaced("fatal body");
