LibHTTP: Bound events that never have data

The limit of an event counted its data and the current line, so that fields, ids and names without end grew the event without bound (ServerSentEvents.AnEventWithoutDataGrowsWithoutEnd). All lines of an event count now, but for comments, which hold no memory.

--- a/Libraries/LibHTTP/server_sent_events.cc
+++ b/Libraries/LibHTTP/server_sent_events.cc
@@ -59,8 +59,7 @@
     }
     const std::size_t end = std::min(bytes.find_first_of("\r\n"), bytes.size());
     this->pending_line.append(bytes.substr(0, end));
-    if (this->pending_line.size() + this->current.data.size() >
-        this->max_event_bytes) {
+    if (this->event_bytes + this->pending_line.size() > this->max_event_bytes) {
       return Fail(ErrorKind::kCorrupt,
                   "a server-sent event is longer than " +
                       std::to_string(this->max_event_bytes) + " bytes",
@@ -83,6 +82,7 @@
     return;
   }
   const std::size_t colon = std::min(line.find(':'), line.size());
+  this->event_bytes += colon == 0 ? 0 : line.size();
   const std::string_view value =
       colon == line.size() ? std::string_view() : FieldValue(line, colon);
   this->ProcessField(line.substr(0, colon), value);
@@ -114,6 +114,7 @@
   }
   this->current = ServerSentEvent();
   this->has_data = false;
+  this->event_bytes = 0;
 }
 
 bool ServerSentEventReader::AtEventBoundary() const {
--- a/Libraries/LibHTTP/server_sent_events.h
+++ b/Libraries/LibHTTP/server_sent_events.h
@@ -50,6 +50,8 @@
   std::string pending_line;
   ServerSentEvent current;
   bool has_data = false;
+  // Of the current event's lines, but for comments.
+  std::size_t event_bytes = 0;
   // The last byte was a CR, so a following LF belongs to the same line end.
   bool after_carriage_return = false;
 };
--- a/Tests/LibHTTP/server_sent_events_test.cc
+++ b/Tests/LibHTTP/server_sent_events_test.cc
@@ -62,6 +62,21 @@
   CHECK_TRUE(outcome.GetError().kind == ErrorKind::kCorrupt);
 }
 
+TEST(ServerSentEvents, AnEventWithoutDataGrowsWithoutEnd) {
+  for (const char* const line : {"x: aaaa\n", "id: aaaa\n", "event: aa\n"}) {
+    ServerSentEventReader reader(100);
+    bool refused = false;
+    for (int count = 0; count < 20 && !refused; ++count) {
+      refused = !Capture([&] { return reader.Feed(line); }).Ok();
+    }
+    CHECK_TEXT(refused, line);
+  }
+  ServerSentEventReader reader(100);
+  for (int count = 0; count < 100; ++count) {
+    CHECK_TRUE(Capture([&] { return reader.Feed(": comment\n"); }).Ok());
+  }
+}
+
 TEST(ServerSentEvents, WrittenEventsAreReadBackFromAnyFragments) {
   CHECK_TRUE(rc::check("events survive cutting", [] {
     const auto data = *rc::gen::container<std::vector<std::string>>(
