Entry: Refuse outputs and refusals without end

An engine that generated on past the tokens that were asked for filled the entry's memory, and so did a refusal without end. More tokens than asked for fail the attempt like any wrong chunk (a case of EveryFaultIsResumedWithoutLosingOrRepeatingAToken), and a refusal has 64 KB at most.

--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -18,6 +18,7 @@
 // At most this many failed servers are excluded; the next failure clears the
 // list first.
 constexpr std::size_t kMaxExcluded = 8;
+constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
 
 Problem BrokenStream(std::string code, std::string detail) {
   Problem problem;
@@ -226,6 +227,11 @@
 
 void Generation::OnBody(std::string_view bytes) {
   if (this->status != kStatusOk) {
+    if (this->refusal_body.size() + bytes.size() > kMaxRefusalBytes) {
+      this->FailAttempt({BrokenStream("backend_failed",
+                                      "the refusal is longer than its limit")});
+      return;
+    }
     this->refusal_body += bytes;
     return;
   }
@@ -281,6 +287,13 @@
                             std::to_string(this->output.tokens) + ", got " +
                             std::to_string(chunk.token_from));
   }
+  if (this->request.max_tokens > 0 &&
+      chunk.token_to > this->request.max_tokens) {
+    return BrokenStream("backend_failed",
+                        "the engine generated more than the " +
+                            std::to_string(this->request.max_tokens) +
+                            " tokens that were asked for");
+  }
   if (chunk.token_from == chunk.token_to) {
     return std::nullopt;
   }
