Entry: Never refuse samples of steps for crashes

The same cause as in the gateway: a sample under which two engines had crashed in isolation was refused as quarantined, and its step recorded that as its final result; all samples of a group have one prompt, and so shared one digest with each other and with live calls. While it was suspect, it waited for an idle server, which a loaded pool never has.

Samples have no digest any more: no crash is held against them or by them against a live call, they don't wait for idle servers, and sidecars admit them. Their repeats after crashes are spaced as in the gateway, over all attempts of the step at this entry (Generation.ASampleUnderWhichServersCrashedIsRefusedOrIsolated: refused before, done now). Live and plain calls are isolated and refused as before.

--- a/Libraries/LibRouting/owed_work.cc
+++ b/Libraries/LibRouting/owed_work.cc
@@ -25,16 +25,24 @@
   return DigestOfRequest("owed", target, body);
 }
 
-Milliseconds OwedWorkDelay(std::span<const ServerCrashRecord> crashes,
-                           WallMilliseconds now) {
-  if (crashes.empty()) {
+Milliseconds OwedWorkDelay(std::size_t crashes) {
+  if (crashes == 0) {
     return Milliseconds(0);
   }
   Milliseconds delay = kFirstDelay;
-  for (std::size_t crash = 1;
-       crash < crashes.size() && delay < kLongestOwedDelay; ++crash) {
+  for (std::size_t crash = 1; crash < crashes && delay < kLongestOwedDelay;
+       ++crash) {
     delay = std::min(delay * kDelayGrowth, kLongestOwedDelay);
   }
+  return delay;
+}
+
+Milliseconds OwedWorkDelay(std::span<const ServerCrashRecord> crashes,
+                           WallMilliseconds now) {
+  if (crashes.empty()) {
+    return Milliseconds(0);
+  }
+  const Milliseconds delay = OwedWorkDelay(crashes.size());
   // The times come from the clocks of several machines.
   return std::clamp(Milliseconds(crashes.back().at + delay.count() - now),
                     Milliseconds(0), delay);
--- a/Libraries/LibRouting/owed_work.h
+++ b/Libraries/LibRouting/owed_work.h
@@ -18,6 +18,9 @@
 // the same content, so that neither counts the crashes of the other.
 std::string DigestOfOwedWork(std::string_view target, std::string_view body);
 
+// How long the next run waits after so many crashes.
+Milliseconds OwedWorkDelay(std::size_t crashes);
+
 // How long the next run waits after these crashes, in order of time; zero when
 // it may start. At most kLongestOwedDelay, so that the work is placed soon
 // after servers stay up.
--- a/Services/Entry/control_crashes.cc
+++ b/Services/Entry/control_crashes.cc
@@ -47,8 +47,11 @@
 }
 
 void EntryControlPlane::ReportCrash(const ServerCrash& crash) {
-  const auto quarantined = this->RecordCrash(crash);
   this->view.OnCrash(crash.instance, crash.incarnation);
+  if (crash.digest.empty()) {
+    return;
+  }
+  const auto quarantined = this->RecordCrash(crash);
   // Peers are also notified directly, because the log may be unreachable.
   this->NotifyPeers("report_crash", ServerCrashToJson(crash));
   CrashEntry entry;
--- a/Services/Entry/generation.cc
+++ b/Services/Entry/generation.cc
@@ -88,7 +88,9 @@
     : environment(environment),
       request(std::move(request)),
       handlers(std::move(handlers)),
-      digest(DigestOfPrompt(this->request.model, this->request.prompt)) {}
+      digest(this->IsOwed()
+                 ? std::string()
+                 : DigestOfPrompt(this->request.model, this->request.prompt)) {}
 
 Generation::~Generation() {
   this->EndAttempt(AttemptOutcome::kCancelled);
@@ -97,7 +99,16 @@
 void Generation::Start(GenerationOutput partial) {
   this->output = std::move(partial);
   this->environment.retries.OnFirstAttempt(this->request.service);
-  this->BeginAttempt();
+  if (this->request.crashes == 0) {
+    this->BeginAttempt();
+  } else {
+    this->BeginAttemptAfter(OwedWorkDelay(this->request.crashes));
+  }
+}
+
+void Generation::BeginAttemptAfter(Milliseconds delay) {
+  this->retry_timer =
+      this->environment.loop.CallAfter(delay, [this] { this->BeginAttempt(); });
 }
 
 void Generation::Stop() {
@@ -124,7 +135,7 @@
     return;
   }
   const std::size_t crashes =
-      this->environment.selector.CrashCount(this->digest);
+      this->IsOwed() ? 0 : this->environment.selector.CrashCount(this->digest);
   this->exclusive = crashes > 0;
   if (crashes >= kCrashesBeforeQuarantine) {
     this->Fail(QuarantinedProblem(this->attempts > 0 ? Execution::kMayHaveRun
@@ -346,7 +357,9 @@
     return;
   }
   this->EndAttempt(AttemptOutcome::kComplete);
-  this->environment.selector.OnFinished(this->digest);
+  if (!this->IsOwed()) {
+    this->environment.selector.OnFinished(this->digest);
+  }
   this->finished = true;
   this->handlers.on_done(this->output);
 }
@@ -364,8 +377,7 @@
 
 void Generation::FailAttempt(const AttemptFailure& failure) {
   if (failure.backend_crashed) {
-    this->environment.selector.OnCrash(this->target.instance, this->digest,
-                                       this->exclusive);
+    this->OnCrash();
   }
   this->EndAttempt(OutcomeOf(failure));
   if (this->excluded.size() >= kMaxExcluded) {
@@ -375,10 +387,20 @@
   if (this->handlers.on_retry) {
     this->handlers.on_retry(this->target, failure.problem);
   }
-  this->RetryOrFail(failure.problem);
+  this->RetryOrFail(failure.problem, failure.backend_crashed
+                                         ? OwedWorkDelay(this->request.crashes)
+                                         : Milliseconds(0));
+}
+
+void Generation::OnCrash() {
+  if (this->IsOwed()) {
+    ++this->request.crashes;
+  }
+  this->environment.selector.OnCrash(this->target.instance, this->digest,
+                                     this->exclusive);
 }
 
-void Generation::RetryOrFail(const Problem& problem) {
+void Generation::RetryOrFail(const Problem& problem, Milliseconds least_delay) {
   ++this->failures_in_row;
   const WallMilliseconds now = this->environment.clock.WallNow();
   RetryContext context;
@@ -398,8 +420,7 @@
     this->Fail(problem);
     return;
   }
-  this->retry_timer = this->environment.loop.CallAfter(
-      *delay, [this] { this->BeginAttempt(); });
+  this->BeginAttemptAfter(std::max(*delay, least_delay));
 }
 
 void Generation::Fail(const Problem& problem) {
--- a/Services/Entry/generation.h
+++ b/Services/Entry/generation.h
@@ -23,8 +23,10 @@
   std::string model;
   RouteClass service_class = RouteClass::kLive;
   std::string request_id;
-  // Empty for live calls.
+  // Empty for live calls. A sample is owed; see LibRouting/owed_work.h.
   std::string sample_id;
+  // Crashes of servers that ran the sample before.
+  std::size_t crashes = 0;
   // Id of the first attempt; empty for a random one. Later attempts get random
   // ids.
   std::string attempt_id;
@@ -97,6 +99,8 @@
 
   const GenerationOutput& Output() const { return this->output; }
   const GenerationRequest& Request() const { return this->request; }
+  // Crashes of servers that ran the sample, earlier ones included.
+  std::size_t Crashes() const { return this->request.crashes; }
 
  private:
   void BeginAttempt();
@@ -110,12 +114,18 @@
   void OnResponseEnd();
   void EndAttempt(AttemptOutcome outcome);
   void FailAttempt(const AttemptFailure& failure);
-  void RetryOrFail(const Problem& problem);
+  bool IsOwed() const { return !this->request.sample_id.empty(); }
+  void OnCrash();
+  void BeginAttemptAfter(Milliseconds delay);
+  // `least_delay`: of the next attempt.
+  void RetryOrFail(const Problem& problem,
+                   Milliseconds least_delay = Milliseconds(0));
   void Fail(const Problem& problem);
 
   GenerationEnvironment& environment;
   GenerationRequest request;
   GenerationHandlers handlers;
+  // Empty for a sample, under which no crash is held against a request.
   std::string digest;
   GenerationOutput output;
 
--- a/Services/Entry/routed_pools.cc
+++ b/Services/Entry/routed_pools.cc
@@ -259,7 +259,9 @@
     crash.incarnation = known->second.incarnation;
   }
   const auto quarantined =
-      this->quarantine.OnCrash({crash.instance, {crash.digest}, exclusive});
+      digest.empty() ? std::nullopt
+                     : this->quarantine.OnCrash(
+                           {crash.instance, {crash.digest}, exclusive});
   if (quarantined) {
     Event event;
     event.kind = EventKind::kQuarantine;
--- a/Services/Entry/routed_pools.h
+++ b/Services/Entry/routed_pools.h
@@ -33,7 +33,7 @@
 struct ServerCrash {
   std::string instance;
   std::uint64_t incarnation = 0;
-  // Digest of the request that it ran for this entry.
+  // Digest of the request that it ran for this entry; empty for a sample.
   std::string digest;
   // No other request ran there.
   bool exclusive = false;
--- a/Services/Entry/server_selector.h
+++ b/Services/Entry/server_selector.h
@@ -59,8 +59,8 @@
   // Weight version `version` has just generated a token at `instance`.
   virtual void OnVersion(std::string_view instance, std::uint64_t version) = 0;
 
-  // `instance` crashed while it ran `digest`. `exclusive`: no other request ran
-  // there.
+  // `instance` crashed while it ran `digest`, or a sample if that is empty.
+  // `exclusive`: no other request ran there.
   virtual void OnCrash(std::string_view instance,
                        std::string_view digest,
                        bool exclusive) = 0;
--- a/Services/Entry/step_runner.cc
+++ b/Services/Entry/step_runner.cc
@@ -98,6 +98,7 @@
         commit ? this->plan.OnFinished(sample_id, commit->tokens)
                : this->plan.OnFailed(sample_id);
     this->partial_outputs.erase(sample_id);
+    this->crashes.erase(sample_id);
     for (const std::string& attempt : attempts) {
       if (this->running.contains(attempt)) {
         this->RecordEvent(EventKind::kCancel, sample_id, attempt, "",
@@ -191,6 +192,10 @@
   request.service_class = this->policy.service_class;
   request.request_id = this->accept.request_id;
   request.sample_id = dispatch.sample_id;
+  if (const auto known = this->crashes.find(dispatch.sample_id);
+      known != this->crashes.end()) {
+    request.crashes = known->second;
+  }
   request.attempt_id = dispatch.attempt;
   request.prompt = group.prompt;
   request.max_tokens = group.max_tokens;
@@ -287,6 +292,7 @@
   }
   const std::string sample_id = found->second.sample_id;
   const GenerationOutput partial = found->second.generation->Output();
+  this->crashes[sample_id] = found->second.generation->Crashes();
   this->RecordEvent(EventKind::kRetry, sample_id, attempt, "", problem.code,
                     static_cast<std::int64_t>(partial.tokens));
   if (IsFinal(problem)) {
--- a/Services/Entry/step_runner.h
+++ b/Services/Entry/step_runner.h
@@ -104,6 +104,8 @@
   std::map<std::string, Running> running;
   // The longest partial output of each sample whose attempt failed.
   std::map<std::string, GenerationOutput> partial_outputs;
+  // Crashes of servers that ran the sample, by sample.
+  std::map<std::string, std::size_t> crashes;
   // Results that did not fit in the writer's buffer; written before new samples
   // start.
   std::vector<RolloutEntry> unwritten;
