Sidecar: Send evidence of crashes to entries while the log is away

Evidence that the log has not taken within 100 ms now goes to all entries directly (ControlParts.EvidenceOfACrashWaitsForTheLog). Also, entries told each other that a digest was cleared by a method that no entry had registered.

--- a/Services/Entry/peer_methods.cc
+++ b/Services/Entry/peer_methods.cc
@@ -23,6 +23,11 @@
         crash_handlers.on_crash(ServerCrashFromJson(parameters));
         return RpcOutcome(Json::Value(Json::objectValue));
       });
+  this->dispatcher.Register(
+      "report_cleared", [crash_handlers](const Json::Value& parameters) {
+        crash_handlers.on_cleared(JsonString(parameters, "digest"));
+        return RpcOutcome(Json::Value(Json::objectValue));
+      });
   this->dispatcher.RegisterDeferred(
       "configuration",
       [this](const Json::Value& parameters, RpcResponseCallback reply) {
--- a/Services/Sidecar/crash_reporter.cc
+++ b/Services/Sidecar/crash_reporter.cc
@@ -14,24 +14,41 @@
 
 constexpr std::size_t kMaxWaiting = 1'024;
 constexpr Milliseconds kRetryDelay{1'000};
+// An append takes milliseconds; callers repeat a crashing request within a
+// second.
+constexpr Milliseconds kNotifyDelay{100};
 
 }  // namespace
 
 CrashReporter::CrashReporter(ControlTimers& timers,
                              LogClient& log,
                              std::string instance,
-                             std::uint64_t incarnation)
+                             std::uint64_t incarnation,
+                             Notifier notify_entries)
     : timers(timers),
       log(log),
       instance(std::move(instance)),
-      incarnation(incarnation) {}
+      incarnation(incarnation),
+      notify_entries(std::move(notify_entries)) {}
 
 void CrashReporter::Report(CrashEvidence evidence) {
   this->waiting.push_back(std::move(evidence));
   if (this->waiting.size() > kMaxWaiting && !this->busy) {
     this->waiting.pop_front();
   }
+  this->unsent = std::min(this->unsent + 1, this->waiting.size());
   this->Append();
+  if (!this->notify_timer && this->unsent > 0) {
+    this->notify_timer =
+        this->timers.CallAfter(kNotifyDelay, [this] { this->NotifyEntries(); });
+  }
+}
+
+void CrashReporter::NotifyEntries() {
+  this->notify_timer.reset();
+  for (; this->unsent > 0; --this->unsent) {
+    this->notify_entries(this->waiting[this->waiting.size() - this->unsent]);
+  }
 }
 
 void CrashReporter::Append() {
@@ -71,6 +88,7 @@
   }
   const auto end = this->waiting.begin() + static_cast<std::ptrdiff_t>(count);
   this->waiting.erase(this->waiting.begin(), end);
+  this->unsent = std::min(this->unsent, this->waiting.size());
   this->Append();
 }
 
--- a/Services/Sidecar/sidecar_control_plane.cc
+++ b/Services/Sidecar/sidecar_control_plane.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Milliseconds kNotifyTimeout{400};
+
 LeaseOptions LeaseOptionsOf(const SidecarSettings& settings,
                             const Clock& clock) {
   LeaseOptions options;
@@ -42,7 +44,10 @@
   if (environment.log != nullptr) {
     this->crashes = std::make_unique<CrashReporter>(
         environment.timers, *environment.log, instance,
-        static_cast<std::uint64_t>(environment.clock.WallNow()));
+        static_cast<std::uint64_t>(environment.clock.WallNow()),
+        [this](const CrashEvidence& evidence) {
+          this->NotifyEntries(evidence);
+        });
   }
   if (environment.engine == nullptr) {
     return;
@@ -92,6 +97,22 @@
   }
 }
 
+void SidecarControlPlane::NotifyEntries(const CrashEvidence& evidence) {
+  for (const EntryAddress& entry : this->list_view.entries) {
+    for (const std::string& digest : evidence.digests) {
+      Json::Value parameters;
+      parameters["instance"] = this->settings.place.instance;
+      parameters["digest"] = digest;
+      parameters["alone"] =
+          evidence.lists_all_work && evidence.digests.size() == 1;
+      // An entry that misses it reads the evidence from the log later.
+      this->environment.peers.Call(entry.address, "report_crash",
+                                   std::move(parameters), kNotifyTimeout,
+                                   [](const Outcome<Json::Value>&) {});
+    }
+  }
+}
+
 void SidecarControlPlane::OnInstanceList(const InstanceListView& next) {
   if (next.leaving != this->list_view.leaving) {
     Event event;
--- a/Services/Sidecar/sidecar_control_plane.h
+++ b/Services/Sidecar/sidecar_control_plane.h
@@ -48,6 +48,7 @@
   void ReportCrash(const CrashEvidence& evidence);
 
  private:
+  void NotifyEntries(const CrashEvidence& evidence);
   void OnInstanceList(const InstanceListView& list_view);
   void OnConfiguration();
   void OnEngineReport();
--- a/Tests/Sidecar/control_parts_test.cc
+++ b/Tests/Sidecar/control_parts_test.cc
@@ -4,10 +4,12 @@
 
 #include "LibContract/contract.h"
 #include "Sidecar/configuration_poll.h"
+#include "Sidecar/crash_reporter.h"
 #include "Sidecar/engine_upgrader.h"
 #include "Sidecar/instance_watch.h"
 #include "Support/fake_engine_control.h"
 #include "Support/fake_instance_list.h"
+#include "Support/fake_log.h"
 #include "Support/manual_clock.h"
 #include "fakes.h"
 
@@ -122,6 +124,32 @@
   LONGS_EQUAL(1, parameters["after_offset"].asInt64());
 }
 
+TEST(ControlParts, EvidenceOfACrashWaitsForTheLog) {
+  ManualClock clock;
+  FakeTimers timers;
+  FakeLog log(clock);
+  std::vector<std::string> sent;
+  CrashReporter reporter(timers, log, "server-1", 1,
+                         [&sent](const CrashEvidence& evidence) {
+                           sent.push_back(evidence.digests.front());
+                         });
+  log.faults.append_outage = true;
+  reporter.Report({{"a"}, true});
+  reporter.Report({{"b"}, true});
+  timers.RunAll();
+  LONGS_EQUAL(2, sent.size());
+  STRCMP_EQUAL("a", sent[0].c_str());
+  timers.RunAll();
+  LONGS_EQUAL(2, sent.size());
+  log.faults.append_outage = false;
+  timers.RunAll();
+  LONGS_EQUAL(0, reporter.Waiting());
+  // The log is enough while it responds.
+  reporter.Report({{"c"}, true});
+  timers.RunAll();
+  LONGS_EQUAL(2, sent.size());
+}
+
 TEST(ControlParts, TheInstanceListStatesEntriesPoolAndLeaving) {
   FakeTimers timers;
   FakeInstanceList list;
