Gateway: Place samples of a split route past a service without servers

A job whose route is split between services stopped placing at its first sample that found no server, so that samples of the other service were never placed while that one had no free capacity, or no servers (JobRunner.SamplesWaitForAServiceThatTheyDontUse: no result before, all of that service now). Placing ends when all of the route's services are full.

--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -143,6 +143,10 @@
   void DispatchSamples();
   std::vector<ActiveJob*> JobsInOrder() const;
   void StartSamples(ActiveJob& job, const JobState& state);
+  // Number of services that run the job's samples.
+  std::size_t ServicesOf(const JobState& state) const;
+  const std::string& ServiceOfSample(const JobState& state,
+                                     std::size_t index) const;
   // False if no server has free capacity.
   bool StartSample(ActiveJob& job, const JobState& state, std::size_t index);
   const FleetServer* ChooseEngine(ActiveJob& job,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <utility>
 
 #include "request_quarantine.h"
@@ -50,6 +51,8 @@
 void JobRunner::StartSamples(ActiveJob& job, const JobState& state) {
   const MonotonicTime now = this->environment.clock.Now();
   bool all_previous_finished = true;
+  // Services without free capacity.
+  std::set<std::string, std::less<>> full;
   for (std::size_t position = job.first_unfinished;
        position < job.start_order.size(); ++position) {
     const std::size_t index = job.start_order[position];
@@ -62,12 +65,32 @@
     if (progress.stage != Stage::kWaiting || progress.not_before > now) {
       continue;
     }
+    if (!full.empty() && full.contains(this->ServiceOfSample(state, index))) {
+      continue;
+    }
     if (!this->StartSample(job, state, index)) {
-      return;
+      full.insert(this->ServiceOfSample(state, index));
+      if (full.size() >= this->ServicesOf(state)) {
+        return;
+      }
     }
   }
 }
 
+std::size_t JobRunner::ServicesOf(const JobState& state) const {
+  const HostRoute* const route = this->RouteOf(state);
+  return route == nullptr ? 1 : route->services.size();
+}
+
+const std::string& JobRunner::ServiceOfSample(const JobState& state,
+                                              std::size_t index) const {
+  static const std::string kNone;
+  const JobSample& sample = state.job.samples[index];
+  const HostRoute* const route =
+      this->environment.configuration->routes.Find(state.job.host, sample.path);
+  return route == nullptr ? kNone : ServiceOf(*route, sample);
+}
+
 // Servers of the service whose weight version the job allows.
 std::vector<const FleetServer*> JobRunner::UsableEngines(
     const JobState& state,
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -422,4 +422,29 @@
   STRCMP_EQUAL("e1\ne2", this->State()->results[0].output.c_str());
 }
 
+TEST(JobRunner, SamplesWaitForAServiceThatTheyDontUse) {
+  auto traffic =
+      std::make_shared<TrafficConfiguration>(*this->fixture.configuration);
+  HostRoute jobs = *traffic->routes.Find("trainer.example", "/train/");
+  jobs.services = {{"llm", 1}, {"llm without servers", 1}};
+  traffic->routes = HostRoutes({jobs});
+  this->fixture.configuration = traffic;
+  this->fixture.AddServer("s1", "llm", 3);
+  this->fixture.client.answer = [](const HttpClientRequest& request) {
+    return Stream(request);
+  };
+  constexpr std::size_t kSamples = 16;
+  BatchJob job = this->JobOf(kSamples);
+  std::size_t served = 0;
+  for (std::size_t index = 0; index < kSamples; ++index) {
+    job.samples[index].group = "g" + std::to_string(index);
+    served += ChooseService(jobs, FastHash(job.samples[index].group)) == "llm";
+  }
+  this->PutJob(job);
+  CHECK_TRUE(served > 0 && served < kSamples);
+  CHECK_TRUE(this->fixture.runner.RunUntil([this, served] {
+    return this->State() != nullptr && this->State()->results.size() == served;
+  }));
+}
+
 }  // namespace carobbank
