Gateway: Separate trial claims and the attribution of crashes

The claims of trials are in TrialClaims, and crashes under plain requests and owed work, with what the one explains of the other, in LibRouting's RequestCrashes. No behaviour changes but one: the line of a claim no longer has the count of crashes.

--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -10,6 +10,7 @@
 #include "LibRouting/idle_lower_bound.h"
 #include "LibRouting/owed_work.h"
 #include "LibRouting/quarantine_trials.h"
+#include "LibRouting/request_crashes.h"
 #include "LibRouting/retry_policy.h"
 #include "LibRouting/router.h"
 #include "LibRouting/server_crash_detector.h"
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -191,17 +191,17 @@
     return;
   }
   this->claiming_trial = true;
-  RequestQuarantine& quarantine = this->environment.quarantine;
-  quarantine.ClaimTrial(this->request.digest,
-                        [weak = this->weak_from_this(), &quarantine,
-                         digest = this->request.digest](std::int64_t number) {
-                          const auto self = weak.lock();
-                          if (self && self->responder) {
-                            self->OnTrialClaimed(number);
-                          } else if (number > 0) {
-                            quarantine.CancelTrial(digest, number);
-                          }
-                        });
+  TrialClaims& trials = this->environment.quarantine.Trials();
+  trials.Claim(this->request.digest,
+               [weak = this->weak_from_this(), &trials,
+                digest = this->request.digest](std::int64_t number) {
+                 const auto self = weak.lock();
+                 if (self && self->responder) {
+                   self->OnTrialClaimed(number);
+                 } else if (number > 0) {
+                   trials.Cancel(digest, number);
+                 }
+               });
 }
 
 void ForwardedCall::OnTrialClaimed(std::int64_t number) {
@@ -215,7 +215,7 @@
     return;
   }
   if (number > 0) {
-    quarantine.CancelTrial(this->request.digest, number);
+    quarantine.Trials().Cancel(this->request.digest, number);
   }
   this->RefuseQuarantined(
       std::max(quarantine.RefusedFor(this->request.digest), kTrialRetryAfter));
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -54,12 +54,14 @@
                                      TopicPartition partition,
                                      std::vector<std::string> peers)
     : environment(environment),
-      quarantine(kOptions),
-      owed(kOwedOptions),
+      crashes(kOptions, kOwedOptions),
       log(environment,
           std::move(partition),
           std::move(peers),
-          this->LogHandlers()) {}
+          this->LogHandlers()),
+      trials(environment, this->log, [this](std::string_view digest) {
+        return this->NeedsTrial(digest);
+      }) {}
 
 RequestQuarantine::~RequestQuarantine() {
   *this->alive = false;
@@ -89,7 +91,7 @@
     this->trials.Put(trial);
   };
   handlers.on_trial_removed = [this](const QuarantineTrial& trial) {
-    this->trials.Remove(trial.digest, trial.number);
+    this->trials.OnRemoved(trial);
   };
   handlers.on_sample_failure = [this](const SampleFailure& failure) {
     this->failures.Add(failure);
@@ -98,9 +100,8 @@
     this->failures.Remove(failure);
   };
   handlers.on_reset = [this] {
-    this->quarantine = CrashQuarantine(kOptions);
-    this->owed = CrashQuarantine(kOwedOptions);
-    this->trials = QuarantineTrials();
+    this->crashes = RequestCrashes(kOptions, kOwedOptions);
+    this->trials.Reset();
     this->failures = SampleFailures();
   };
   return handlers;
@@ -126,7 +127,12 @@
     }
   }
   if (attempt.trial > 0) {
-    this->EndTrial(attempt, end);
+    const bool sent = end.may_have_run || end.status != 0;
+    if (sent) {
+      this->trials.End(attempt.digest, attempt.trial, end.completed);
+    } else {
+      this->trials.Cancel(attempt.digest, attempt.trial);
+    }
   }
   if (end.completed) {
     if (attempt.owed) {
@@ -164,19 +170,19 @@
 
 void RequestQuarantine::OnServerCrashed(
     const std::string& service,
-    const std::vector<CrashReport>& crashes) {
-  if (crashes.empty()) {
+    const std::vector<CrashReport>& reports) {
+  if (reports.empty()) {
     return;
   }
   this->environment.metrics
       .GetCounter(metrics::kServerCrashes, {{"service", service}})
       .Add();
-  const CrashReport& first = crashes.front();
+  const CrashReport& first = reports.front();
   WriteLog(LogLevel::kWarning, "backend server crashed with requests",
            {{"server", first.instance},
             {"server_started_at", std::to_string(first.started_at)},
-            {"requests", std::to_string(crashes.size())}});
-  this->CountCrashes(crashes);
+            {"requests", std::to_string(reports.size())}});
+  this->CountCrashes(reports);
 }
 
 void RequestQuarantine::Probe(const ServerAttempt& attempt) {
@@ -237,84 +243,47 @@
 void RequestQuarantine::Apply(CrashReport report) {
   // The reporter's clock may be ahead; waits must not be longer for it.
   report.at = std::min(report.at, this->environment.clock.WallNow());
-  if (report.owed) {
-    this->ApplyOwed(report);
-    return;
-  }
-  if (this->IsExplained(report)) {
-    return;
+  const std::size_t before = this->CrashesOf(report.digests.front());
+  this->crashes.OnCrash(report);
+  if (this->CrashesOf(report.digests.front()) > before) {
+    this->LogQuarantined(report);
   }
+  this->UpdateGauge();
+}
+
+void RequestQuarantine::LogQuarantined(const CrashReport& report) const {
   const std::string& digest = report.digests.front();
-  const std::size_t before = this->CrashesOf(digest);
-  this->quarantine.OnCrash(report);
-  const std::size_t crashes = this->CrashesOf(digest);
   const Milliseconds refused = this->RefusedFor(digest);
-  if (crashes > before && refused.count() > 0) {
+  if (refused.count() > 0) {
     WriteLog(LogLevel::kWarning, "request quarantined: it crashed servers",
              {{"digest", digest},
-              {"crashes", std::to_string(crashes)},
+              {"crashes", std::to_string(this->CrashesOf(digest))},
               {"last_server", report.instance},
               {"refused_ms", std::to_string(refused.count())}});
   }
-  this->UpdateGauge();
-}
-
-void RequestQuarantine::ApplyOwed(const CrashReport& report) {
-  this->owed.OnCrash(report);
-  for (const std::string& digest : this->quarantine.Tracked()) {
-    for (const ServerCrashRecord& crash : this->quarantine.CrashesOf(digest)) {
-      CrashReport counted;
-      counted.instance = crash.instance;
-      counted.digests = {digest};
-      counted.started_at = crash.started_at;
-      counted.at = crash.at;
-      if (crash.instance == report.instance &&
-          crash.started_at == report.started_at && this->IsExplained(counted)) {
-        this->quarantine.Retract(digest, report.instance, report.started_at);
-        break;
-      }
-    }
-  }
-  this->UpdateGauge();
-}
-
-bool RequestQuarantine::IsExplained(const CrashReport& report) const {
-  std::size_t own_crashes = 0;
-  for (const ServerCrashRecord& crash :
-       this->quarantine.CrashesOf(report.digests.front())) {
-    own_crashes += crash.instance != report.instance ||
-                           crash.started_at != report.started_at
-                       ? 1
-                       : 0;
-  }
-  const std::vector<std::string> owed_work = this->owed.Tracked();
-  return std::any_of(
-      owed_work.begin(), owed_work.end(), [&](const std::string& digest) {
-        return ExplainsCrash(this->owed.CrashesOf(digest), report, own_crashes);
-      });
 }
 
 void RequestQuarantine::Retract(std::string_view digest,
                                 std::string_view instance,
-                                WallMilliseconds started_at) {
-  this->quarantine.Retract(digest, instance, started_at);
-  this->owed.Retract(digest, instance, started_at);
+                                WallMilliseconds started) {
+  this->crashes.Retract(digest, instance, started);
   this->UpdateGauge();
 }
 
 // Owed work never crashes servers, so its complete run ends the matter.
 void RequestQuarantine::OnOwedFinished(const std::string& digest) {
-  for (const ServerCrashRecord& crash : this->owed.CrashesOf(digest)) {
+  for (const ServerCrashRecord& crash :
+       this->crashes.Owed().CrashesOf(digest)) {
     this->log.Retract(digest, crash);
   }
-  this->owed.Forget(digest);
+  this->crashes.Owed().Forget(digest);
 }
 
 void RequestQuarantine::OnFinished(const std::string& digest) {
   const std::span<const ServerCrashRecord> counted =
-      this->quarantine.CrashesOf(digest);
-  const std::vector<ServerCrashRecord> crashes(counted.begin(), counted.end());
-  const FinishEffect effect = this->quarantine.OnFinished(digest);
+      this->crashes.Plain().CrashesOf(digest);
+  const std::vector<ServerCrashRecord> before(counted.begin(), counted.end());
+  const FinishEffect effect = this->crashes.Plain().OnFinished(digest);
   if (effect == FinishEffect::kNone) {
     return;
   }
@@ -324,23 +293,16 @@
                ? "crashes of a request no longer count: servers ran it to "
                  "its end often enough"
                : "request no longer suspect: a server ran it to its end",
-           {{"digest", digest}, {"crashes", std::to_string(crashes.size())}});
+           {{"digest", digest}, {"crashes", std::to_string(before.size())}});
   if (forgotten) {
-    for (const ServerCrashRecord& crash : crashes) {
+    for (const ServerCrashRecord& crash : before) {
       this->log.Retract(digest, crash);
     }
-    this->RemoveTrials(digest);
+    this->trials.RemoveAll(digest);
   }
   this->UpdateGauge();
 }
 
-void RequestQuarantine::RemoveTrials(const std::string& digest) {
-  for (const QuarantineTrial& trial : this->trials.Of(digest)) {
-    this->log.Remove(trial);
-  }
-  this->trials.RemoveAll(digest);
-}
-
 void RequestQuarantine::OnServerRegistered(const FleetServer& server) {
   const MonotonicTime now = this->environment.clock.Now();
   const RegistrationVerdict verdict = this->detector.OnRegistered(
@@ -362,119 +324,34 @@
 }
 
 WallMilliseconds RequestQuarantine::LastCrashOf(std::string_view digest) const {
-  const std::span<const ServerCrashRecord> crashes =
-      this->quarantine.CrashesOf(digest);
-  return crashes.empty() ? 0 : crashes.back().at;
+  const std::span<const ServerCrashRecord> counted =
+      this->crashes.Plain().CrashesOf(digest);
+  return counted.empty() ? 0 : counted.back().at;
 }
 
 bool RequestQuarantine::IsQuarantined(std::string_view digest) const {
-  return this->quarantine.StatusOf(digest) == DigestStatus::kQuarantined &&
-         !this->trials.Released(digest, this->LastCrashOf(digest));
+  return this->crashes.Plain().StatusOf(digest) == DigestStatus::kQuarantined &&
+         !this->trials.Trials().Released(digest, this->LastCrashOf(digest));
 }
 
 Milliseconds RequestQuarantine::RefusedFor(std::string_view digest) const {
   if (!this->IsQuarantined(digest)) {
     return Milliseconds(0);
   }
-  return this->trials.RefusedFor(digest, this->LastCrashOf(digest),
-                                 this->environment.clock.WallNow());
+  return this->trials.Trials().RefusedFor(digest, this->LastCrashOf(digest),
+                                          this->environment.clock.WallNow());
 }
 
 bool RequestQuarantine::NeedsTrial(std::string_view digest) const {
   return this->IsQuarantined(digest) && this->RefusedFor(digest).count() == 0;
 }
 
-void RequestQuarantine::ClaimTrial(const std::string& digest,
-                                   TrialCallback done) {
-  const auto [claim, added] = this->claims.try_emplace(digest);
-  if (!added) {
-    this->environment.loop.Post([done = std::move(done)] { done(0); });
-    return;
-  }
-  claim->second.done = std::move(done);
-  this->TryClaim(digest);
-}
-
-void RequestQuarantine::TryClaim(const std::string& digest) {
-  ++this->claims.at(digest).attempts;
-  QuarantineTrial trial;
-  trial.digest = digest;
-  trial.number = this->trials.NextNumber(digest);
-  trial.instance = this->environment.settings.instance;
-  trial.at = this->environment.clock.WallNow();
-  this->log.Claim(trial, [this, trial](AppendStatus status) {
-    this->OnClaimed(trial, status);
-  });
-}
-
-void RequestQuarantine::OnClaimed(const QuarantineTrial& trial,
-                                  AppendStatus status) {
-  PendingClaim& claim = this->claims.at(trial.digest);
-  if (status == AppendStatus::kConflict && claim.attempts < kMaxClaims) {
-    claim.retry = this->environment.loop.CallAfter(
-        kClaimRetryDelay, [this, digest = trial.digest] {
-          if (this->NeedsTrial(digest)) {
-            this->TryClaim(digest);
-          } else {
-            this->EndClaim(digest, 0);
-          }
-        });
-    return;
-  }
-  const bool claimed = status == AppendStatus::kAppended;
-  if (claimed) {
-    this->trials.Put(trial);
-    WriteLog(LogLevel::kInfo, "trial of a quarantined request claimed",
-             {{"digest", trial.digest},
-              {"trial", std::to_string(trial.number)},
-              {"crashes", std::to_string(this->CrashesOf(trial.digest))}});
-  } else {
-    WriteLog(LogLevel::kInfo,
-             "trial of a quarantined request not claimed: the log did not "
-             "accept it; the request stays refused",
-             {{"digest", trial.digest}});
-  }
-  this->EndClaim(trial.digest, claimed ? trial.number : 0);
-}
-
-void RequestQuarantine::EndClaim(const std::string& digest,
-                                 std::int64_t number) {
-  auto claim = this->claims.extract(digest);
-  claim.mapped().done(number);
-}
-
-void RequestQuarantine::CancelTrial(const std::string& digest,
-                                    std::int64_t number) {
-  QuarantineTrial trial;
-  trial.digest = digest;
-  trial.number = number;
-  this->trials.Remove(digest, number);
-  this->log.Remove(trial);
-}
-
-void RequestQuarantine::EndTrial(const ServerAttempt& attempt,
-                                 const AttemptEnd& end) {
-  const bool sent = end.may_have_run || end.status != 0;
-  if (!sent) {
-    this->CancelTrial(attempt.digest, attempt.trial);
-    return;
-  }
-  for (QuarantineTrial& trial : this->trials.Of(attempt.digest)) {
-    if (trial.number == attempt.trial) {
-      trial.outcome =
-          end.completed ? TrialOutcome::kCompleted : TrialOutcome::kFailed;
-      this->trials.Put(trial);
-      this->log.Record(trial);
-    }
-  }
-}
-
 bool RequestQuarantine::IsSuspect(std::string_view digest) const {
-  return this->quarantine.StatusOf(digest) != DigestStatus::kClear;
+  return this->crashes.Plain().StatusOf(digest) != DigestStatus::kClear;
 }
 
 std::size_t RequestQuarantine::CrashesOf(std::string_view digest) const {
-  return this->quarantine.CrashesOf(digest).size();
+  return this->crashes.Plain().CrashesOf(digest).size();
 }
 
 bool RequestQuarantine::MustWait(std::string_view digest) const {
@@ -485,11 +362,11 @@
 }
 
 std::size_t RequestQuarantine::OwedCrashesOf(std::string_view digest) const {
-  return this->owed.CrashesOf(digest).size();
+  return this->crashes.Owed().CrashesOf(digest).size();
 }
 
 Milliseconds RequestQuarantine::OwedDelay(std::string_view digest) const {
-  return OwedWorkDelay(this->owed.CrashesOf(digest),
+  return OwedWorkDelay(this->crashes.Owed().CrashesOf(digest),
                        this->environment.clock.WallNow());
 }
 
@@ -501,10 +378,10 @@
 
 std::vector<std::string> RequestQuarantine::ServersWithSuspects(
     std::string_view digest,
-    std::size_t crashes) const {
+    std::size_t least_crashes) const {
   std::vector<std::string> servers;
   for (const auto& [other, running_on] : this->in_flight) {
-    if (other != digest && this->CrashesOf(other) >= crashes) {
+    if (other != digest && this->CrashesOf(other) >= least_crashes) {
       servers.insert(servers.end(), running_on.begin(), running_on.end());
     }
   }
@@ -529,7 +406,7 @@
   // A suspect follows no other request to a server.
   apart.preferred_id = "";
   const FleetServer* const server = choose(apart);
-  if (server != nullptr || this->quarantine.IsOnLastChance(digest)) {
+  if (server != nullptr || this->crashes.Plain().IsOnLastChance(digest)) {
     return server;
   }
   return choose(query);
@@ -555,8 +432,8 @@
 
 void RequestQuarantine::RemoveOldRecords() {
   const WallMilliseconds now = this->environment.clock.WallNow();
-  this->RemoveOldCrashes(this->quarantine, now - kCrashRetention.count());
-  this->RemoveOldCrashes(this->owed, now - kOwedRetention.count());
+  this->RemoveOldCrashes(this->crashes.Plain(), now - kCrashRetention.count());
+  this->RemoveOldCrashes(this->crashes.Owed(), now - kOwedRetention.count());
   const WallMilliseconds oldest = now - kOwedRetention.count();
   for (const SampleFailure& failure : this->failures.All()) {
     if (failure.at < oldest) {
@@ -566,10 +443,10 @@
   }
 }
 
-void RequestQuarantine::RemoveOldCrashes(CrashQuarantine& crashes,
+void RequestQuarantine::RemoveOldCrashes(CrashQuarantine& counted,
                                          WallMilliseconds oldest) {
-  for (const std::string& digest : crashes.Tracked()) {
-    const auto of_digest = crashes.CrashesOf(digest);
+  for (const std::string& digest : counted.Tracked()) {
+    const auto of_digest = counted.CrashesOf(digest);
     const bool old = std::all_of(
         of_digest.begin(), of_digest.end(),
         [oldest](const ServerCrashRecord& crash) { return crash.at < oldest; });
@@ -579,8 +456,8 @@
     for (const ServerCrashRecord& crash : of_digest) {
       this->log.Retract(digest, crash);
     }
-    this->RemoveTrials(digest);
-    crashes.Forget(digest);
+    this->trials.RemoveAll(digest);
+    counted.Forget(digest);
   }
 }
 
@@ -589,21 +466,10 @@
   for (const SampleFailure& failure : this->failures.All()) {
     records.push_back(RequestRecordLog::EncodeFailure(failure));
   }
-  for (const CrashQuarantine* const crashes :
-       {&this->quarantine, &this->owed}) {
-    for (const std::string& digest : crashes->Tracked()) {
-      for (const ServerCrashRecord& crash : crashes->CrashesOf(digest)) {
-        CrashReport report;
-        report.instance = crash.instance;
-        report.digests = {digest};
-        report.started_at = crash.started_at;
-        report.at = crash.at;
-        report.owed = crashes == &this->owed;
-        records.push_back(RequestRecordLog::EncodeCrash(report));
-      }
-    }
+  for (const CrashReport& report : this->crashes.All()) {
+    records.push_back(RequestRecordLog::EncodeCrash(report));
   }
-  for (const QuarantineTrial& trial : this->trials.All()) {
+  for (const QuarantineTrial& trial : this->trials.Trials().All()) {
     records.push_back(EncodeTrial(trial));
   }
   return records;
@@ -611,7 +477,7 @@
 
 void RequestQuarantine::UpdateGauge() {
   this->environment.metrics.GetGauge(metrics::kQuarantined)
-      .Set(static_cast<double>(this->quarantine.Quarantined().size()));
+      .Set(static_cast<double>(this->crashes.Plain().Quarantined().size()));
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,6 +17,7 @@
 
 #include "gateway_environment.h"
 #include "request_record_log.h"
+#include "trial_claims.h"
 
 namespace carobbank {
 
@@ -69,16 +69,10 @@
 
   // How long the request stays refused; zero when it may run, or be tried.
   Milliseconds RefusedFor(std::string_view digest) const;
-  // The request is quarantined and no longer refused: it may run once, after
-  // ClaimTrial().
+  // The request is quarantined and no longer refused: it may run once, with the
+  // number of a trial that Trials() has claimed.
   bool NeedsTrial(std::string_view digest) const;
-  // Claims the request's next trial for this gateway. `done` receives its
-  // number, which the attempt carries, or zero when another gateway was first
-  // or the log can't be reached. Called once from the event loop.
-  using TrialCallback = std::function<void(std::int64_t number)>;
-  void ClaimTrial(const std::string& digest, TrialCallback done);
-  // Nothing was sent for the claimed trial.
-  void CancelTrial(const std::string& digest, std::int64_t number);
+  TrialClaims& Trials() { return this->trials; }
   bool IsSuspect(std::string_view digest) const;
   // Number of crashes counted against the request.
   std::size_t CrashesOf(std::string_view digest) const;
@@ -121,53 +115,33 @@
                  const Outcome<HttpResponse>& outcome) const;
   // Counts the requests that broke off in one crash of a server.
   void OnServerCrashed(const std::string& service,
-                       const std::vector<CrashReport>& crashes);
+                       const std::vector<CrashReport>& reports);
   void CountCrashes(const std::vector<CrashReport>& reports);
   void OnFinished(const std::string& digest);
   bool IsQuarantined(std::string_view digest) const;
   WallMilliseconds LastCrashOf(std::string_view digest) const;
-  void TryClaim(const std::string& digest);
-  void OnClaimed(const QuarantineTrial& trial, AppendStatus status);
-  void EndClaim(const std::string& digest, std::int64_t number);
-  void EndTrial(const ServerAttempt& attempt, const AttemptEnd& end);
-  void RemoveTrials(const std::string& digest);
   void Apply(CrashReport report);
-  void ApplyOwed(const CrashReport& report);
-  // Crashes under owed work show that this one has another cause than the
-  // plain request of the report.
-  bool IsExplained(const CrashReport& report) const;
+  void LogQuarantined(const CrashReport& report) const;
   void OnOwedFinished(const std::string& digest);
   void Retract(std::string_view digest,
                std::string_view instance,
-               WallMilliseconds started_at);
-  // Deletes the crashes of the digests of `crashes` without a crash since
+               WallMilliseconds started);
+  // Deletes the crashes of the digests of `counted` without a crash since
   // `oldest`.
-  void RemoveOldCrashes(CrashQuarantine& crashes, WallMilliseconds oldest);
+  void RemoveOldCrashes(CrashQuarantine& counted, WallMilliseconds oldest);
   void UpdateGauge();
   // Servers on which this gateway runs another suspect of at least that many
   // crashes.
   std::vector<std::string> ServersWithSuspects(std::string_view digest,
-                                               std::size_t crashes) const;
-
-  // A claim of a trial that has not ended yet.
-  struct PendingClaim {
-    TrialCallback done;
-    int attempts = 0;
-    std::unique_ptr<Timer> retry;
-  };
+                                               std::size_t least_crashes) const;
 
   GatewayEnvironment& environment;
   ServerCrashDetector detector;
-  // Of plain requests.
-  CrashQuarantine quarantine;
-  // Of samples and reward calls; quarantines none.
-  CrashQuarantine owed;
-  QuarantineTrials trials;
+  RequestCrashes crashes;
   SampleFailures failures;
   RequestRecordLog log;
+  TrialClaims trials;
   MonotonicTime started_at = MonotonicTime::min();
-  // By digest.
-  std::map<std::string, PendingClaim, std::less<>> claims;
   // Servers of the attempts in flight, by digest.
   std::map<std::string, std::vector<std::string>, std::less<>> in_flight;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
