--- a/Tests/Gateway/fatal_request_test.cc
+++ b/Tests/GatewayFleet/fatal_request_test.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <deque>
 
-#include "gateway_fleet.h"
+#include "Gateway/gateway_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/Tests/Gateway/owed_item_test.cc
+++ b/Tests/GatewayFleet/owed_item_test.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <set>
 
-#include "gateway_fleet.h"
+#include "Gateway/gateway_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/Tests/Gateway/suspect_trial_test.cc
+++ b/Tests/GatewayFleet/suspect_trial_test.cc
@@ -3,7 +3,7 @@
 
 #include <deque>
 
-#include "gateway_fleet.h"
+#include "Gateway/gateway_fleet.h"
 
 #include <CppUTest/TestHarness.h>
 
