Gateway: Bound refusals by this gateway's clock

A trial whose claimant's clock is ahead kept its request refused for longer, as a crash did. A complete run of a quarantined request no longer logs that the request is not suspect.

--- a/Libraries/LibRouting/crash_quarantine.cc
+++ b/Libraries/LibRouting/crash_quarantine.cc
@@ -144,8 +144,9 @@
     this->Erase(digest);
     return FinishEffect::kForgotten;
   }
-  return suspect.complete_runs == 1 ? FinishEffect::kLifted
-                                    : FinishEffect::kNone;
+  return suspect.complete_runs == 1 && !this->IsQuarantined(suspect)
+             ? FinishEffect::kLifted
+             : FinishEffect::kNone;
 }
 
 void CrashQuarantine::Forget(std::string_view digest) {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -26,11 +26,6 @@
 
 // A slow log must not hold up calls for longer.
 constexpr Milliseconds kLongestSettling{500};
-// A claim that finds the log longer than expected is repeated after this
-// gateway has read the new records.
-constexpr Milliseconds kClaimRetryDelay{20};
-constexpr int kMaxClaims = 5;
-
 // A trainer submits the unfinished samples of a step again with one of its next
 // steps.
 constexpr Milliseconds kOwedRetention{600'000};
@@ -88,7 +83,7 @@
     this->Retract(digest, instance, started_at);
   };
   handlers.on_trial = [this](const QuarantineTrial& trial) {
-    this->trials.Put(trial);
+    this->trials.OnRecord(trial);
   };
   handlers.on_trial_removed = [this](const QuarantineTrial& trial) {
     this->trials.OnRemoved(trial);
--- a/Services/Gateway/trial_claims.cc
+++ b/Services/Gateway/trial_claims.cc
@@ -2,6 +2,7 @@
 
 #include "trial_claims.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -17,6 +18,12 @@
 
 }  // namespace
 
+void TrialClaims::OnRecord(QuarantineTrial trial) {
+  // The claimant's clock may be ahead; refusals must not be longer for it.
+  trial.at = std::min(trial.at, this->environment.clock.WallNow());
+  this->trials.Put(trial);
+}
+
 void TrialClaims::Claim(const std::string& digest, Callback done) {
   const auto [claim, added] = this->claims.try_emplace(digest);
   if (!added) {
--- a/Services/Gateway/trial_claims.h
+++ b/Services/Gateway/trial_claims.h
@@ -25,7 +25,7 @@
 
   const QuarantineTrials& Trials() const { return this->trials; }
   // A record of a trial was read.
-  void Put(const QuarantineTrial& trial) { this->trials.Put(trial); }
+  void OnRecord(QuarantineTrial trial);
   void OnRemoved(const QuarantineTrial& trial) {
     this->trials.Remove(trial.digest, trial.number);
   }
@@ -36,7 +36,7 @@
   // the claim; called once, from the event loop.
   using Callback = std::function<void(std::int64_t number)>;
   void Claim(const std::string& digest, Callback done);
-  // Nothing was sent for the claimed trial.
+  // Nothing was sent for the trial.
   void Cancel(const std::string& digest, std::int64_t number);
   void End(const std::string& digest, std::int64_t number, bool completed);
   // The digest's trials no longer count, for any gateway.
--- a/Tests/LibRouting/retry_and_quarantine_test.cc
+++ b/Tests/LibRouting/retry_and_quarantine_test.cc
@@ -155,7 +155,7 @@
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
   LONGS_EQUAL(1'000, shared.CrashesOf("x").back().at);
   // Only trials end the quarantine.
-  shared.OnFinished("x");
+  CHECK_TRUE(shared.OnFinished("x") == FinishEffect::kNone);
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kQuarantined);
   shared.Forget("x");
   CHECK_TRUE(shared.StatusOf("x") == DigestStatus::kClear);
