LibRouting: Count crashes beside an answered probe, and of unknown starts

Change: attempts that break off during a probe are probed again; an attempt that was sent after its server's crash was known belongs to a later start of it. The two tests in server_crash_detector_test.cc name the cases; both failed before by construction, as the detector had no such verdicts.

--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -7,37 +7,54 @@
 
 namespace carobbank {
 
+WallMilliseconds ServerCrashDetector::StartOf(const BrokenAttempt& attempt,
+                                              MonotonicTime now,
+                                              WallMilliseconds wall_now) const {
+  const auto known =
+      this->incidents.find(Key(attempt.server_id, attempt.server_start));
+  const bool restarted = known != this->incidents.end() &&
+                         known->second.state == State::kCrashed &&
+                         attempt.began > known->second.began;
+  if (!restarted) {
+    return attempt.server_start;
+  }
+  const auto age =
+      std::chrono::duration_cast<Milliseconds>(now - attempt.began);
+  return wall_now - age.count();
+}
+
 BrokenAttemptVerdict ServerCrashDetector::OnBroken(const BrokenAttempt& attempt,
                                                    MonotonicTime now,
                                                    WallMilliseconds wall_now) {
+  BrokenAttemptVerdict verdict;
+  verdict.server_start = this->StartOf(attempt, now, wall_now);
   CrashReport report;
   report.instance = attempt.server_id;
   report.digests = {attempt.digest};
-  report.started_at = attempt.server_start;
+  report.started_at = verdict.server_start;
   report.at = wall_now;
   report.owed = attempt.owed;
   const auto [entry, added] =
-      this->incidents.try_emplace(Key(attempt.server_id, attempt.server_start));
+      this->incidents.try_emplace(Key(attempt.server_id, verdict.server_start));
   Incident& incident = entry->second;
-  BrokenAttemptVerdict verdict;
   if (incident.state == State::kCrashed) {
     verdict.crashes.push_back(report);
   } else if (added || incident.state == State::kReachable) {
     incident.began = now;
     incident.state = State::kProbing;
     incident.entries = 0;
+    incident.probed = 1;
     verdict.must_probe = true;
   }
   incident.reports.push_back(std::move(report));
   return verdict;
 }
 
-std::vector<CrashReport> ServerCrashDetector::OnProbed(
-    std::string_view server_id,
-    WallMilliseconds server_start,
-    bool reachable,
-    MonotonicTime now,
-    WallMilliseconds wall_now) {
+ProbeVerdict ServerCrashDetector::OnProbed(std::string_view server_id,
+                                           WallMilliseconds server_start,
+                                           bool reachable,
+                                           MonotonicTime now,
+                                           WallMilliseconds wall_now) {
   const auto found =
       this->incidents.find(Key(std::string(server_id), server_start));
   if (found == this->incidents.end() ||
@@ -46,21 +63,27 @@
   }
   Incident& incident = found->second;
   incident.began = now;
-  incident.state = reachable ? State::kReachable : State::kCrashed;
-  if (reachable) {
-    std::vector<CrashReport>& undecided = incident.undecided;
-    undecided.insert(undecided.end(), incident.reports.begin(),
-                     incident.reports.end());
-    incident.reports.clear();
-    if (undecided.size() > kMaxUndecided) {
-      undecided.erase(undecided.begin(), undecided.end() - kMaxUndecided);
+  if (!reachable) {
+    incident.state = State::kCrashed;
+    for (CrashReport& report : incident.reports) {
+      report.at = wall_now;
     }
-    return {};
+    return {false, incident.reports};
+  }
+  const auto probed =
+      incident.reports.begin() + static_cast<std::ptrdiff_t>(incident.probed);
+  std::vector<CrashReport>& undecided = incident.undecided;
+  undecided.insert(undecided.end(), incident.reports.begin(), probed);
+  incident.reports.erase(incident.reports.begin(), probed);
+  if (undecided.size() > kMaxUndecided) {
+    undecided.erase(undecided.begin(), undecided.end() - kMaxUndecided);
   }
-  for (CrashReport& report : incident.reports) {
-    report.at = wall_now;
+  // The server may have crashed after it had responded.
+  incident.probed = incident.reports.size();
+  if (incident.reports.empty()) {
+    incident.state = State::kReachable;
   }
-  return incident.reports;
+  return {!incident.reports.empty(), {}};
 }
 
 std::vector<CrashReport> ServerCrashDetector::TakeCrashes(
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -22,6 +22,8 @@
   // Start of the server, as known when the attempt was sent.
   WallMilliseconds server_start = 0;
   std::string digest;
+  // When the attempt was sent.
+  MonotonicTime began{};
   // The request is owed; see owed_work.h.
   bool owed = false;
 };
@@ -29,10 +31,19 @@
 struct BrokenAttemptVerdict {
   // The caller has to connect to the server and call OnProbed().
   bool must_probe = false;
+  // Start of the server at which the attempt broke off, for OnProbed(): a later
+  // one than known if that had crashed before the attempt was sent.
+  WallMilliseconds server_start = 0;
   // The server is known to have crashed.
   std::vector<CrashReport> crashes;
 };
 
+struct ProbeVerdict {
+  // Attempts broke off during the probe; the caller has to probe again.
+  bool must_probe = false;
+  std::vector<CrashReport> crashes;
+};
+
 // What a new registry entry of a server shows.
 struct RegistrationVerdict {
   std::vector<CrashReport> crashes;
@@ -46,13 +57,12 @@
                                 MonotonicTime now,
                                 WallMilliseconds wall_now);
   // The result of a request to the server. `reachable`: this start of the
-  // server responded, or at least accepted a connection. Returns the crashes
-  // that follow.
-  std::vector<CrashReport> OnProbed(std::string_view server_id,
-                                    WallMilliseconds server_start,
-                                    bool reachable,
-                                    MonotonicTime now,
-                                    WallMilliseconds wall_now);
+  // server responded, or at least accepted a connection.
+  ProbeVerdict OnProbed(std::string_view server_id,
+                        WallMilliseconds server_start,
+                        bool reachable,
+                        MonotonicTime now,
+                        WallMilliseconds wall_now);
   RegistrationVerdict OnRegistered(std::string_view server_id,
                                    WallMilliseconds started_at,
                                    MonotonicTime now,
@@ -87,6 +97,8 @@
     State state = State::kProbing;
     // Of the attempts that broke off since the last probe that was answered.
     std::vector<CrashReport> reports;
+    // How many of `reports` broke off before the current probe.
+    std::size_t probed = 0;
     // Of earlier attempts: the server responded, maybe as its next start.
     std::vector<CrashReport> undecided;
     // Entries since the crash that may show that it did not happen.
@@ -94,6 +106,10 @@
   };
   using Key = std::pair<std::string, WallMilliseconds>;
 
+  // The start of the server at which the attempt broke off.
+  WallMilliseconds StartOf(const BrokenAttempt& attempt,
+                           MonotonicTime now,
+                           WallMilliseconds wall_now) const;
   // Removes the reports whose attempt broke off as the server started again at
   // `started_at`, and returns them.
   static std::vector<CrashReport> TakeCrashes(Incident& incident,
--- a/Services/Gateway/in_flight_attempt.cc
+++ b/Services/Gateway/in_flight_attempt.cc
@@ -37,10 +37,15 @@
                                  const FleetServer& server,
                                  const BackendRequest& request)
     : environment(environment),
-      attempt{server.id,         server.service,     server.address,
-              server.started_at, request.request_id, request.digest,
-              request.owed,      request.trial},
-      began(environment.clock.Now()),
+      attempt{server.id,
+              server.service,
+              server.address,
+              server.started_at,
+              environment.clock.Now(),
+              request.request_id,
+              request.digest,
+              request.owed,
+              request.trial},
       sent_at(environment.clock.WallNow()) {
   environment.loads.Begin(this->attempt.server_id);
   environment.quarantine.OnAttemptStarted(this->attempt);
@@ -48,7 +53,7 @@
 
 Milliseconds InFlightAttempt::Elapsed() const {
   return std::chrono::duration_cast<Milliseconds>(
-      this->environment.clock.Now() - this->began);
+      this->environment.clock.Now() - this->attempt.began);
 }
 
 void InFlightAttempt::OnHeaders(int status, const HttpHeaders& headers) {
--- a/Services/Gateway/in_flight_attempt.h
+++ b/Services/Gateway/in_flight_attempt.h
@@ -30,7 +30,7 @@
   WallMilliseconds ServerStart() const { return this->attempt.server_start; }
   const std::string& RequestId() const { return this->attempt.request_id; }
   const std::string& Digest() const { return this->attempt.digest; }
-  MonotonicTime Began() const { return this->began; }
+  MonotonicTime Began() const { return this->attempt.began; }
   Milliseconds Elapsed() const;
 
  private:
@@ -39,7 +39,6 @@
 
   GatewayEnvironment& environment;
   ServerAttempt attempt;
-  MonotonicTime began;
   WallMilliseconds sent_at;
   bool ended = false;
 };
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -141,11 +141,12 @@
     return;
   }
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
-      {attempt.server_id, attempt.server_start, attempt.digest, attempt.owed},
+      {attempt.server_id, attempt.server_start, attempt.digest, attempt.began,
+       attempt.owed},
       this->environment.clock.Now(), this->environment.clock.WallNow());
   this->CountCrashes(verdict.crashes);
   if (verdict.must_probe) {
-    this->Probe(attempt);
+    this->Probe(attempt, verdict.server_start);
   }
 }
 
@@ -180,7 +181,8 @@
   this->CountCrashes(reports);
 }
 
-void RequestQuarantine::Probe(const ServerAttempt& attempt) {
+void RequestQuarantine::Probe(const ServerAttempt& attempt,
+                              WallMilliseconds server_start) {
   std::string_view health_path = "/";
   if (this->environment.configuration) {
     const auto& services = this->environment.configuration->services;
@@ -195,7 +197,7 @@
   request.connect_timeout = kProbeTimeout;
   request.timeout = kProbeTimeout;
   this->environment.client.Fetch(
-      std::move(request), [this, kept = this->alive, attempt,
+      std::move(request), [this, kept = this->alive, attempt, server_start,
                            sent_at = this->environment.clock.WallNow()](
                               const Outcome<HttpResponse>& outcome) {
         if (!*kept) {
@@ -215,11 +217,13 @@
                {"server", attempt.server_id},
                {"server_started_at", std::to_string(attempt.server_start)}});
         }
-        this->OnServerCrashed(
-            attempt.service,
-            this->detector.OnProbed(attempt.server_id, attempt.server_start,
-                                    still_up, this->environment.clock.Now(),
-                                    this->environment.clock.WallNow()));
+        const ProbeVerdict verdict = this->detector.OnProbed(
+            attempt.server_id, server_start, still_up,
+            this->environment.clock.Now(), this->environment.clock.WallNow());
+        this->OnServerCrashed(attempt.service, verdict.crashes);
+        if (verdict.must_probe) {
+          this->Probe(attempt, server_start);
+        }
       });
 }
 
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -41,6 +41,7 @@
   std::string address;
   // Start of the server, as known when the attempt was sent.
   WallMilliseconds server_start = 0;
+  MonotonicTime began{};
   std::string request_id;
   std::string digest;
   // The request is a sample or a reward call.
@@ -110,7 +111,8 @@
 
  private:
   RequestRecordHandlers LogHandlers();
-  void Probe(const ServerAttempt& attempt);
+  // Connects to the server. `server_start`: as OnBroken() returned it.
+  void Probe(const ServerAttempt& attempt, WallMilliseconds server_start);
   bool IsStillUp(const ServerAttempt& attempt,
                  const Outcome<HttpResponse>& outcome) const;
   // Counts the requests that broke off in one crash of a server.
--- a/Tests/LibRouting/server_crash_detector_test.cc
+++ b/Tests/LibRouting/server_crash_detector_test.cc
@@ -13,15 +13,17 @@
   ServerCrashDetector detector;
   MonotonicTime now = MonotonicTime(std::chrono::hours(1));
   WallMilliseconds wall_now = 1'000'000;
+  // When the attempts that break off were sent.
+  MonotonicTime began = this->now - Milliseconds(50);
 
   BrokenAttemptVerdict Break(const char* digest, WallMilliseconds start = 7) {
-    return this->detector.OnBroken({"s", start, digest}, this->now,
+    return this->detector.OnBroken({"s", start, digest, this->began}, this->now,
                                    this->wall_now);
   }
   std::size_t Probe(bool reachable, WallMilliseconds start = 7) {
     return this->detector
         .OnProbed("s", start, reachable, this->now, this->wall_now)
-        .size();
+        .crashes.size();
   }
   RegistrationVerdict Register(WallMilliseconds start) {
     return this->detector.OnRegistered("s", start, this->now, this->wall_now);
@@ -37,7 +39,7 @@
   CHECK_FALSE(Break("b").must_probe);
   CHECK_TRUE(detector.AwaitsProbe("b"));
   CHECK_FALSE(detector.AwaitsProbe("c"));
-  const auto crashes = detector.OnProbed("s", 7, false, now, wall_now);
+  const auto crashes = detector.OnProbed("s", 7, false, now, wall_now).crashes;
   CHECK_FALSE(detector.AwaitsProbe("b"));
   LONGS_EQUAL(2, crashes.size());
   STRCMP_EQUAL("s", crashes[0].instance.c_str());
@@ -59,6 +61,33 @@
   LONGS_EQUAL(1, Probe(false));
 }
 
+TEST(ServerCrashDetector, ACrashIsMissedThatFollowsAnAnsweredProbe) {
+  CHECK_TRUE(Break("reset").must_probe);
+  // The probe is answered; the server crashes before that is known.
+  CHECK_FALSE(Break("fatal").must_probe);
+  const ProbeVerdict first = detector.OnProbed("s", 7, true, now, wall_now);
+  CHECK_TRUE(first.must_probe);
+  CHECK_TRUE(detector.AwaitsProbe("fatal"));
+  CHECK_FALSE(detector.AwaitsProbe("reset"));
+  const ProbeVerdict second = detector.OnProbed("s", 7, false, now, wall_now);
+  LONGS_EQUAL(1, second.crashes.size());
+  STRCMP_EQUAL("fatal", second.crashes[0].digests.front().c_str());
+}
+
+TEST(ServerCrashDetector, ACrashIsMissedOfAServerWhoseNewEntryIsNotThere) {
+  Break("a");
+  LONGS_EQUAL(1, Probe(false));
+  Pass(Milliseconds(500));
+  // The server is back, and an attempt is sent to it.
+  this->began = this->now;
+  Pass(Milliseconds(20));
+  const BrokenAttemptVerdict again = Break("a");
+  CHECK_TRUE(again.must_probe);
+  LONGS_EQUAL(0, again.crashes.size());
+  LONGS_EQUAL(wall_now - 20, again.server_start);
+  LONGS_EQUAL(1, Probe(false, again.server_start));
+}
+
 TEST(ServerCrashDetector, AServerThatWasReachableAsItsNextStartCrashed) {
   Break("a");
   LONGS_EQUAL(0, Probe(true));
