Soak: Excuse frozen stops and requests of killed gateways

Both cases are allowed: the platform counts no stop of a frozen process, and no request that a kill ends.

Callers on kept connections also wait before they connect again; a stopping gateway, which closes each connection after a response, was called 700 times a second.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -57,7 +57,7 @@
     restarts: dict = field(default_factory=lambda: defaultdict(list))
     # (time, run) of each response that a caller received and that said that its server leaves.
     leaving_told: list = field(default_factory=list)
-    # (time, gateway) of each request on a kept connection that ended without an answer.
+    # (time of its end, gateway) of each request on a kept connection without an answer.
     lost_on_kept: list = field(default_factory=list)
     # Gateways that did not end within their grace after SIGTERM.
     slow_stops: list = field(default_factory=list)
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -81,7 +81,7 @@
         self.settings = folder / f"{name}.yaml"
         self.log_path = folder / f"{name}.log"
         self.process = None
-        self.frozen = False
+        self.freezes = 0
         self.stopping = False
 
     def write_settings(self, peers, log_level):
@@ -99,7 +99,6 @@
             self.process = subprocess.Popen(
                 [str(self.program), "gateway"], stdout=log, stderr=log,
                 env=os.environ | {"CAROBBANK_CONFIG": str(self.settings)})
-        self.frozen = False
         self.stopping = False
 
     def signal(self, number):
@@ -278,16 +277,17 @@
                     if head is None:
                         # A close that crosses a request is no loss.
                         if not reader.at_eof() or time.monotonic() - sent_at > 0.2:
-                            self.history.lost_on_kept.append((sent_at, gateway.name))
+                            self.history.lost_on_kept.append((time.monotonic(), gateway.name))
                         break
                     if head[1].get("connection", "").lower() == "close":
                         break
                     # Idle most of the time.
                     await asyncio.sleep(self.traffic_random.expovariate(1.0))
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                self.history.lost_on_kept.append((sent_at, gateway.name))
+                self.history.lost_on_kept.append((time.monotonic(), gateway.name))
             finally:
                 writer.close()
+            await asyncio.sleep(self.traffic_random.expovariate(2.0))
 
     async def exchange_on_kept(self, reader, writer):
         number = next(self.ids)
@@ -435,10 +435,11 @@
         if gateway.stopping or self.stopped:
             return
         gateway.stopping = True
+        freezes = gateway.freezes
         gateway.signal(signal.SIGCONT)
         gateway.signal(number)
         if not await gateway.wait_end(STOP_GRACE_S + 2):
-            if number == signal.SIGTERM:
+            if number == signal.SIGTERM and gateway.freezes == freezes:
                 self.history.slow_stops.append(gateway.name)
             gateway.signal(signal.SIGKILL)
             await gateway.wait_end(STOP_GRACE_S)
@@ -488,6 +489,7 @@
         gateway = rng.choice(self.gateways)
 
         async def stop_and_continue():
+            gateway.freezes += 1
             gateway.signal(signal.SIGSTOP)
             await asyncio.sleep(rng.uniform(0.3, 6))
             gateway.signal(signal.SIGCONT)
