--- a/Libraries/LibRouting/quarantine_trials.cc
+++ b/Libraries/LibRouting/quarantine_trials.cc
@@ -33,9 +33,9 @@
 
 const QuarantineTrials::TrialMap& QuarantineTrials::TrialsOf(
     std::string_view digest) const {
-  static const TrialMap kNone;
+  static const TrialMap none;
   const auto found = this->trials.find(digest);
-  return found == this->trials.end() ? kNone : found->second;
+  return found == this->trials.end() ? none : found->second;
 }
 
 bool QuarantineTrials::HasFailed(const QuarantineTrial& trial,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -84,11 +84,11 @@
 
 const std::string& JobRunner::ServiceOfSample(const JobState& state,
                                               std::size_t index) const {
-  static const std::string kNone;
+  static const std::string none;
   const JobSample& sample = state.job.samples[index];
   const HostRoute* const route =
       this->environment.configuration->routes.Find(state.job.host, sample.path);
-  return route == nullptr ? kNone : ServiceOf(*route, sample);
+  return route == nullptr ? none : ServiceOf(*route, sample);
 }
 
 // Servers of the service whose weight version the job allows.
--- a/Tests/Gateway/endless_server_test.cc
+++ b/Tests/Gateway/endless_server_test.cc
@@ -19,17 +19,18 @@
 constexpr Milliseconds kTimeToFinish{7'000};
 constexpr Milliseconds kTimeToAnswer{1'400};
 
-const std::string kStream =
+constexpr const char* kStream =
     "HTTP/1.1 200 OK\r\nId: j-0\r\nVersion: 3\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
 
 std::vector<EndlessResponse> EndlessSamples() {
+  const std::string stream = kStream;
   return {
       {"head", "HTTP/1.1 200 OK\r\n", "X-Header: aaaaaaaa\r\n"},
-      {"comments", kStream, "8\r\n: aaaaa\n\r\n"},
-      {"one event", kStream + "6\r\ndata: \r\n", "8\r\naaaaaaaa\r\n"},
-      {"fields of one event", kStream, "8\r\nx: aaaa\n\r\n"},
-      {"events", kStream, "d\r\ndata: aaaaa\n\n\r\n"},
+      {"comments", stream, "8\r\n: aaaaa\n\r\n"},
+      {"one event", stream + "6\r\ndata: \r\n", "8\r\naaaaaaaa\r\n"},
+      {"fields of one event", stream, "8\r\nx: aaaa\n\r\n"},
+      {"events", stream, "d\r\ndata: aaaaa\n\n\r\n"},
       {"failure",
        "HTTP/1.1 500 Error\r\nId: j-0\r\nTransfer-Encoding: chunked\r\n\r\n",
        "8\r\naaaaaaaa\r\n"},
--- a/Tests/GatewayFleet/owed_item_test.cc
+++ b/Tests/GatewayFleet/owed_item_test.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-const std::string kBody = "fatal body";
+constexpr const char* kBody = "fatal body";
 // Far beyond the crashes after which a plain request is refused.
 constexpr std::size_t kBurst = 5;
 constexpr Milliseconds kBurstLimit{20'000};
--- a/Tests/GatewayFleet/suspect_trial_test.cc
+++ b/Tests/GatewayFleet/suspect_trial_test.cc
@@ -16,7 +16,7 @@
 // servers in at most three retries more.
 constexpr std::size_t kMaxTrials = 3;
 constexpr std::size_t kCrashesToNotice = 3;
-const std::string kBody = "fatal body";
+constexpr const char* kBody = "fatal body";
 
 }  // namespace
 
