LibRouting, Gateway: Count a second crash behind a late entry at any gateway

A sample that crashes servers was sent 0.06 s after its fourth crash: the server was back under its id and crashed again, at the partition's next owner, before its new entry had come. Both crashes had the start of the old entry, so the second counted as the first and added no wait. A gateway told the two apart only if it had seen both.

A broken attempt now carries when its start of the server last crashed with the same request, as any gateway has reported it; an attempt that was sent later ran at a later start.

--- a/Libraries/LibRouting/server_crash_detector.cc
+++ b/Libraries/LibRouting/server_crash_detector.cc
@@ -10,17 +10,17 @@
 WallMilliseconds ServerCrashDetector::StartOf(const BrokenAttempt& attempt,
                                               MonotonicTime now,
                                               WallMilliseconds wall_now) const {
-  const auto known =
-      this->incidents.find(Key(attempt.server_id, attempt.server_start));
-  const bool restarted = known != this->incidents.end() &&
-                         known->second.state == State::kCrashed &&
-                         attempt.began > known->second.began;
-  if (!restarted) {
-    return attempt.server_start;
-  }
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - attempt.began);
-  return wall_now - age.count();
+  const WallMilliseconds sent_at = wall_now - age.count();
+  const auto known =
+      this->incidents.find(Key(attempt.server_id, attempt.server_start));
+  const bool crashed_before = known != this->incidents.end() &&
+                              known->second.state == State::kCrashed &&
+                              attempt.began > known->second.began;
+  const bool reported_before = attempt.reported_crash_at.has_value() &&
+                               sent_at > *attempt.reported_crash_at;
+  return crashed_before || reported_before ? sent_at : attempt.server_start;
 }
 
 BrokenAttemptVerdict ServerCrashDetector::OnBroken(const BrokenAttempt& attempt,
--- a/Libraries/LibRouting/server_crash_detector.h
+++ b/Libraries/LibRouting/server_crash_detector.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,10 @@
   MonotonicTime began{};
   // The request is owed; see owed_work.h.
   bool owed = false;
+  // When this start of the server last crashed with the digest, as far as any
+  // process has reported it. The server has started again since if the attempt
+  // was sent later, though its entry does not show that yet.
+  std::optional<WallMilliseconds> reported_crash_at = std::nullopt;
 };
 
 struct BrokenAttemptVerdict {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -151,7 +151,7 @@
   }
   const BrokenAttemptVerdict verdict = this->detector.OnBroken(
       {attempt.server_id, attempt.server_start, attempt.digest, attempt.began,
-       attempt.owed},
+       attempt.owed, this->ReportedCrashAt(attempt)},
       this->environment.clock.Now(), this->environment.clock.WallNow());
   this->CountCrashes(verdict.crashes);
   if (verdict.must_probe) {
@@ -159,6 +159,20 @@
   }
 }
 
+std::optional<WallMilliseconds> RequestQuarantine::ReportedCrashAt(
+    const ServerAttempt& attempt) const {
+  const CrashQuarantine& counted =
+      attempt.owed ? this->crashes.Owed() : this->crashes.Plain();
+  std::optional<WallMilliseconds> reported;
+  for (const ServerCrashRecord& crash : counted.CrashesOf(attempt.digest)) {
+    if (crash.instance == attempt.server_id &&
+        crash.started_at == attempt.server_start) {
+      reported = crash.at;
+    }
+  }
+  return reported;
+}
+
 // True when the same start of the server accepted a connection.
 bool RequestQuarantine::IsStillUp(const ServerAttempt& attempt,
                                   const Outcome<HttpResponse>& outcome) const {
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -115,6 +116,10 @@
   RequestRecordHandlers LogHandlers();
   // Connects to the server. `server_start`: as OnBroken() returned it.
   void Probe(const ServerAttempt& attempt, WallMilliseconds server_start);
+  // When the attempt's start of the server last crashed with its request, as
+  // reported by any gateway.
+  std::optional<WallMilliseconds> ReportedCrashAt(
+      const ServerAttempt& attempt) const;
   bool IsStillUp(const ServerAttempt& attempt,
                  const Outcome<HttpResponse>& outcome) const;
   // Counts the requests that broke off in one crash of a server.
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -185,13 +185,13 @@
 
 class GatewayFleet {
  public:
-  explicit GatewayFleet(std::size_t gateway_count) {
+  explicit GatewayFleet(std::size_t gateway_count,
+                        std::size_t servers_per_service = 8) {
     this->servers.answer = &SoundAnswer;
     for (std::size_t index = 0; index < gateway_count; ++index) {
       this->StartGateway();
     }
-    constexpr int kServersPerService = 8;
-    for (int index = 0; index < kServersPerService; ++index) {
+    for (std::size_t index = 0; index < servers_per_service; ++index) {
       this->AddServer("app-" + std::to_string(index), "app");
       this->AddServer("llm-" + std::to_string(index), "llm");
     }
--- a/Tests/GatewayFleet/fatal_request_test.cc
+++ b/Tests/GatewayFleet/fatal_request_test.cc
@@ -352,4 +352,36 @@
   LONGS_EQUAL(200, this->fleet.Call(gateway, "/app/x", "sound body").status);
 }
 
+TEST_GROUP(FatalRequestBehindLateEntries) {
+  // One server of the service, which is the next choice after each crash.
+  GatewayFleet fleet{0, 1};
+
+  void setup() override {
+    this->fleet.servers.downtime = Milliseconds(30);
+    this->fleet.servers.entry_delay = Milliseconds(60'000);
+  }
+};
+
+TEST(FatalRequestBehindLateEntries, TheNextOwnersCrashCountsAsTheOneBefore) {
+  BatchJob job = this->fleet.Job("j", 1);
+  job.samples[0].body_base64 = EncodeBase64("fatal body");
+  this->fleet.PutJob(job);
+  const std::vector<FatalCrash>& crashes = this->fleet.servers.fatal_crashes;
+  for (std::size_t owner = 0; owner < kCrashesToSpace + 2; ++owner) {
+    const std::size_t before = crashes.size();
+    this->fleet.StartGateway();
+    this->fleet.gateways.back()->runner->SetOwned({0});
+    CHECK_TRUE(this->fleet.RunUntil([&] { return crashes.size() > before; }));
+    this->fleet.RunFor(Milliseconds(20));
+    this->fleet.gateways.pop_back();
+  }
+  for (std::size_t index = kCrashesToSpace; index < crashes.size(); ++index) {
+    const auto gap = crashes[index].at - crashes[index - 1].at;
+    CHECK_TRUE_TEXT(
+        gap >= kSpacing,
+        std::to_string(std::chrono::duration_cast<Milliseconds>(gap).count())
+            .c_str());
+  }
+}
+
 }  // namespace carobbank
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -66,6 +66,8 @@
   bool crash_silently = false;
   // Time from a crash until the server accepts connections again.
   Milliseconds downtime{60};
+  // Time from then until the server's entry shows its new start.
+  Milliseconds entry_delay{0};
   // Called with each start of a server; by owner.
   std::map<const void*, std::function<void(const FleetServer&)>> registries;
   // In order of time.
@@ -109,8 +111,7 @@
     this->Later(this->downtime, [this, key = std::string(id)] {
       Server& restarted = *this->Find(key);
       restarted.up = true;
-      restarted.registered.started_at = NextStart();
-      this->Register(restarted);
+      this->ShowStart(restarted, NextStart());
     });
   }
 
@@ -216,6 +217,20 @@
     return found == this->servers.end() ? nullptr : &*found;
   }
 
+  void ShowStart(Server& server, WallMilliseconds started_at) {
+    if (this->entry_delay.count() == 0) {
+      server.registered.started_at = started_at;
+      this->Register(server);
+      return;
+    }
+    this->Later(this->entry_delay,
+                [this, id = server.registered.id, started_at] {
+                  Server& shown = *this->Find(id);
+                  shown.registered.started_at = started_at;
+                  this->Register(shown);
+                });
+  }
+
   void Register(const Server& server) {
     for (const auto& [owner, put] : this->registries) {
       put(server.registered);
