LibHTTP: Bound what one pass of libcurl delivers

One call of curl_multi_socket_action() read 32 MiB of each, for 4 s in which no other handler ran: libcurl runs a transfer whose server sends fast again within the same pass, two of them by turns without end, and each chunk was passed on by itself. The streams had ended at their own limit long before, but end only after the pass. The log of the stall shows it: no line from 19.494 to 23.434, then both transfers at their limit and all timeouts of the log at once.

A pass now delivers 128 KiB of bodies; a transfer beyond that is paused until the next turn of the loop. Chunks that arrive in one read are passed on together.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -17,6 +17,8 @@
 // A read returns up to 16 KB; a header line or the size of a chunk arrives in a
 // few reads, whatever its sender.
 constexpr std::size_t kMaxEmptyReads = 128;
+// libcurl reads at most this much at once.
+constexpr std::size_t kMaxGatheredBytes = 16 * 1024;
 
 bool IsSafeInHeader(std::string_view text) {
   return text.find_first_of(std::string_view("\r\n\0", 3)) ==
@@ -279,24 +281,40 @@
   if (transfer->cancelled) {
     return CURL_WRITEFUNC_ERROR;
   }
-  transfer->last_activity = std::chrono::steady_clock::now();
   transfer->empty_reads = 0;
   transfer->multi.OnDelivery();
   if (transfer->paused) {
+    transfer->last_activity = std::chrono::steady_clock::now();
     transfer->body_withheld = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  if (!transfer->multi.CountInPass(length)) {
+    transfer->UnpauseInNextTurn();
+    return CURL_WRITEFUNC_PAUSE;
+  }
   if (!transfer->CountBytes(transfer->body_bytes, length,
                             transfer->request.max_body_bytes,
                             ResponseLimit::kBody)) {
     return CURL_WRITEFUNC_ERROR;
   }
-  if (transfer->handlers.on_body) {
-    transfer->handlers.on_body(std::string_view(bytes, length));
+  if (transfer->gathered_body.empty()) {
+    transfer->last_activity = std::chrono::steady_clock::now();
+    transfer->multi.DeliverAfterPass(transfer->easy);
+  }
+  transfer->gathered_body.append(bytes, length);
+  if (transfer->gathered_body.size() >= kMaxGatheredBytes) {
+    transfer->DeliverBody();
   }
   return transfer->cancelled ? CURL_WRITEFUNC_ERROR : length;
 }
 
+void ClientTransfer::DeliverBody() {
+  const std::string body = std::exchange(this->gathered_body, {});
+  if (!this->cancelled && !body.empty() && this->handlers.on_body) {
+    this->handlers.on_body(body);
+  }
+}
+
 void ClientTransfer::Resume() {
   if (!this->paused) {
     return;
@@ -307,8 +325,12 @@
     return;
   }
   this->body_withheld = false;
-  // libcurl delivers the buffered bytes synchronously, possibly inside the
-  // caller's own handler, so unpausing is posted to the loop.
+  this->UnpauseInNextTurn();
+}
+
+// libcurl delivers the buffered bytes synchronously, possibly inside a handler,
+// so unpausing is posted to the loop.
+void ClientTransfer::UnpauseInNextTurn() {
   asio::post(this->idle_timer.get_executor(),
              [self = this->shared_from_this()] {
                if (!self->cancelled) {
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -44,6 +44,8 @@
   // Reports libcurl's result to on_done or on_failure.
   void Complete(CURLcode result);
   void Fail(SendState send_state, Error error);
+  // Passes the bytes of the body on that libcurl has delivered in this pass.
+  void DeliverBody();
   // A read from the connection delivered neither a header nor a part of the
   // body. True when there were too many in a row, so that the transfer must be
   // removed from `multi` and completed.
@@ -68,6 +70,7 @@
 
   std::optional<Error> AddRequestHeaders();
   void SetMethodAndBody();
+  void UnpauseInNextTurn();
   void ProcessHeaderLine(std::string_view line);
   // Counts received bytes. False when a limit is exceeded.
   bool CountBytes(std::size_t& counter,
@@ -102,6 +105,9 @@
   bool resend_refused = false;
   std::size_t header_bytes = 0;
   std::size_t body_bytes = 0;
+  // Small pieces of the body, which are passed on together: libcurl delivers
+  // each chunk by itself. Invariant: empty outside of a pass of libcurl.
+  std::string gathered_body;
   std::size_t empty_reads = 0;
   std::optional<ResponseLimit> exceeded;
   MonotonicTime last_activity;
--- a/Libraries/LibHTTP/curl_multi.cc
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -53,12 +53,10 @@
 
 CurlMulti::CurlMulti(asio::io_context& context,
                      HttpClientOptions options,
-                     DoneHandler done,
-                     EmptyReadHandler empty_read)
+                     Handlers handlers)
     : context(context),
       options(std::move(options)),
-      done(std::move(done)),
-      empty_read(std::move(empty_read)),
+      handlers(std::move(handlers)),
       timer(context) {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(initialized);
@@ -113,6 +111,7 @@
 void CurlMulti::Unpause(CURL* easy) {
   this->in_libcurl_call = true;
   this->timeout_action_pending = true;
+  this->bytes_in_pass = 0;
   curl_easy_pause(easy, CURLPAUSE_CONT);
   this->in_libcurl_call = false;
   this->RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
@@ -124,11 +123,19 @@
   if (socket == CURL_SOCKET_TIMEOUT) {
     this->timeout_action_pending = false;
   }
+  this->bytes_in_pass = 0;
   curl_multi_socket_action(this->multi, socket, events, &active);
+  this->DeliverPass();
   this->in_libcurl_call = false;
   this->ReportCompletedTransfers();
 }
 
+void CurlMulti::DeliverPass() {
+  for (CURL* const easy : std::exchange(this->undelivered, {})) {
+    this->handlers.deliver(easy);
+  }
+}
+
 void CurlMulti::ReportCompletedTransfers() {
   const std::shared_ptr<bool> still_alive = this->alive;
   int remaining = 0;
@@ -138,7 +145,7 @@
       return;
     }
     if (message->msg == CURLMSG_DONE) {
-      this->done(message->easy_handle, message->data.result);
+      this->handlers.done(message->easy_handle, message->data.result);
     }
   }
 }
@@ -188,7 +195,7 @@
   const std::uint64_t before = this->deliveries;
   this->RunSocketAction(watch->socket, CURL_CSELECT_IN);
   if (*still_alive && this->deliveries == before && watch->wants_read) {
-    this->empty_read(watch->easy);
+    this->handlers.empty_read(watch->easy);
   }
 }
 
--- a/Libraries/LibHTTP/curl_multi.h
+++ b/Libraries/LibHTTP/curl_multi.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "LibCore/core.h"
 #include "LibHTTP/http_client.h"
@@ -28,10 +29,19 @@
   // callbacks, outside of libcurl's callbacks.
   using EmptyReadHandler = std::function<void(CURL* easy)>;
 
+  // Called after a pass of libcurl for each transfer that requested it, as if
+  // inside one of libcurl's callbacks.
+  using DeliveryHandler = std::function<void(CURL* easy)>;
+
+  struct Handlers {
+    DoneHandler done;
+    EmptyReadHandler empty_read;
+    DeliveryHandler deliver;
+  };
+
   CurlMulti(asio::io_context& context,
             HttpClientOptions options,
-            DoneHandler done,
-            EmptyReadHandler empty_read);
+            Handlers handlers);
   ~CurlMulti();
   CurlMulti(const CurlMulti&) = delete;
   CurlMulti& operator=(const CurlMulti&) = delete;
@@ -47,10 +57,22 @@
   void Prepare(CURL* easy);
   // A callback of a transfer received bytes.
   void OnDelivery() { ++this->deliveries; }
+  // Counts bytes of a body. False when this pass has delivered enough: libcurl
+  // goes on with transfers whose servers send fast, and nothing else runs
+  // meanwhile. The transfer must pause until the next turn of the loop.
+  bool CountInPass(std::size_t bytes) {
+    this->bytes_in_pass += bytes;
+    return this->bytes_in_pass <= kMaxBytesPerPass;
+  }
+  // Inside a callback of the transfer: requests one call of the delivery
+  // handler at the end of the present pass.
+  void DeliverAfterPass(CURL* easy) { this->undelivered.push_back(easy); }
 
  private:
   struct Watch;
 
+  static constexpr std::size_t kMaxBytesPerPass = 128 * 1024;
+
   static int OnSocket(CURL* easy,
                       curl_socket_t socket,
                       int action,
@@ -69,6 +91,7 @@
   void ScheduleTimeoutAction();
   void ArmTimer();
   void OnTimerExpired();
+  void DeliverPass();
   void ReportCompletedTransfers();
   void WaitRead(const std::shared_ptr<Watch>& watch);
   void Read(const std::shared_ptr<Watch>& watch);
@@ -76,9 +99,12 @@
 
   asio::io_context& context;
   HttpClientOptions options;
-  DoneHandler done;
-  EmptyReadHandler empty_read;
+  Handlers handlers;
   std::uint64_t deliveries = 0;
+  // Of the bodies of all transfers.
+  std::size_t bytes_in_pass = 0;
+  // Transfers that requested a delivery in the present pass.
+  std::vector<CURL*> undelivered;
   // `due` is the time that libcurl requested last, `armed_for` the time at
   // which the timer expires. A timer that expires early is rearmed, which is
   // cheaper than moving the timer on each of libcurl's many requests.
--- a/Libraries/LibHTTP/http_client.cc
+++ b/Libraries/LibHTTP/http_client.cc
@@ -24,13 +24,14 @@
   ClientCore(asio::io_context& context, HttpClientOptions options)
       : context(context),
         on_limit_exceeded(options.on_limit_exceeded),
-        multi(
-            context,
-            options,
-            [this](CURL* easy, CURLcode result) {
-              this->OnTransferDone(easy, result);
-            },
-            [this](CURL* easy) { this->OnEmptyRead(easy); }) {}
+        multi(context,
+              options,
+              {.done =
+                   [this](CURL* easy, CURLcode result) {
+                     this->OnTransferDone(easy, result);
+                   },
+               .empty_read = [this](CURL* easy) { this->OnEmptyRead(easy); },
+               .deliver = [this](CURL* easy) { this->OnDelivery(easy); }}) {}
 
   std::shared_ptr<ClientTransfer> Start(HttpClientRequest request,
                                         HttpClientHandlers handlers) {
@@ -108,6 +109,14 @@
     this->Complete(*transfer, result);
   }
 
+  void OnDelivery(CURL* easy) {
+    const auto found = this->transfers.find(easy);
+    if (found != this->transfers.end()) {
+      const std::shared_ptr<ClientTransfer> transfer = found->second;
+      transfer->DeliverBody();
+    }
+  }
+
   void OnEmptyRead(CURL* easy) {
     const auto found = this->transfers.find(easy);
     if (found == this->transfers.end() || !found->second->CountEmptyRead()) {
--- a/Tests/LibHTTP/endless_response_test.cc
+++ b/Tests/LibHTTP/endless_response_test.cc
@@ -4,6 +4,8 @@
 #include "LibHTTP/http.h"
 
 #include <algorithm>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "Support/endless_server.h"
@@ -168,4 +170,53 @@
   CHECK_TRUE(server.AllClosed());
 }
 
+TEST(EndlessResponse, AFastServerHoldsUpTheLoop) {
+  // Bytes of the body between two turns of the loop. libcurl reads up to 16 KiB
+  // from a connection at once.
+  constexpr std::size_t kMostBytesPerTurn = 256 * 1024;
+  RawListener listener;
+  HttpClientRequest request;
+  request.url = HttpFixture::Url(listener.Port());
+  request.max_body_bytes = 8 * 1024 * 1024;
+  Observed observed;
+  std::size_t bytes_in_turn = 0;
+  std::size_t most_bytes = 0;
+  HttpClientHandlers handlers = observed.Handlers();
+  handlers.on_body = [&](std::string_view bytes) {
+    bytes_in_turn += bytes.size();
+    most_bytes = std::max(most_bytes, bytes_in_turn);
+  };
+  const auto exchange =
+      this->fixture.client->Start(std::move(request), handlers);
+  int accepted = -1;
+  this->fixture.runner.RunUntil([&] {
+    accepted = accepted < 0 ? listener.Accept() : accepted;
+    return accepted >= 0;
+  });
+  std::thread sender([accepted] {
+    RawConnection connection(accepted);
+    std::string piece = kChunked;
+    bool open = true;
+    while (open) {
+      open = connection.Send(piece);
+      piece.clear();
+      while (piece.size() < kMaxBodyBytes) {
+        piece += "8\r\naaaaaaaa\r\n";
+      }
+    }
+  });
+  std::function<void()> turn = [&] {
+    bytes_in_turn = 0;
+    if (!observed.Ended()) {
+      this->fixture.runner.loop.Post(turn);
+    }
+  };
+  this->fixture.runner.loop.Post(turn);
+  this->fixture.runner.RunUntil([&] { return observed.Ended(); });
+  sender.join();
+  LONGS_EQUAL(1, this->exceeded.size());
+  CHECK_TRUE_TEXT(most_bytes <= kMostBytesPerTurn,
+                  std::to_string(most_bytes).c_str());
+}
+
 }  // namespace carobbank
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -298,6 +298,34 @@
   next = nullptr;
 }
 
+TEST(HttpClient, SmallChunksAreDeliveredOneByOne) {
+  constexpr std::size_t kChunks = 2'000;
+  // The response arrives in a few reads.
+  constexpr std::size_t kMostDeliveries = 20;
+  std::string response =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t chunk = 0; chunk < kChunks; ++chunk) {
+    response += "1\r\na\r\n";
+  }
+  ScriptedServer server({{response + "0\r\n\r\n", true}});
+  Observed observed;
+  std::size_t deliveries = 0;
+  HttpClientHandlers handlers = observed.Handlers();
+  handlers.on_body = [&](std::string_view bytes) {
+    ++deliveries;
+    observed.body.append(bytes);
+  };
+  const auto exchange =
+      this->fixture.client->Start(this->RequestTo(server), handlers);
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+    server.Serve();
+    return observed.Ended();
+  }));
+  CHECK_EQUAL(1, observed.done);
+  CHECK_TRUE(observed.body == std::string(kChunks, 'a'));
+  CHECK_TRUE(deliveries <= kMostDeliveries);
+}
+
 TEST(HttpClient, ConcurrentExchangesGetTheirOwnResponses) {
   constexpr std::size_t kExchanges = 200;
   std::vector<std::pair<std::string, std::shared_ptr<HttpResponder>>> waiting;
