Gateway, LibMembership: Let large machines get partitions from small ones

The log lists only members with a partition: 10 of the 16 that got one were machines of 0.09 cores, and 11 large ones had none. The one that held the partition of two trainers needed 9 s to read it.

Small owners beyond the number of owners that there should be now leave, in order of capacity and name, so that members that nobody sees get their partitions. A member without a partition counts as none when it decides whether to stay. Small machines join only after owners have been missing for 600 ms, soon after the start a non-member looks each 250 ms, and members read the owners each second: a new generation alone shows the owners of before the partitions have changed hands.

PartitionOwners.SmallMachinesBeyondTheTargetKeepTheirPartitions is new.

--- a/Libraries/LibMembership/partition_owners.cc
+++ b/Libraries/LibMembership/partition_owners.cc
@@ -40,14 +40,25 @@
   return (partitions + kPartitionsPerOwner - 1) / kPartitionsPerOwner;
 }
 
-bool ShouldOwn(std::int64_t capacity,
+bool IsLargeEnough(std::int64_t capacity) {
+  return capacity >= static_cast<std::int64_t>(kPercent);
+}
+
+bool ShouldOwn(const OwnerCandidate& self,
                bool is_owner,
-               std::span<const std::int64_t> other_owners,
+               std::span<const OwnerCandidate> other_owners,
                std::size_t target_owners) {
-  const auto ahead = static_cast<std::size_t>(std::count_if(
-      other_owners.begin(), other_owners.end(), [=](std::int64_t other) {
-        return is_owner ? other > capacity : other >= capacity;
-      }));
+  const bool too_many_owners = other_owners.size() >= target_owners;
+  const bool ranks_among_equals =
+      too_many_owners && !IsLargeEnough(self.capacity);
+  const auto is_ahead = [&](const OwnerCandidate& other) {
+    if (other.capacity != self.capacity) {
+      return other.capacity > self.capacity;
+    }
+    return !is_owner || (ranks_among_equals && other.name < self.name);
+  };
+  const auto ahead = static_cast<std::size_t>(
+      std::count_if(other_owners.begin(), other_owners.end(), is_ahead));
   return ahead < target_owners;
 }
 
--- a/Libraries/LibMembership/partition_owners.h
+++ b/Libraries/LibMembership/partition_owners.h
@@ -1,12 +1,16 @@
 // Which instances should own the partitions of a log: a few, those with the
 // largest capacity first, so that ownership does not overload a small machine.
-// Each instance decides for itself from the same list. Pure.
+// Each instance decides for itself from the same list. The list has only
+// members with a partition: after a loss of all instances there may be more
+// members than partitions, and large machines among those that are not listed.
+// Pure.
 
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include "LibCore/core.h"
 
@@ -33,12 +37,24 @@
 // reserve when owners fail.
 std::size_t TargetOwnerCount(std::size_t partitions);
 
-// Whether an instance should be one of `target_owners` owners, given the
-// capacities of the other current owners. Among equal capacities a current
-// owner stays an owner.
-bool ShouldOwn(std::int64_t capacity,
+// A member of the group of owners.
+struct OwnerCandidate {
+  // As OwnerCapacity() returned it.
+  std::int64_t capacity = 0;
+  // Decides between equal capacities.
+  std::string_view name;
+};
+
+// Whether the capacity suffices for the design load.
+bool IsLargeEnough(std::int64_t capacity);
+
+// Whether an instance should be one of `target_owners` owners, given the other
+// current owners. Among equal capacities a current owner stays an owner; but of
+// machines that are not large enough, those beyond the target leave, so that
+// members without a partition get theirs.
+bool ShouldOwn(const OwnerCandidate& self,
                bool is_owner,
-               std::span<const std::int64_t> other_owners,
+               std::span<const OwnerCandidate> other_owners,
                std::size_t target_owners);
 
 }  // namespace carobbank
--- a/Services/Gateway/owner_directory.cc
+++ b/Services/Gateway/owner_directory.cc
@@ -3,7 +3,6 @@
 #include "owner_directory.h"
 
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "LibProcess/process.h"
@@ -82,6 +81,14 @@
   return owned;
 }
 
+std::vector<OwnerCandidate> OwnerDirectory::OtherOwners() const {
+  std::vector<OwnerCandidate> candidates;
+  for (const auto& [name, member_capacity] : this->other_owners) {
+    candidates.push_back({member_capacity, name});
+  }
+  return candidates;
+}
+
 void OwnerDirectory::OnGeneration(std::int64_t seen) {
   if (std::exchange(this->generation, seen) != seen) {
     this->Refresh();
@@ -131,17 +138,16 @@
 void OwnerDirectory::ApplyOwners(std::span<const PartitionOwner> rows) {
   this->owners_read = true;
   this->addresses.clear();
-  this->other_owner_capacities.clear();
+  this->other_owners.clear();
   const std::string own = MemberName(this->environment.settings);
-  std::set<std::string_view> counted = {own};
   for (const PartitionOwner& row : rows) {
     const std::optional<OwnerName> member = ParseOwnerName(row.member);
     if (row.partition.topic != this->topic || !member) {
       continue;
     }
     this->addresses[row.partition.partition] = member->address;
-    if (counted.insert(row.member).second) {
-      this->other_owner_capacities.push_back(member->capacity);
+    if (row.member != own) {
+      this->other_owners[row.member] = member->capacity;
     }
   }
 }
--- a/Services/Gateway/owner_directory.h
+++ b/Services/Gateway/owner_directory.h
@@ -40,10 +40,8 @@
   void Refresh();
   // The owners have been read at least once.
   bool OwnersRead() const { return this->owners_read; }
-  // Capacity of each owner but this instance.
-  const std::vector<std::int64_t>& OtherOwnerCapacities() const {
-    return this->other_owner_capacities;
-  }
+  // Each owner but this instance. Valid until the owners are read again.
+  std::vector<OwnerCandidate> OtherOwners() const;
 
   static std::int64_t Capacity(const GatewaySettings& settings);
   // The name under which an instance joins the group, with its address and its
@@ -59,7 +57,8 @@
   std::string group;
   std::string topic;
   std::map<std::int64_t, std::string> addresses;
-  std::vector<std::int64_t> other_owner_capacities;
+  // By name of the member: its capacity.
+  std::map<std::string, std::int64_t> other_owners;
   bool owners_read = false;
   std::int64_t generation = 0;
   // Invariant: not both set; the timer runs for the minimum interval after a
--- a/Services/Gateway/partition_membership.cc
+++ b/Services/Gateway/partition_membership.cc
@@ -16,6 +16,16 @@
 // Interval at which an instance that is not a member checks whether owners are
 // missing.
 constexpr Milliseconds kNonMemberCheckPeriod{1'000};
+// The same soon after the start, when all instances may have been lost: the
+// owners before are listed until their time to live ends.
+constexpr Milliseconds kStartCheckPeriod{250};
+constexpr Milliseconds kStartTime{5'000};
+// How long owners are missing before a machine that is not large enough joins.
+// Larger machines notice within kStartCheckPeriod and a read of the log.
+constexpr Milliseconds kLargerMachinesFirst{600};
+// A member reads the owners this often. A new generation alone doesn't show
+// them: partitions change hands only when the members before have joined again.
+constexpr Milliseconds kOwnersReadPeriod{1'000};
 // Delay before a retry while the owners have not been read yet.
 constexpr Milliseconds kUnknownOwnersDelay{100};
 
@@ -39,6 +49,7 @@
 }
 
 void PartitionMembership::Start() {
+  this->started_at = this->environment.clock.Now();
   this->owners.Refresh();
   this->ReconcileAfter(GroupJoinDelay(this->capacity));
 }
@@ -63,18 +74,45 @@
   }
   const std::size_t target = TargetOwnerCount(
       static_cast<std::size_t>(this->environment.settings.job_partitions));
-  if (ShouldOwn(this->capacity, this->member,
-                this->owners.OtherOwnerCapacities(), target)) {
-    this->Join();
+  const std::string name =
+      OwnerDirectory::MemberName(this->environment.settings);
+  const bool should_own =
+      ShouldOwn({this->capacity, name}, !this->owned.empty(),
+                this->owners.OtherOwners(), target);
+  if (!this->member) {
+    this->ReconcileAsNonMember(should_own);
     return;
   }
-  if (this->member) {
-    this->Leave();
+  if (should_own) {
+    this->Join();
+    return;
   }
+  this->Leave();
   this->owners.Refresh();
   this->ReconcileAfter(kNonMemberCheckPeriod);
 }
 
+void PartitionMembership::ReconcileAsNonMember(bool should_own) {
+  const MonotonicTime now = this->environment.clock.Now();
+  if (!should_own) {
+    this->owners_missing_since.reset();
+  } else if (!this->owners_missing_since) {
+    this->owners_missing_since = now;
+  }
+  const bool may_join =
+      should_own && (IsLargeEnough(this->capacity) ||
+                     now - *this->owners_missing_since >= kLargerMachinesFirst);
+  if (may_join) {
+    this->owners_missing_since.reset();
+    this->Join();
+    return;
+  }
+  this->owners.Refresh();
+  const bool just_started = now - this->started_at < kStartTime;
+  this->ReconcileAfter(should_own || just_started ? kStartCheckPeriod
+                                                  : kNonMemberCheckPeriod);
+}
+
 void PartitionMembership::Join() {
   this->member = true;
   this->environment.log.Join(
@@ -100,6 +138,11 @@
   }
   this->generation = outcome.Value().generation;
   this->owners.OnGeneration(this->generation);
+  const MonotonicTime now = this->environment.clock.Now();
+  if (now - this->owners_requested_at >= kOwnersReadPeriod) {
+    this->owners_requested_at = now;
+    this->owners.Refresh();
+  }
   std::set<std::int64_t> assigned;
   for (const TopicPartition& partition : outcome.Value().partitions) {
     if (partition.partition < this->environment.settings.job_partitions) {
--- a/Services/Gateway/partition_membership.h
+++ b/Services/Gateway/partition_membership.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,6 +35,7 @@
  private:
   void ReconcileAfter(Milliseconds delay);
   void Reconcile();
+  void ReconcileAsNonMember(bool should_own);
   void Join();
   void OnJoined(const Outcome<GroupMembership>& outcome);
   void Leave();
@@ -51,6 +53,11 @@
   // The log may count this instance as a member.
   bool member = false;
   bool shut_down = false;
+  // Since when this instance has not been a member though it should own.
+  std::optional<MonotonicTime> owners_missing_since;
+  MonotonicTime started_at{};
+  // When a member last read the owners.
+  MonotonicTime owners_requested_at{};
   std::unique_ptr<Timer> timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/LibMembership/partition_owners_test.cc
+++ b/Tests/LibMembership/partition_owners_test.cc
@@ -28,16 +28,16 @@
 }
 
 TEST(PartitionOwners, AnyInstanceOwnsWhileThereAreTooFewOwners) {
-  const std::int64_t others[] = {250, 250};
-  CHECK_TRUE(ShouldOwn(1, false, others, 3));
-  CHECK_FALSE(ShouldOwn(1, false, others, 2));
-  CHECK_FALSE(ShouldOwn(1, true, others, 2));
+  const OwnerCandidate others[] = {{250, "a"}, {250, "b"}};
+  CHECK_TRUE(ShouldOwn({1, "c"}, false, others, 3));
+  CHECK_FALSE(ShouldOwn({1, "c"}, false, others, 2));
+  CHECK_FALSE(ShouldOwn({1, "c"}, true, others, 2));
 }
 
 TEST(PartitionOwners, AmongEqualCapacitiesAnOwnerStays) {
-  const std::int64_t others[] = {100, 100};
-  CHECK_TRUE(ShouldOwn(100, true, others, 2));
-  CHECK_FALSE(ShouldOwn(100, false, others, 2));
+  const OwnerCandidate others[] = {{100, "a"}, {100, "b"}};
+  CHECK_TRUE(ShouldOwn({100, "c"}, true, others, 2));
+  CHECK_FALSE(ShouldOwn({100, "c"}, false, others, 2));
 }
 
 // Machines of unequal capacity decide one after another, in list order first
@@ -46,16 +46,18 @@
   constexpr std::size_t kTargetOwners = 4;
   const std::vector<std::int64_t> capacities = {30, 30,  250, 250, 30, 250,
                                                 45, 250, 250, 250, 30, 45};
+  const std::vector<std::string_view> names = {"a", "b", "c", "d", "e", "f",
+                                               "g", "h", "i", "j", "k", "l"};
   std::vector<bool> owns(capacities.size(), false);
   const auto decide = [&](std::size_t index) {
-    std::vector<std::int64_t> others;
+    std::vector<OwnerCandidate> others;
     for (std::size_t other = 0; other < capacities.size(); ++other) {
       if (owns[other] && other != index) {
-        others.push_back(capacities[other]);
+        others.push_back({capacities[other], names[other]});
       }
     }
-    owns[index] =
-        ShouldOwn(capacities[index], owns[index], others, kTargetOwners);
+    owns[index] = ShouldOwn({capacities[index], names[index]}, owns[index],
+                            others, kTargetOwners);
   };
   // Machines of small capacity decide first, as after a join delay that was too
   // short.
@@ -76,4 +78,17 @@
   CHECK_TRUE(owns == settled);
 }
 
+// The list of owners has no members without a partition, so that large ones
+// may be missing from it.
+TEST(PartitionOwners, SmallMachinesBeyondTheTargetKeepTheirPartitions) {
+  const OwnerCandidate others[] = {{30, "a"}, {30, "b"}, {30, "d"}};
+  CHECK_TRUE(ShouldOwn({30, "c"}, true, others, 3));
+  CHECK_FALSE(ShouldOwn({30, "e"}, true, others, 3));
+  CHECK_TRUE(ShouldOwn({30, "e"}, true, others, 4));
+  CHECK_TRUE(ShouldOwn({45, "e"}, true, others, 3));
+  // Large ones may stay: nobody needs their partitions.
+  const OwnerCandidate large[] = {{100, "a"}, {100, "b"}, {100, "d"}};
+  CHECK_TRUE(ShouldOwn({100, "e"}, true, large, 3));
+}
+
 }  // namespace carobbank
