--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <algorithm>
+#include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -24,6 +26,8 @@
   std::size_t late_appends = 0;
   // The next N appends end in kRefused.
   std::size_t refused_appends = 0;
+  // Time from the effect of a call to its response.
+  Milliseconds response_time{0};
   // Maximum number of records in a page.
   std::size_t most_records_a_page = 1'000;
 };
@@ -60,8 +64,7 @@
         outcome = AppendOutcome();
       }
     }
-    this->loop.Post(
-        [callback = std::move(callback), outcome] { callback(outcome); });
+    this->Respond(std::move(callback), outcome);
   }
 
   void Read(const TopicPartition& partition,
@@ -189,9 +192,21 @@
 
   template <typename Callback, typename Value>
   void Respond(Callback callback, Value value) {
-    this->loop.Post([callback = std::move(callback), value = std::move(value)] {
+    auto respond = [callback = std::move(callback), value = std::move(value)] {
       callback(value);
-    });
+    };
+    if (this->faults.response_time.count() == 0) {
+      this->loop.Post(std::move(respond));
+      return;
+    }
+    const auto timer = this->timers.emplace(this->timers.end());
+    *timer = this->loop.CallAfter(
+        this->faults.response_time,
+        [this, timer, respond = std::move(respond)]() mutable {
+          const auto kept = std::move(respond);
+          this->timers.erase(timer);
+          kept();
+        });
   }
 
   AppendOutcome Store(const TopicPartition& partition,
@@ -242,6 +257,7 @@
   }
 
   EventLoop& loop;
+  std::list<std::unique_ptr<Timer>> timers;
   // Invariant: the record at index i has offset i.
   std::map<TopicPartition, std::vector<KeyedLogRecord>> partitions;
   std::map<TopicPartition, std::uint64_t> expired_before;
