Gateway: Log reads of job partitions, and calls that find no owner in step

After a loss of all machines nothing told why a job could not be read: a gateway that has a partition and is still reading it said nothing. New lines: when a partition is in step, with records and time; when its reads fail and work again, with the error; and each call that is refused because no gateway is in step, with the partitions in question and how long it waited.

--- a/Services/Gateway/job_partition.cc
+++ b/Services/Gateway/job_partition.cc
@@ -54,6 +54,8 @@
   this->follower = std::make_unique<LogFollower>(
       this->loop, this->clock, this->log, this->topic_partition,
       LogFollowerOptions{.from_beginning = true}, this->FollowerHandlers());
+  this->followed_at = this->clock.Now();
+  this->synced_reported = false;
   this->follower->Start();
   WriteLog(LogLevel::kInfo, "job partition followed",
            {{"partition", std::to_string(this->Number())}});
@@ -88,7 +90,11 @@
   followed.on_record = [this](const KeyedLogRecord& record) {
     this->fold.Apply(record.record.key, record.record.value);
   };
+  followed.on_reachable = [this](bool reachable) {
+    this->ReportReachable(reachable);
+  };
   followed.on_batch = [this] {
+    this->ReportSynced();
     this->WriteInitialNoOp();
     this->on_batch();
     this->ScheduleFlush();
@@ -96,6 +102,34 @@
   return followed;
 }
 
+void JobPartition::ReportSynced() {
+  if (this->synced_reported || !this->Synced()) {
+    return;
+  }
+  this->synced_reported = true;
+  const auto took = std::chrono::duration_cast<Milliseconds>(this->clock.Now() -
+                                                             this->followed_at);
+  WriteLog(LogLevel::kInfo, "job partition in step",
+           {{"partition", std::to_string(this->Number())},
+            {"records", std::to_string(this->follower->Next())},
+            {"took_ms", std::to_string(took.count())}});
+}
+
+void JobPartition::ReportReachable(bool reachable) const {
+  const std::string number = std::to_string(this->Number());
+  const std::string records = std::to_string(this->follower->Next());
+  if (reachable) {
+    WriteLog(LogLevel::kInfo, "job partition readable again",
+             {{"partition", number}, {"records", records}});
+  } else {
+    WriteLog(LogLevel::kWarning, "job partition can't be read; retrying",
+             {{"partition", number},
+              {"records", records},
+              {"synced", this->Synced() ? "true" : "false"},
+              {"error", this->follower->LastError()}});
+  }
+}
+
 // Appends a no-op record to an empty partition: a long poll on a partition
 // without records may miss the first one.
 void JobPartition::WriteInitialNoOp() {
--- a/Services/Gateway/job_partition.h
+++ b/Services/Gateway/job_partition.h
@@ -86,6 +86,8 @@
   using Batch = std::vector<std::shared_ptr<Pending>>;
 
   LogFollowerHandlers FollowerHandlers();
+  void ReportSynced();
+  void ReportReachable(bool reachable) const;
   void WriteInitialNoOp();
   void ScheduleFlush();
   void Flush();
@@ -110,6 +112,8 @@
   JobFold fold;
   // Null while the partition is not followed.
   std::unique_ptr<LogFollower> follower;
+  MonotonicTime followed_at{};
+  bool synced_reported = false;
 
   // Invariant: an append in flight contains the first entries of the queue.
   std::deque<std::shared_ptr<Pending>> queue;
--- a/Services/Gateway/job_relay.cc
+++ b/Services/Gateway/job_relay.cc
@@ -118,7 +118,8 @@
   call->request = std::move(request);
   call->decoded = std::move(decoded);
   call->responder = std::move(responder);
-  call->deadline = this->environment.clock.Now() + timeout;
+  call->began = this->environment.clock.Now();
+  call->deadline = call->began + timeout;
   this->Attempt(call);
 }
 
@@ -190,7 +191,7 @@
     }
   }
   call->answered = false;
-  call->inconclusive = false;
+  call->unconfirmed.clear();
   // One more than there are queries, so that no response ends the round before
   // all queries were sent.
   call->pending_queries = addresses.size() + 1;
@@ -217,22 +218,27 @@
 void JobRelay::ConfirmAbsence(const CallPointer& call) {
   call->pending_queries = this->partitions.All().size() + 1;
   for (const auto& partition : this->partitions.All()) {
+    const std::int64_t number = partition->Number();
     if (partition->Following()) {
-      partition->Refresh([this, kept = this->alive, call](bool fresh) {
-        if (*kept) {
-          this->EndConfirmQuery(call, !fresh);
+      partition->Refresh([this, kept = this->alive, call, number](bool fresh) {
+        if (!*kept) {
+          return;
+        }
+        if (!fresh) {
+          call->unconfirmed.insert(number);
         }
+        this->EndConfirmQuery(call);
       });
       continue;
     }
-    const std::string_view owner =
-        this->owners.OtherOwnerAddress(partition->Number());
+    const std::string_view owner = this->owners.OtherOwnerAddress(number);
     if (owner.empty()) {
-      this->EndConfirmQuery(call, true);
+      call->unconfirmed.insert(number);
+      this->EndConfirmQuery(call);
       continue;
     }
-    this->Send(call, owner, std::to_string(partition->Number()),
-               [this, call](const Outcome<HttpResponse>& outcome) {
+    this->Send(call, owner, std::to_string(number),
+               [this, call, number](const Outcome<HttpResponse>& outcome) {
                  const bool has_none =
                      outcome.Ok() && outcome.Value().status == kNotFound;
                  const bool answered =
@@ -240,21 +246,23 @@
                  if (answered && !std::exchange(call->answered, true)) {
                    this->ForwardResponse(call, outcome.Value());
                  }
-                 this->EndConfirmQuery(call, !has_none);
+                 if (!has_none) {
+                   call->unconfirmed.insert(number);
+                 }
+                 this->EndConfirmQuery(call);
                });
   }
-  this->EndConfirmQuery(call, false);
+  this->EndConfirmQuery(call);
 }
 
-void JobRelay::EndConfirmQuery(const CallPointer& call, bool inconclusive) {
-  call->inconclusive = call->inconclusive || inconclusive;
+void JobRelay::EndConfirmQuery(const CallPointer& call) {
   if (--call->pending_queries > 0 || call->answered) {
     return;
   }
   JobPartition* const partition = this->partitions.FindByJob(call->JobId());
   if (partition != nullptr && partition->Synced()) {
     this->HandleLocally(call, *partition);
-  } else if (call->inconclusive) {
+  } else if (!call->unconfirmed.empty()) {
     this->AttemptLater(call);
   } else {
     call->responder->Send(ClientErrorResponse(
@@ -335,7 +343,7 @@
 void JobRelay::AttemptLater(const CallPointer& call) {
   this->owners.Refresh();
   if (this->environment.clock.Now() + kRetryDelay > call->deadline) {
-    call->responder->Send(NoOwner());
+    this->RespondNoOwner(call);
     return;
   }
   call->retry = this->environment.loop.CallAfter(
@@ -347,6 +355,28 @@
       });
 }
 
+void JobRelay::RespondNoOwner(const CallPointer& call) const {
+  std::string partitions_without_owner;
+  for (const std::int64_t number : call->unconfirmed) {
+    partitions_without_owner +=
+        (partitions_without_owner.empty() ? "" : ",") + std::to_string(number);
+  }
+  const BatchJob* const job = call->Submitted();
+  if (job != nullptr) {
+    partitions_without_owner =
+        std::to_string(this->partitions.ForJob(*job).Number());
+  }
+  const auto waited = std::chrono::duration_cast<Milliseconds>(
+      this->environment.clock.Now() - call->began);
+  WriteLog(LogLevel::kWarning,
+           "batch job call refused: no gateway is in step with its partition",
+           {{"job", job != nullptr ? job->id : call->JobId()},
+            {"call", job != nullptr ? "submit" : "lookup"},
+            {"partitions", partitions_without_owner},
+            {"waited_ms", std::to_string(waited.count())}});
+  call->responder->Send(NoOwner());
+}
+
 void JobRelay::RecordReachability(const std::string& address, bool reached) {
   const std::vector<std::int64_t> owned = this->owners.PartitionsOf(address);
   if (reached || owned.empty()) {
--- a/Services/Gateway/job_relay.h
+++ b/Services/Gateway/job_relay.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -59,12 +60,13 @@
     std::shared_ptr<HttpResponder> responder;
     MonotonicTime deadline{};
     std::unique_ptr<Timer> retry;
+    MonotonicTime began{};
     // Open queries of the current round (search or confirmation), whether one
-    // of them has returned the response to the caller, and whether one of them
-    // could not confirm that its partition lacks the job.
+    // of them has returned the response to the caller, and the partitions for
+    // which no gateway could confirm that they lack the job.
     std::size_t pending_queries = 0;
     bool answered = false;
-    bool inconclusive = false;
+    std::set<std::int64_t> unconfirmed;
 
     // Null for requests about a submitted job, whose partition is not known.
     const BatchJob* Submitted() const {
@@ -96,7 +98,9 @@
   void ConfirmAbsence(const CallPointer& call);
   // Called when one query of a search, or of a confirmation, has ended.
   void EndSearchQuery(const CallPointer& call);
-  void EndConfirmQuery(const CallPointer& call, bool inconclusive);
+  void EndConfirmQuery(const CallPointer& call);
+  // Responds that no gateway is in step with the job's partition.
+  void RespondNoOwner(const CallPointer& call) const;
   // `partition`: the partition's number, or kAnyPartition.
   void Send(const CallPointer& call,
             std::string_view address,
--- a/Services/Gateway/log_follower.cc
+++ b/Services/Gateway/log_follower.cc
@@ -73,7 +73,7 @@
 void LogFollower::OnSnapshot(Outcome<KeyedSnapshot> outcome,
                              MonotonicTime began) {
   if (!outcome.Ok() && outcome.GetError().kind != ErrorKind::kNotFound) {
-    this->OnReadFailed();
+    this->OnReadFailed(outcome.GetError());
     return;
   }
   const bool missing = !outcome.Ok();
@@ -124,7 +124,7 @@
       this->ReadAfter(kMissingTopicDelay);
       break;
     default:
-      this->OnReadFailed();
+      this->OnReadFailed(outcome.GetError());
   }
 }
 
@@ -192,11 +192,13 @@
 
 void LogFollower::RecordSuccessfulRead(MonotonicTime began) {
   this->backoff = Milliseconds(0);
+  this->last_error.clear();
   this->last_read_at = std::max(this->last_read_at, began);
   this->SetReachable(true);
 }
 
-void LogFollower::OnReadFailed() {
+void LogFollower::OnReadFailed(const Error& error) {
+  this->last_error = error.Text();
   this->backoff =
       std::clamp(this->backoff * 2, kInitialBackoff, kMaximumBackoff);
   this->SetReachable(false);
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "LibHTTP/http.h"
@@ -68,6 +69,8 @@
   bool Refreshing() const { return this->refreshing; }
   // No read has failed since the last successful one.
   bool Reachable() const { return this->reachable; }
+  // Why the last read failed; empty after a successful one.
+  const std::string& LastError() const { return this->last_error; }
   // When the last successful read began, by Clock::BootNow(); the earliest time
   // before the first one.
   MonotonicTime LastReadAt() const { return this->last_read_at; }
@@ -97,7 +100,7 @@
   void SetReachable(bool now_reachable);
   void RecordSuccessfulRead(MonotonicTime began);
   void ReadAfter(Milliseconds delay);
-  void OnReadFailed();
+  void OnReadFailed(const Error& error);
 
   EventLoop& loop;
   const Clock& clock;
@@ -111,6 +114,7 @@
   bool needs_snapshot = false;
   bool reachable = true;
   std::uint64_t next = 0;
+  std::string last_error;
   MonotonicTime last_read_at = MonotonicTime::min();
   MonotonicTime new_records_after = MonotonicTime::min();
   Milliseconds backoff{0};
