Gateway: Confirm in the log that a waiting read has no further result

A read that waits began with a state at most 300 ms old, but when its time had passed it was answered from whatever had been read until then, also when the log could not be read meanwhile.

The end of a wait now reads the log once more, and is answered 503 when that fails.

JobCallHandler.AWaitingReadFindsNoResultThoughTheLogBecameUnreachable: 200 with an empty page before, 503 now.

--- a/Services/Gateway/job_call_handler.cc
+++ b/Services/Gateway/job_call_handler.cc
@@ -277,7 +277,7 @@
   });
   read->timer = this->environment.loop.CallAfter(call.wait, [this, weak] {
     if (const auto expired_read = weak.lock()) {
-      this->RespondToRead(expired_read);
+      this->EndWait(expired_read);
     }
   });
   this->waiting_reads.insert(std::move(read));
@@ -300,6 +300,15 @@
       kOk, "application/json", this->environment.dialect.EncodeResults(page)));
 }
 
+// The log may have become unreachable, or slow, during the wait, while other
+// instances return further results.
+void JobCallHandler::EndWait(const std::shared_ptr<WaitingRead>& read) {
+  read->timer.reset();
+  this->waiting_reads.erase(read);
+  this->AfterRefresh(*read->partition, read->responder,
+                     [this, read] { this->RespondToRead(read); });
+}
+
 bool JobCallHandler::HasWaitingReads(const JobPartition& partition) const {
   return std::any_of(
       this->waiting_reads.begin(), this->waiting_reads.end(),
@@ -325,7 +334,7 @@
   const std::vector<std::shared_ptr<WaitingRead>> all(
       this->waiting_reads.begin(), this->waiting_reads.end());
   for (const auto& read : all) {
-    this->RespondToRead(read);
+    this->EndWait(read);
   }
 }
 
--- a/Services/Gateway/job_call_handler.h
+++ b/Services/Gateway/job_call_handler.h
@@ -72,6 +72,8 @@
                       JobPartition& partition,
                       std::shared_ptr<HttpResponder> responder);
   void RespondToRead(const std::shared_ptr<WaitingRead>& read);
+  // Responds that there is no further result only if the log confirms it.
+  void EndWait(const std::shared_ptr<WaitingRead>& read);
   void ReadBody(const JobCall& call,
                 JobPartition& partition,
                 std::shared_ptr<HttpResponder> responder);
--- a/Tests/Gateway/job_call_handler_test.cc
+++ b/Tests/Gateway/job_call_handler_test.cc
@@ -152,6 +152,23 @@
   CHECK_FALSE(this->handler->HasWaitingReads(*this->partitions[0]));
 }
 
+TEST(JobCallHandler, AWaitingReadFindsNoResultThoughTheLogBecameUnreachable) {
+  this->Submit("a");
+  this->caller = ReceivedResponse();
+  this->handler->Handle(Read("a", 0, Milliseconds(100)), *this->partitions[0],
+                        std::make_shared<FakeResponder>(this->caller));
+  this->fixture.log.faults.outage = true;
+  this->fixture.log.FailWaitingReads();
+  JobResult result;
+  result.sample_id = "a-0";
+  result.completed = true;
+  this->fixture.log.Put(JobsPartition(), {EncodeResult("a", result)});
+  LONGS_EQUAL(503, this->WaitForStatus());
+  this->fixture.log.faults.outage = false;
+  LONGS_EQUAL(200, this->Handle(Read("a", 0, Milliseconds(5'000))));
+  STRCMP_EQUAL("1/2:;", this->caller.body.c_str());
+}
+
 TEST(JobCallHandler, AJobAcceptedByAnotherInstanceIsFoundAfterARefresh) {
   for (const KeyedRecord& record : EncodeJob(MakeJob("b", 1), 262'144)) {
     this->fixture.log.Put(JobsPartition(), {{record.key, record.value}});
