Gateway: Confirm servers' starts by status reports

Cause: where servers name their start, an output that went on at a second server waited for a registry entry written after its first event. Entries are appended again only when more than their heartbeat number changes, so none came within the 4 s, and complete outputs were generated again. Change: ServerStartChecks asks the server for its report, which names its start. A restarted server is still found: a report or entry of another start discards the output.

--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -134,6 +134,10 @@
     "carobbank_resumed_outputs_total", MetricType::kCounter, "service,software",
     "Attempts that continue the output of an earlier attempt, by the server's "
     "software version: same as that of the server that began it, other"};
+inline constexpr MetricDefinition kServerStartChecks{
+    "carobbank_server_start_checks_total", MetricType::kCounter, "outcome",
+    "Status reports requested to confirm that a server has not restarted, by "
+    "outcome: reported, failed"};
 inline constexpr MetricDefinition kDiscardedEvents{
     "carobbank_discarded_events_total", MetricType::kCounter, "reason",
     "Events of sample outputs that no server of their software version could "
@@ -192,6 +196,7 @@
     metrics::kLimitedAttempts,
     metrics::kHeldBack,
     metrics::kResumedOutputs,
+    metrics::kServerStartChecks,
     metrics::kDiscardedEvents,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -64,7 +64,8 @@
     : environment(environment),
       partitions(partitions),
       transfer_outputs(std::move(transfer_outputs)),
-      released_attempts(environment) {
+      released_attempts(environment),
+      start_checks(environment, [this] { this->ScheduleDispatch(); }) {
   this->Tick();
 }
 
@@ -269,6 +270,9 @@
     if (state == nullptr) {
       continue;
     }
+    if (job->confirming > 0) {
+      this->ConfirmOutputs(*job, *state);
+    }
     this->StartScores(*job, *state);
     this->StartSamples(*job, *state);
   }
@@ -350,6 +354,7 @@
     return;
   }
   this->last_removal = now;
+  this->start_checks.RemoveUnknown();
   std::erase_if(this->retained, [now](const auto& entry) {
     return now - entry.second.retained_at > kOutputRetention;
   });
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -18,6 +18,7 @@
 #include "released_attempts.h"
 #include "sample_output_transfer.h"
 #include "sample_stream.h"
+#include "server_start_checks.h"
 
 namespace carobbank {
 
@@ -99,8 +100,12 @@
     bool attempt_counted = false;
     // Since when the output waits for a server of its software version.
     std::optional<MonotonicTime> waits_for_software_since;
-    // Until when the output may be kConfirming.
+    // Until when the output may be kConfirming, or kWaiting for the
+    // confirmation of its servers.
     MonotonicTime confirm_until{};
+    // The output broke off before its servers' starts were confirmed; no
+    // attempt starts until they are.
+    bool awaits_confirmation = false;
     // Digests of the sample and of its reward call; empty until first needed.
     std::string digest;
     std::string reward_digest;
@@ -136,6 +141,8 @@
     std::map<std::string, std::string> group_servers;
     // Invariant: the number of samples in Stage::kWaitingForScore.
     std::size_t waiting_for_score = 0;
+    // At least the number of samples in Stage::kConfirming.
+    std::size_t confirming = 0;
 
     const JobState* State() const { return partition->Fold().Find(id); }
   };
@@ -250,6 +257,17 @@
   static void ResetOutput(Progress& progress);
   // Whether one known software version generated the whole output.
   bool IsOfOneSoftware(Progress& progress) const;
+  // Requests reports of the servers whose start is uncertain.
+  void RequestConfirmations(const Progress& progress);
+  // A server of the output has left or restarted since.
+  bool IsRefuted(const Progress& progress) const;
+  // A server of the output did not report.
+  bool HasFailedReport(const Progress& progress) const;
+  // Keeps an output that broke off until its servers' starts are confirmed, or
+  // discards it if they can't be.
+  void KeepUntilConfirmed(const std::string& sample_id, Progress& progress);
+  // False while the output still awaits confirmation.
+  bool ResolveConfirmation(const std::string& sample_id, Progress& progress);
   // Resets an output that no server may continue.
   void DiscardOutput(const std::string& sample_id,
                      Progress& progress,
@@ -290,6 +308,7 @@
   // By sample id.
   std::map<std::string, RetainedOutput, std::less<>> retained;
   ReleasedAttempts released_attempts;
+  ServerStartChecks start_checks;
   // Ended streams and calls, destroyed only after their own callback has
   // returned.
   std::vector<std::unique_ptr<SampleStream>> ended_streams;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -294,6 +294,9 @@
     return true;
   }
   Progress& progress = job.samples[index];
+  if (!this->ResolveConfirmation(sample.id, progress)) {
+    return true;
+  }
   const std::optional<std::string> body = DecodeBase64(sample.body_base64);
   if (!body) {
     this->Finish(job, state, index, false, "");
@@ -447,6 +450,7 @@
   progress.attempts = 0;
   progress.uncertain.clear();
   progress.attempt_counted = false;
+  progress.awaits_confirmation = false;
   progress.waits_for_software_since.reset();
 }
 
@@ -512,6 +516,8 @@
       if (progress.attempts > 1 && !this->IsOfOneSoftware(progress)) {
         progress.stage = Stage::kConfirming;
         progress.confirm_until = now + kConfirmationTimeout;
+        ++job.confirming;
+        this->RequestConfirmations(progress);
         return;
       }
       this->OnOutputComplete(job, *state, index);
@@ -537,8 +543,7 @@
       break;
   }
   if (progress.events > 0 && !this->IsOfOneSoftware(progress)) {
-    this->DiscardOutput(state->job.samples[index].id, progress,
-                        "start of a server is uncertain");
+    this->KeepUntilConfirmed(state->job.samples[index].id, progress);
   }
   progress.excluded.Add(server_id);
 }
@@ -594,8 +599,15 @@
         this->environment.loads.ProcessingTimeMs(progress.stream->ServerId());
     // A sample that doesn't complete earlier at the fastest engine does so at
     // none.
-    if (ShouldMigrateStream(progress.events, own_ms, engines.shortest_ms) &&
-        this->FasterServerHasCapacity(progress, own_ms, engines.servers)) {
+    if (!ShouldMigrateStream(progress.events, own_ms, engines.shortest_ms)) {
+      continue;
+    }
+    if (!this->IsOfOneSoftware(progress)) {
+      // Its output could not go on at the other server.
+      this->RequestConfirmations(progress);
+      continue;
+    }
+    if (this->FasterServerHasCapacity(progress, own_ms, engines.servers)) {
       ++moves;
       progress.stream->Abort(SendOutcome::kCancelled,
                              "a faster server has free capacity");
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -107,6 +107,8 @@
   bool busy = false;
   // Orders accepted since the engine's start.
   std::int64_t orders_accepted = 0;
+  // Start time of the server; zero if the report names none.
+  WallMilliseconds started_at = 0;
 };
 
 // The sender of an order, and the conditions under which the order is valid.
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -97,7 +97,7 @@
     request.url = "http://" + server.address + "/status";
     return request;
   }
-  // "<model version> <orders accepted> [busy]"
+  // "<model version> <orders accepted> [<start>] [busy]"
   Outcome<EngineStatus> DecodeStatus(std::string_view text) const override {
     EngineStatus status;
     char* rest = nullptr;
@@ -105,6 +105,7 @@
     const auto version = std::strtoll(copy.c_str(), &rest, 10);
     status.models = {{"m", version}};
     status.orders_accepted = std::strtoll(rest, &rest, 10);
+    status.started_at = std::strtoll(rest, &rest, 10);
     status.busy = copy.ends_with("busy");
     return status;
   }
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -32,6 +32,11 @@
       };
 
   void setup() override {
+    this->fixture.client.answer_status = [](const HttpClientRequest&) {
+      ScriptedResponse response;
+      response.ending = ScriptedResponse::Ending::kNotSent;
+      return response;
+    };
     this->Start();
   }
 
@@ -101,6 +106,14 @@
     this->fixture.fleet.ConfirmAlive(
         id, start, this->fixture.clock.BootNow() + std::chrono::hours(1));
   }
+  // Servers report this start.
+  void ReportStart(WallMilliseconds start) {
+    this->fixture.client.answer_status = [start](const HttpClientRequest&) {
+      ScriptedResponse response;
+      response.body = "3 0 " + std::to_string(start);
+      return response;
+    };
+  }
   bool LastRequestResumes() {
     return FindHeader(this->fixture.client.seen.back().headers, "After-Event")
         .has_value();
@@ -576,6 +589,65 @@
   CHECK_TRUE(this->LastRequestResumes());
 }
 
+TEST(JobRunner, AnOutputWaitsForEntriesThoughItsServersReportTheirStart) {
+  this->AddServerWithSoftware("a", "v1", 7);
+  this->AddServerWithSoftware("b", "v1", 7);
+  this->ReportStart(7);
+  this->fixture.client.answer = this->BreakingFirst();
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+  CHECK_TRUE(this->LastRequestResumes());
+}
+
+TEST(JobRunner, AnOutputGoesOnAfterAReportNamesAnotherStartOfItsServer) {
+  this->AddServerWithSoftware("a", "v1", 7);
+  this->AddServerWithSoftware("b", "v1", 7);
+  this->ReportStart(9);
+  this->fixture.client.answer = this->BreakingFirst();
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+  CHECK_FALSE(this->LastRequestResumes());
+}
+
+TEST(JobRunner, AnOutputIsKeptThoughItsSecondServerReportsAnotherStart) {
+  this->AddServerWithSoftware("a", "v1", 7);
+  this->AddServerWithSoftware("b", "v1", 7);
+  this->ReportStart(7);
+  const auto answer = this->BreakingFirst();
+  this->fixture.client.answer = [&](const HttpClientRequest& request) {
+    if (this->fixture.client.seen.size() == 2) {
+      // Back under its id, before its entry says so.
+      this->ReportStart(9);
+    }
+    return answer(request);
+  };
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  LONGS_EQUAL(3, this->fixture.client.seen.size());
+  CHECK_FALSE(this->LastRequestResumes());
+}
+
+TEST(JobRunner, AFailedReportDiscardsACompleteOutputThatAnEntryConfirms) {
+  this->AddServerWithSoftware("a", "v1", 7);
+  this->AddServerWithSoftware("b", "v1", 7);
+  const auto answer = this->BreakingFirst();
+  this->fixture.client.answer = [&](const HttpClientRequest& request) {
+    if (this->fixture.client.seen.size() == 1) {
+      this->ConfirmStart(request, 7);
+    }
+    return answer(request);
+  };
+  this->PutJob(this->JobOf(1));
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [&] { return this->fixture.client.status_requests.size() == 1; }));
+  this->ConfirmStart(this->fixture.client.seen.back(), 7);
+  this->RunUntilComplete();
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+  CHECK_TRUE(this->LastRequestResumes());
+}
+
 TEST(JobRunner, SamplesWaitForAServiceThatTheyDontUse) {
   auto traffic =
       std::make_shared<TrafficConfiguration>(*this->fixture.configuration);
--- a/Tests/Support/fake_http.h
+++ b/Tests/Support/fake_http.h
@@ -37,17 +37,20 @@
   std::string probe_path = "/health";
   bool probes_reach_servers = true;
   std::vector<HttpClientRequest> probes;
+  // Responds to requests for `status_path`, which are then kept in
+  // `status_requests`; without it they go to `answer`.
+  std::string status_path = "/status";
+  std::function<ScriptedResponse(const HttpClientRequest&)> answer_status;
+  std::vector<HttpClientRequest> status_requests;
 
   std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
                                       HttpClientHandlers handlers) override {
-    const bool is_probe = request.url.ends_with(this->probe_path);
-    (is_probe ? this->probes : this->seen).push_back(request);
     auto alive = std::make_shared<bool>(true);
-    this->loop.Post(
-        [response = is_probe ? this->AnswerToProbe() : this->answer(request),
-         handlers = std::move(handlers), alive = std::weak_ptr<bool>(alive)] {
-          Play(response, handlers, alive);
-        });
+    this->loop.Post([response = this->Respond(request),
+                     handlers = std::move(handlers),
+                     alive = std::weak_ptr<bool>(alive)] {
+      Play(response, handlers, alive);
+    });
     return std::make_unique<Exchange>(std::move(alive));
   }
 
@@ -62,6 +65,19 @@
     std::shared_ptr<bool> alive;
   };
 
+  ScriptedResponse Respond(const HttpClientRequest& request) {
+    if (request.url.ends_with(this->probe_path)) {
+      this->probes.push_back(request);
+      return this->AnswerToProbe();
+    }
+    if (this->answer_status && request.url.ends_with(this->status_path)) {
+      this->status_requests.push_back(request);
+      return this->answer_status(request);
+    }
+    this->seen.push_back(request);
+    return this->answer(request);
+  }
+
   ScriptedResponse AnswerToProbe() const {
     ScriptedResponse response;
     response.ending = this->probes_reach_servers
