Gateway: Send no samples to engines that load weights

Cause: only the holder of the order lease knew which engines load; all others sent samples there and were refused, again and again. Change: WeightLoads sends each load's begin and end to the owners of job partitions, together with others of the same turn. JobRunner places no sample of the model at a loading engine. A lost message costs refusals as before; a load ends by itself after 1.5 mean load times.

--- a/Libraries/LibMembership/fleet.cc
+++ b/Libraries/LibMembership/fleet.cc
@@ -29,6 +29,7 @@
   }
   if (same_start) {
     server.alive_at = std::max(server.alive_at, before.alive_at);
+    server.load = before.load;
   }
   server.leaving_at = std::max(server.leaving_at, before.leaving_at);
   entry.server = std::move(server);
@@ -93,6 +94,13 @@
   }
 }
 
+void ServerFleet::SetLoad(std::string_view id, WeightLoadState load) {
+  const auto found = this->servers.find(id);
+  if (found != this->servers.end()) {
+    found->second.server.load = std::move(load);
+  }
+}
+
 void ServerFleet::RecordSoftware(MonotonicTime now) {
   for (const auto& [id, entry] : this->servers) {
     const FleetServer& server = entry.server;
--- a/Libraries/LibMembership/fleet.h
+++ b/Libraries/LibMembership/fleet.h
@@ -20,6 +20,14 @@
   std::int64_t version = 0;
 };
 
+// A load of weights that an engine carries out.
+struct WeightLoadState {
+  std::string model;
+  std::int64_t version = 0;
+  // When it has ended at the latest; see Clock::BootNow().
+  MonotonicTime until = MonotonicTime::min();
+};
+
 struct FleetServer {
   std::string id;
   std::string service;
@@ -44,7 +52,14 @@
   // Version of the server's software, such as "v1"; empty if its entry names
   // none. What two versions generate must not be joined in one output.
   std::string software_version;
+  // The last load that was announced for this start of the server.
+  WeightLoadState load{};
 
+  // The server refuses requests for the model until it has loaded a version.
+  bool IsLoading(std::string_view model, MonotonicTime now) const {
+    return this->load.until > now && this->load.model == model &&
+           this->VersionOf(model) < this->load.version;
+  }
   // The server gets no new work.
   bool Leaves() const {
     return this->draining ||
@@ -76,6 +91,9 @@
                       std::string_view model,
                       std::int64_t version);
 
+  // The server loads weights; one whose time has passed has ended.
+  void SetLoad(std::string_view id, WeightLoadState load);
+
   // The service has servers of these software versions at `now`: call at least
   // as often as it changes.
   void RecordSoftware(MonotonicTime now);
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -33,6 +33,8 @@
 // Fraction of the possible loads that the plan counts on; the others compensate
 // for late servers.
 constexpr double kPlannedLoadFraction = 0.85;
+// An engine counts as loading for at most this many mean load times.
+constexpr double kLongestLoadFactor = 1.5;
 // Placeholder for a lease holder whose record has not been read.
 constexpr std::string_view kUnknownHolder = "?";
 
@@ -318,6 +320,7 @@
     return;
   }
   if (server.VersionOf(state.order->model) >= state.order->version) {
+    this->ReportLoad(server.id, *state.order, Milliseconds(0));
     state.phase = Phase::kUnknown;
     state.order.reset();
     return;
@@ -417,6 +420,7 @@
          {"model", server.order->model},
          {"version", std::to_string(server.order->version)},
          {"took_ms", std::to_string(elapsed.count())}});
+    this->ReportLoad(id, *server.order, Milliseconds(0));
     server.orders_accepted = status.orders_accepted;
     server.phase = Phase::kIdle;
     server.order.reset();
@@ -426,6 +430,14 @@
   server.not_before = now + kStatusPeriod;
 }
 
+void FleetUpgrader::ReportLoad(const std::string& server_id,
+                               const UpgradeOrder& order,
+                               Milliseconds remaining) const {
+  if (this->on_load) {
+    this->on_load({server_id, order.model, order.version, remaining});
+  }
+}
+
 void FleetUpgrader::SendOrder(const FleetServer& server,
                               const UpgradeOrder& order) {
   Server& state = this->servers[server.id];
@@ -446,6 +458,9 @@
             {"model", order.model},
             {"version", std::to_string(order.version)},
             {"from_version", std::to_string(server.VersionOf(order.model))}});
+  this->ReportLoad(server.id, order,
+                   std::chrono::duration_cast<Milliseconds>(
+                       this->mean_load_time * kLongestLoadFactor));
   state.phase = Phase::kSendingOrder;
   state.order = order;
   state.ordered_at = now;
@@ -494,6 +509,7 @@
     return;
   }
   const UpgradeOrder order = *server.order;
+  this->ReportLoad(id, order, Milliseconds(0));
   server.order.reset();
   server.phase = Phase::kUnknown;
   server.not_before = now + kFailureBackoff;
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -14,6 +14,7 @@
 
 #include "gateway_environment.h"
 #include "log_follower.h"
+#include "weight_loads.h"
 
 namespace carobbank {
 
@@ -34,6 +35,10 @@
   void OnVersionAnnounced(const AnnouncedVersion& version);
   // Expected output tokens of a usual step of each model.
   void SetDemand(NumberByModel demand) { this->demand = std::move(demand); }
+  // Called when an engine begins or ends a load.
+  void SetLoadListener(std::function<void(const WeightLoad&)> listener) {
+    this->on_load = std::move(listener);
+  }
   // Sends the orders that follow from the current servers and announced
   // versions.
   void Reconcile();
@@ -92,11 +97,15 @@
                    Server& server,
                    const EngineStatus& status);
   void SendOrder(const FleetServer& server, const UpgradeOrder& order);
+  void ReportLoad(const std::string& server_id,
+                  const UpgradeOrder& order,
+                  Milliseconds remaining) const;
   void OnOrderResponse(const std::string& id,
                        std::uint64_t token,
                        const Outcome<HttpResponse>& outcome);
 
   GatewayEnvironment& environment;
+  std::function<void(const WeightLoad&)> on_load;
   LogFollower lease_follower;
   bool elected = false;
   bool shut_down = false;
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -165,6 +165,9 @@
                                          std::move(responder));
                 }),
       upgrader(this->environment, {std::string(kOrderLeaseTopic), 0}),
+      weight_loads(this->environment,
+                   this->owners,
+                   [this] { this->runner.ScheduleDispatch(); }),
       operator_follower(this->loop,
                         this->clock,
                         *this->log,
@@ -180,7 +183,10 @@
           this->ServersHandlers()),
       peer_poller(this->environment,
                   OtherPeers(this->settings),
-                  this->PeerHandlers()) {}
+                  this->PeerHandlers()) {
+  this->upgrader.SetLoadListener(
+      [this](const WeightLoad& load) { this->weight_loads.Announce(load); });
+}
 
 Gateway::~Gateway() = default;
 
@@ -543,6 +549,10 @@
     responder->Send(this->permits.HandlePeer(request));
     return;
   }
+  if (request.Path() == WeightLoads::kPath) {
+    responder->Send(this->weight_loads.HandlePeer(request));
+    return;
+  }
   if (request.Path() == RequestRecordLog::kPath) {
     this->quarantine.Log().ReceiveFromPeer(
         RequestRecordLog::Decode(request.body));
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "retry_budgets.h"
 #include "send_permits.h"
 #include "server_limits.h"
+#include "weight_loads.h"
 
 namespace carobbank {
 
@@ -115,6 +116,7 @@
   JobCallHandler job_calls;
   JobRelay job_relay;
   FleetUpgrader upgrader;
+  WeightLoads weight_loads;
   LogFollower operator_follower;
   LogFollower servers_follower;
   // Newest records as read from the log, for peers that have just started.
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -195,6 +195,9 @@
   std::vector<const FleetServer*> UsableEngines(
       const JobState& state,
       const std::string& service) const;
+  // Removes servers that refuse samples of the job's model while they load.
+  void RemoveLoading(const JobState& state,
+                     std::vector<const FleetServer*>& servers) const;
   // Asks for permits for waiting samples or reward calls to those of the
   // servers that name a limit and have free capacity.
   void RequestPermits(std::span<const FleetServer* const> servers,
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -126,6 +126,14 @@
   return servers;
 }
 
+void JobRunner::RemoveLoading(const JobState& state,
+                              std::vector<const FleetServer*>& servers) const {
+  const MonotonicTime now = this->environment.clock.BootNow();
+  std::erase_if(servers, [&state, now](const FleetServer* server) {
+    return server->IsLoading(state.job.model, now);
+  });
+}
+
 const FleetServer* JobRunner::ChooseEngine(ActiveJob& job,
                                            const JobState& state,
                                            std::size_t index,
@@ -139,6 +147,7 @@
   } else if (is_long) {
     RemoveLastOfSoftware(servers);
   }
+  this->RemoveLoading(state, servers);
   if (progress.events > 0) {
     // The sample would only be moved away from a slow server again.
     if (const FleetServer* const server = this->ChooseServer(
@@ -592,6 +601,7 @@
     Engines& engines = entry->second;
     if (is_new) {
       engines.servers = this->UsableEngines(*state, service);
+      this->RemoveLoading(*state, engines.servers);
       engines.shortest_ms =
           ShortestProcessingTimeMs(engines.servers, this->environment.loads);
     }
--- a/Services/Gateway/owner_directory.cc
+++ b/Services/Gateway/owner_directory.cc
@@ -70,6 +70,16 @@
   return other ? std::string_view(found->second) : std::string_view();
 }
 
+std::set<std::string> OwnerDirectory::OtherOwnerAddresses() const {
+  std::set<std::string> others;
+  for (const auto& [partition, owner] : this->addresses) {
+    if (owner != this->environment.settings.peer_listen) {
+      others.insert(owner);
+    }
+  }
+  return others;
+}
+
 std::vector<std::int64_t> OwnerDirectory::PartitionsOf(
     std::string_view address) const {
   std::vector<std::int64_t> owned;
--- a/Services/Gateway/owner_directory.h
+++ b/Services/Gateway/owner_directory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,6 +32,8 @@
   // empty when the owner is unknown, has no address, or is this instance. Valid
   // until the owners are read again.
   std::string_view OtherOwnerAddress(std::int64_t partition) const;
+  // Addresses of the other instances that own partitions.
+  std::set<std::string> OtherOwnerAddresses() const;
   // Partitions of the instance that listens at `address`.
   std::vector<std::int64_t> PartitionsOf(std::string_view address) const;
   // Reads the owners again when the group has a new generation.
--- a/Tests/Gateway/fleet_upgrader_test.cc
+++ b/Tests/Gateway/fleet_upgrader_test.cc
@@ -74,6 +74,25 @@
   }
 };
 
+TEST(FleetUpgrader, ALoadIsAnnouncedAfterItsOrderOrNeverEnds) {
+  std::vector<WeightLoad> loads;
+  std::vector<std::size_t> orders_before;
+  this->upgrader->SetLoadListener([&](const WeightLoad& load) {
+    loads.push_back(load);
+    orders_before.push_back(this->orders.size());
+  });
+  this->upgrader->SetElected(true);
+  this->upgrader->OnVersionAnnounced({"m", 3});
+  CHECK_TRUE(this->RunUntilVersion(3));
+  CHECK_TRUE(
+      this->fixture.runner.RunUntil([&loads] { return loads.size() == 2; }));
+  STRCMP_EQUAL("a", loads[0].server_id.c_str());
+  LONGS_EQUAL(3, loads[0].version);
+  CHECK_TRUE(loads[0].remaining.count() > 0);
+  LONGS_EQUAL(0, orders_before[0]);
+  LONGS_EQUAL(0, loads[1].remaining.count());
+}
+
 TEST(FleetUpgrader, AnAnnouncedVersionIsOrderedOnceWithTheLeasesToken) {
   this->upgrader->SetElected(true);
   this->upgrader->OnVersionAnnounced({"m", 3});
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -648,6 +648,37 @@
   CHECK_TRUE(this->LastRequestResumes());
 }
 
+TEST(JobRunner, ASampleIsSentToAServerThatLoadsItsModel) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.AddServer("b", "llm", 3);
+  const MonotonicTime later =
+      this->fixture.clock.BootNow() + std::chrono::hours(1);
+  this->fixture.fleet.SetLoad("a", {"m", 4, later});
+  // A load of another model does not matter.
+  this->fixture.fleet.SetLoad("b", {"other", 4, later});
+  this->fixture.client.answer = &Stream;
+  this->PutJob(this->JobOf(6));
+  this->RunUntilComplete();
+  for (const HttpClientRequest& request : this->fixture.client.seen) {
+    STRCMP_CONTAINS("//b:", request.url.c_str());
+  }
+}
+
+TEST(JobRunner, AnOutputIsDiscardedWhileTheServersOfItsVersionLoad) {
+  this->AddServerWithSoftware("a", "v1");
+  this->fixture.client.answer = this->BreakingFirst();
+  this->PutJob(this->JobOf(1));
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [&] { return this->fixture.client.seen.size() == 1; }));
+  this->AddServerWithSoftware("b", "v2");
+  this->fixture.fleet.SetLoad(
+      "a", {"m", 4, this->fixture.clock.BootNow() + Milliseconds(300)});
+  this->RunUntilComplete();
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+  CHECK_TRUE(this->LastRequestResumes());
+  STRCMP_CONTAINS("//a:", this->fixture.client.seen.back().url.c_str());
+}
+
 TEST(JobRunner, SamplesWaitForAServiceThatTheyDontUse) {
   auto traffic =
       std::make_shared<TrafficConfiguration>(*this->fixture.configuration);
