Gateway: Authenticate callers by the keys of workspaces

Cause: anybody who reaches a gateway may call every route and use every job. A configuration can now have workspaces (tenants on the wire) with keys, and public routes.

CallerAuthentication accepts, refuses with 401, or refuses with 503 where the operator's partition was not read within 3 s. The key and the caller's own workspace field are removed; RequestForServer sets the workspace for plain calls, samples and reward calls. Jobs store the workspace of their submission; a job of another workspace is answered 404. Relayed job calls carry the caller in Carobbank-Caller in place of the key. Entry, sidecar and gateway share the parsing and digest of credentials.

--- a/Libraries/LibHTTP/http.h
+++ b/Libraries/LibHTTP/http.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "LibHTTP/buffer_budget.h"
+#include "LibHTTP/credentials.h"
 #include "LibHTTP/event_loop.h"
 #include "LibHTTP/http_client.h"
 #include "LibHTTP/http_message.h"
--- a/Libraries/LibLedger/batch_job.cc
+++ b/Libraries/LibLedger/batch_job.cc
@@ -75,6 +75,9 @@
   value["id"] = job.id;
   value["host"] = job.host;
   value["path"] = job.path;
+  if (!job.workspace.empty()) {
+    value["workspace"] = job.workspace;
+  }
   value["step"] = Json::Int64(job.step);
   value["model"] = job.model;
   value["min_version"] = Json::Int64(job.min_version);
@@ -185,6 +188,7 @@
   job.id = JsonString(value, "id");
   job.host = JsonString(value, "host");
   job.path = JsonString(value, "path");
+  job.workspace = JsonString(value, "workspace");
   job.step = JsonInteger(value, "step");
   job.model = JsonString(value, "model");
   job.min_version = JsonInteger(value, "min_version");
--- a/Libraries/LibLedger/batch_job.h
+++ b/Libraries/LibLedger/batch_job.h
@@ -45,6 +45,9 @@
   std::string host;
   // The path of the submitting request; selects the route.
   std::string path;
+  // The workspace whose key submitted the job; empty without one, and in
+  // records from before there were workspaces.
+  std::string workspace;
   std::int64_t step = 0;
   // Empty when the samples name no model.
   std::string model;
--- a/Libraries/LibRouting/host_routes.cc
+++ b/Libraries/LibRouting/host_routes.cc
@@ -38,6 +38,9 @@
 
 HostRoutes::HostRoutes(std::vector<HostRoute> routes) {
   for (HostRoute& route : routes) {
+    this->have_public_jobs =
+        this->have_public_jobs ||
+        (route.is_public && route.use == RouteUse::kBatchJobs);
     this->routes_by_host[NormalizedHost(route.host)].push_back(
         std::move(route));
   }
--- a/Libraries/LibRouting/host_routes.h
+++ b/Libraries/LibRouting/host_routes.h
@@ -52,6 +52,8 @@
   // A stream may go on at another server after its last event. Such requests
   // are kRepeatable.
   bool resumable = false;
+  // Needs no key where the configuration has workspaces.
+  bool is_public = false;
   // Each output of the route must come from a single version of the weights.
   bool single_version = false;
   // Invariant: not empty, and at least one weight is positive.
@@ -70,9 +72,13 @@
   // compared without case and port.
   const HostRoute* Find(std::string_view host, std::string_view path) const;
 
+  // Whether a public route accepts batch jobs.
+  bool HavePublicJobs() const { return this->have_public_jobs; }
+
  private:
   // By host name in lower case; each host's longest prefix first.
   std::map<std::string, std::vector<HostRoute>, std::less<>> routes_by_host;
+  bool have_public_jobs = false;
 };
 
 }  // namespace carobbank
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -146,6 +146,12 @@
 inline constexpr MetricDefinition kPeerProofRefused{
     "carobbank_peer_proof_refused_total", MetricType::kCounter, "",
     "Requests from peers whose proof was missing, wrong or stale"};
+inline constexpr MetricDefinition kAuthentications{
+    "carobbank_authentications_total", MetricType::kCounter, "outcome",
+    "Callers' requests at a gateway whose configuration has workspaces, by "
+    "outcome: accepted, public (no known key, and none needed), job_decides "
+    "(the job's owner decides whether it is public), unknown_key (401), "
+    "unverified_key (503, the log is unreachable), no_configuration (503)"};
 inline constexpr MetricDefinition kTimelineDropped{
     "carobbank_timeline_dropped_total", MetricType::kCounter, "",
     "Timeline events dropped from the full ring buffer"};
@@ -196,6 +202,7 @@
     metrics::kUnresolvedClaims,
     metrics::kDraining,
     metrics::kPeerProofRefused,
+    metrics::kAuthentications,
     metrics::kTimelineDropped,
 };
 
--- a/Services/Entry/call_environment.cc
+++ b/Services/Entry/call_environment.cc
@@ -10,17 +10,9 @@
 
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kTokenScheme = "Bearer";
 constexpr std::size_t kMaxRequestIdLength = 128;
 
-std::string TokenDigest(const HttpHeaders& headers) {
-  const auto header = FindHeader(headers, "Authorization");
-  if (!header || !header->starts_with(kBearer)) {
-    return "";
-  }
-  return Sha256Hex(header->substr(kBearer.size()));
-}
-
 bool IsPlainIdentifier(std::string_view text) {
   return !text.empty() && text.size() <= kMaxRequestIdLength &&
          std::ranges::all_of(text, [](char c) { return c > ' ' && c < 127; });
@@ -39,7 +31,7 @@
     return control.configuration_known ? UnknownService(service)
                                        : StartingProblem();
   }
-  const std::string digest = TokenDigest(headers);
+  const std::string digest = CredentialDigest(headers, kTokenScheme);
   AuthenticatedCall call;
   call.service = found->second;
   bool matched = false;
--- a/Services/Entry/entry_routes.cc
+++ b/Services/Entry/entry_routes.cc
@@ -188,11 +188,7 @@
   if (wanted.empty()) {
     return true;
   }
-  constexpr std::string_view kBearer = "Bearer ";
-  const auto header = FindHeader(request.headers, "Authorization");
-  const bool given = header && header->starts_with(kBearer);
-  if (given &&
-      ConstantTimeEqual(wanted, Sha256Hex(header->substr(kBearer.size())))) {
+  if (ConstantTimeEqual(wanted, CredentialDigest(request.headers, "Bearer"))) {
     return true;
   }
   responder.Send(Unauthenticated().ToResponse());
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -74,6 +74,13 @@
   return end_to_end;
 }
 
+void RemoveIdentity(HttpHeaders& headers, const WireHeaderNames& names) {
+  std::erase_if(headers, [&names](const HttpHeader& header) {
+    return HeaderNamesEqual(header.name, names.authorization) ||
+           HeaderNamesEqual(header.name, names.workspace);
+  });
+}
+
 HttpClientRequest RequestForServer(const BackendRequest& request,
                                    const FleetServer& server,
                                    const WireHeaderNames& names) {
@@ -81,6 +88,10 @@
   sent.method = request.method;
   sent.url = "http://" + server.address + request.target;
   sent.headers = request.headers;
+  if (!request.workspace.empty()) {
+    RemoveIdentity(sent.headers, names);
+    sent.headers.push_back({std::string(names.workspace), request.workspace});
+  }
   sent.headers.push_back(
       {std::string(names.deadline), std::to_string(request.time_left.count())});
   sent.headers.push_back({std::string(names.expected_server), server.id});
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -46,7 +46,11 @@
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers,
                             const WireHeaderNames& names);
 
-// The request for one server, with the fields that the gateway adds.
+// Removes the caller's key, and the workspace that the caller stated.
+void RemoveIdentity(HttpHeaders& headers, const WireHeaderNames& names);
+
+// The request for one server, with the fields that the gateway adds. A request
+// with a workspace carries no other identity.
 HttpClientRequest RequestForServer(const BackendRequest& request,
                                    const FleetServer& server,
                                    const WireHeaderNames& names);
--- a/Services/Gateway/backend_request.h
+++ b/Services/Gateway/backend_request.h
@@ -18,6 +18,8 @@
   HttpHeaders headers;
   std::string body;
   std::string request_id;
+  // Sent to the server; empty without a workspace.
+  std::string workspace;
   // Equal for all repetitions of the request; see DigestOfRequest() and
   // DigestOfOwedWork().
   std::string digest;
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -82,10 +82,12 @@
     const HostRoute& route,
     HttpRequest request,
     std::shared_ptr<HttpResponder> responder,
-    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended) {
+    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended,
+    std::string workspace) {
   auto call = std::shared_ptr<ForwardedCall>(new ForwardedCall(
       environment, route, std::move(request), std::move(responder)));
   call->ended = std::move(ended);
+  call->request.workspace = std::move(workspace);
   call->Begin();
   return call;
 }
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -17,13 +17,14 @@
 class ForwardedCall : public std::enable_shared_from_this<ForwardedCall> {
  public:
   // Calls `ended` once, when the caller has received its response or has
-  // disconnected.
+  // disconnected. `workspace`: empty without one.
   static std::shared_ptr<ForwardedCall> Start(
       GatewayEnvironment& environment,
       const HostRoute& route,
       HttpRequest request,
       std::shared_ptr<HttpResponder> responder,
-      std::function<void(const std::shared_ptr<ForwardedCall>&)> ended);
+      std::function<void(const std::shared_ptr<ForwardedCall>&)> ended,
+      std::string workspace = {});
 
   bool Ended() const { return !this->ended; }
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -43,6 +43,11 @@
 // connections.
 constexpr Milliseconds kShutdownMargin{500};
 constexpr Milliseconds kRetryAfter{500};
+// An operator may expect a new key to be accepted this long after the log has
+// acknowledged the configuration. A gateway whose last read of the log is older
+// does not know whether a key exists. Waiting reads follow each other within
+// two seconds.
+constexpr Milliseconds kMaxConfigurationAge{3'000};
 // For refusals after which another instance can serve the request at once.
 constexpr Milliseconds kOtherInstanceRetryAfter{50};
 // Below the ten seconds after which backend servers close idle connections.
@@ -178,6 +183,11 @@
           dialect.ServersPartition(),
           {.wait = kLogWait, .pause_after_records = kServersReadPause},
           this->ServersHandlers()),
+      authentication(
+          this->environment,
+          [this] {
+            return this->operator_follower.LastReadWithin(kMaxConfigurationAge);
+          }),
       peer_poller(this->environment,
                   OtherPeers(this->settings),
                   this->PeerHandlers()) {}
@@ -576,11 +586,18 @@
 void Gateway::Handle(HttpRequest request,
                      std::shared_ptr<HttpResponder> responder) {
   if (!this->configuration) {
+    this->authentication.CountWithoutConfiguration();
     responder->Send(NotRunResponse(
         "no_configuration", "no configuration has been read yet", kRetryAfter));
     return;
   }
   if (std::optional<JobCall> call = this->dialect.RecognizeJobCall(request)) {
+    Authentication caller = this->authentication.ForJobCall(request.headers);
+    if (caller.refusal) {
+      responder->Send(std::move(*caller.refusal));
+      return;
+    }
+    call->caller = std::move(caller.caller);
     this->job_relay.Handle(std::move(request), std::move(*call),
                            std::move(responder));
     return;
@@ -594,15 +611,23 @@
         "check host and path against the configuration"));
     return;
   }
+  Authentication caller =
+      this->authentication.ForRoute(*route, request.headers);
+  if (caller.refusal) {
+    responder->Send(std::move(*caller.refusal));
+    return;
+  }
   if (route->use == RouteUse::kBatchJobs) {
-    this->job_relay.Submit(std::move(request), std::move(responder));
+    this->job_relay.Submit(std::move(request), std::move(responder),
+                           std::move(caller.caller));
     return;
   }
   const std::shared_ptr<ForwardedCall> call = ForwardedCall::Start(
       this->environment, *route, std::move(request), std::move(responder),
       [this](const std::shared_ptr<ForwardedCall>& ended) {
         this->forwarded_calls.erase(ended);
-      });
+      },
+      std::move(caller.caller.workspace));
   if (!call->Ended()) {
     this->forwarded_calls.insert(call);
   }
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "caller_authentication.h"
 #include "fleet_upgrader.h"
 #include "forwarded_call.h"
 #include "gateway_environment.h"
@@ -120,6 +121,7 @@
   // Newest records as read from the log, for peers that have just started.
   std::map<std::string, KeyedLogRecord, std::less<>> operator_records;
   std::map<std::string, KeyedLogRecord, std::less<>> server_records;
+  CallerAuthentication authentication;
   PeerStatePoller peer_poller;
   std::set<std::shared_ptr<ForwardedCall>> forwarded_calls;
   std::unique_ptr<HttpServer> server;
--- a/Services/Gateway/job_call_handler.cc
+++ b/Services/Gateway/job_call_handler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "job_access.h"
 #include "refusals.h"
 
 namespace carobbank {
@@ -15,6 +16,7 @@
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kGatewayTimeout = 504;
 
 // After this time without a confirmation from the log, the caller should retry
@@ -46,10 +48,10 @@
                             "the log did not confirm the change in time");
 }
 
-HttpResponse NoSuchJob() {
-  return ClientErrorResponse(kNotFound, "no_such_job",
-                             "no batch job has this id",
-                             "check the id, or submit the job");
+HttpResponse JobIdInUse() {
+  return ClientErrorResponse(kConflict, "job_id_in_use",
+                             "another workspace's batch job has this id",
+                             "submit the job under a new id");
 }
 
 // A job's submission while its records are being appended to the log.
@@ -115,6 +117,20 @@
   *this->alive = false;
 }
 
+const JobState* JobCallHandler::FindJob(const JobCall& call,
+                                        const JobPartition& partition) const {
+  const JobState* const state = partition.Fold().Find(call.job_id);
+  const bool visible =
+      state != nullptr &&
+      MayUse(call.caller, state->job, this->environment.configuration.get());
+  return visible ? state : nullptr;
+}
+
+HttpResponse JobCallHandler::NoSuchJob(const JobCall& call) const {
+  return NoSuchJobResponse(call.caller,
+                           this->environment.dialect.HeaderNames());
+}
+
 void JobCallHandler::AfterRefresh(JobPartition& partition,
                                   std::shared_ptr<HttpResponder> responder,
                                   std::function<void()> then) {
@@ -138,8 +154,11 @@
   job.accepted_at = this->environment.clock.WallNow();
   job.due = route.due;
   job.abandon_after = route.abandon_after;
-  if (partition.Fold().Find(job.id) != nullptr) {
-    responder->Send({kAccepted, {}, ""});
+  if (const JobState* const accepted = partition.Fold().Find(job.id)) {
+    responder->Send(MaySubmitAgain(job, accepted->job,
+                                   this->environment.configuration.get())
+                        ? HttpResponse{kAccepted, {}, ""}
+                        : JobIdInUse());
     return;
   }
   this->WriteJob(partition, job, std::min(kLogTimeout, route.timeout),
@@ -164,9 +183,17 @@
     write.is_redundant = [id = job.id](const JobFold& fold) {
       return fold.Find(id) != nullptr;
     };
-    write.done = [this, submission, responder](WriteOutcome outcome) {
+    write.done = [this, submission, responder, &partition,
+                  workspace = job.workspace](WriteOutcome outcome) {
       if (std::optional<HttpResponse> response =
               ResponseAfterWrite(*submission, outcome)) {
+        // Another workspace's submission may have been first.
+        const JobState* const state = partition.Fold().Find(submission->job_id);
+        if (state != nullptr && !workspace.empty() &&
+            !state->job.workspace.empty() &&
+            state->job.workspace != workspace) {
+          response = JobIdInUse();
+        }
         LogSubmission(*submission, response->status,
                       this->environment.clock.Now());
         responder->Send(std::move(*response));
@@ -196,17 +223,17 @@
                              JobPartition& partition,
                              std::shared_ptr<HttpResponder> responder,
                              std::function<void(const JobState&)> then) {
-  if (const JobState* const state = partition.Fold().Find(call.job_id)) {
+  if (const JobState* const state = this->FindJob(call, partition)) {
     then(*state);
     return;
   }
   this->AfterRefresh(
       partition, responder,
-      [&partition, id = call.job_id, responder, then = std::move(then)] {
-        if (const JobState* const state = partition.Fold().Find(id)) {
+      [this, &partition, call, responder, then = std::move(then)] {
+        if (const JobState* const state = this->FindJob(call, partition)) {
           then(*state);
         } else {
-          responder->Send(NoSuchJob());
+          responder->Send(this->NoSuchJob(call));
         }
       });
 }
@@ -215,7 +242,7 @@
     const JobCall& call,
     JobPartition& partition,
     const std::shared_ptr<HttpResponder>& responder) {
-  if (const JobState* const state = partition.Fold().Find(call.job_id)) {
+  if (const JobState* const state = this->FindJob(call, partition)) {
     if (this->TryRespondToRead(call, partition, *responder)) {
       return;
     }
@@ -228,8 +255,8 @@
     }
   }
   this->AfterRefresh(partition, responder, [this, call, &partition, responder] {
-    if (partition.Fold().Find(call.job_id) == nullptr) {
-      responder->Send(NoSuchJob());
+    if (this->FindJob(call, partition) == nullptr) {
+      responder->Send(this->NoSuchJob(call));
     } else if (!this->TryRespondToRead(call, partition, *responder)) {
       this->WaitForResults(call, partition, responder);
     }
@@ -240,7 +267,7 @@
 bool JobCallHandler::TryRespondToRead(const JobCall& call,
                                       const JobPartition& partition,
                                       HttpResponder& responder) {
-  const JobState* const state = partition.Fold().Find(call.job_id);
+  const JobState* const state = this->FindJob(call, partition);
   if (state == nullptr || call.position >= state->results.size()) {
     return false;
   }
@@ -262,7 +289,7 @@
   read->call = call;
   read->partition = &partition;
   read->responder = std::move(responder);
-  const JobState* const state = partition.Fold().Find(call.job_id);
+  const JobState* const state = this->FindJob(call, partition);
   if (call.wait.count() <= 0 || state == nullptr || state->ended ||
       state->Complete()) {
     this->RespondToRead(read);
@@ -285,7 +312,7 @@
 
 void JobCallHandler::RespondToRead(const std::shared_ptr<WaitingRead>& read) {
   this->waiting_reads.erase(read);
-  const JobState* const state = read->partition->Fold().Find(read->call.job_id);
+  const JobState* const state = this->FindJob(read->call, *read->partition);
   if (state == nullptr) {
     read->responder->Send(LogUnavailable());
     return;
--- a/Services/Gateway/job_call_handler.h
+++ b/Services/Gateway/job_call_handler.h
@@ -48,6 +48,10 @@
     std::unique_ptr<Timer> timer;
   };
 
+  // The job of the call; null also for one that the caller may not use.
+  const JobState* FindJob(const JobCall& call,
+                          const JobPartition& partition) const;
+  HttpResponse NoSuchJob(const JobCall& call) const;
   // Refreshes the partition and runs `then`, or responds that the log is
   // unavailable.
   void AfterRefresh(JobPartition& partition,
--- a/Services/Gateway/job_relay.cc
+++ b/Services/Gateway/job_relay.cc
@@ -8,6 +8,7 @@
 
 #include "LibProcess/process.h"
 #include "backend_call.h"
+#include "job_access.h"
 #include "refusals.h"
 
 namespace carobbank {
@@ -20,7 +21,6 @@
 constexpr std::string_view kAnyPartition = "any";
 
 constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
 constexpr int kGatewayTimeout = 504;
 
@@ -82,23 +82,27 @@
 }
 
 void JobRelay::Submit(HttpRequest request,
-                      std::shared_ptr<HttpResponder> responder) {
-  std::optional<BatchJob> job = this->ReadSubmission(request, *responder);
+                      std::shared_ptr<HttpResponder> responder,
+                      Caller caller) {
+  std::optional<BatchJob> job =
+      this->ReadSubmission(request, caller, *responder);
   if (job) {
-    this->Start(std::move(request), std::move(*job), std::move(responder),
-                kSubmissionTimeout);
+    this->Start(std::move(request), std::move(*job), std::move(caller),
+                std::move(responder), kSubmissionTimeout);
   }
 }
 
 void JobRelay::Handle(HttpRequest request,
                       JobCall decoded,
                       std::shared_ptr<HttpResponder> responder) {
-  this->Start(std::move(request), std::move(decoded), std::move(responder),
-              kLookupTimeout);
+  Caller caller = decoded.caller;
+  this->Start(std::move(request), std::move(decoded), std::move(caller),
+              std::move(responder), kLookupTimeout);
 }
 
 std::optional<BatchJob> JobRelay::ReadSubmission(
     const HttpRequest& request,
+    const Caller& caller,
     HttpResponder& responder) const {
   Outcome<BatchJob> job = this->environment.dialect.DecodeSubmission(request);
   if (!job.Ok()) {
@@ -107,16 +111,19 @@
                                        job.GetError().remedy));
     return std::nullopt;
   }
+  AssignToCaller(job.Value(), caller, this->environment.dialect.HeaderNames());
   return std::move(job.Value());
 }
 
 void JobRelay::Start(HttpRequest request,
                      JobRequest decoded,
+                     Caller caller,
                      std::shared_ptr<HttpResponder> responder,
                      Milliseconds timeout) {
   auto call = std::make_shared<Call>();
   call->request = std::move(request);
   call->decoded = std::move(decoded);
+  call->caller = std::move(caller);
   call->responder = std::move(responder);
   call->began = this->environment.clock.Now();
   call->deadline = call->began + timeout;
@@ -240,7 +247,8 @@
     this->Send(call, owner, std::to_string(number),
                [this, call, number](const Outcome<HttpResponse>& outcome) {
                  const bool has_none =
-                     outcome.Ok() && outcome.Value().status == kNotFound;
+                     outcome.Ok() &&
+                     MeansNoSuchJob(outcome.Value().status, call->caller);
                  const bool answered =
                      outcome.Ok() && !has_none && !IsMisdirected(outcome);
                  if (answered && !std::exchange(call->answered, true)) {
@@ -265,9 +273,8 @@
   } else if (!call->unconfirmed.empty()) {
     this->AttemptLater(call);
   } else {
-    call->responder->Send(ClientErrorResponse(
-        kNotFound, "no_such_job", "no batch job has this id",
-        "check the id, or submit the job"));
+    call->responder->Send(NoSuchJobResponse(
+        call->caller, this->environment.dialect.HeaderNames()));
   }
 }
 
@@ -277,6 +284,13 @@
 
 void JobRelay::HandleRelayed(const HttpRequest& request,
                              std::shared_ptr<HttpResponder> responder) {
+  const auto caller_text = FindHeader(request.headers, kCallerHeader);
+  const std::optional<Caller> caller =
+      caller_text ? DecodeCaller(*caller_text) : Caller();
+  if (!caller) {
+    responder->Send(Misdirected());
+    return;
+  }
   std::optional<JobCall> call =
       this->environment.dialect.RecognizeJobCall(request);
   const std::string_view wanted =
@@ -297,8 +311,9 @@
     return;
   }
   if (call) {
+    call->caller = *caller;
     this->local(*partition, std::move(*call), std::move(responder));
-  } else if (auto job = this->ReadSubmission(request, *responder)) {
+  } else if (auto job = this->ReadSubmission(request, *caller, *responder)) {
     this->local(*partition, std::move(*job), std::move(responder));
   }
 }
@@ -313,6 +328,7 @@
   sent.headers = EndToEndHeaders(call->request.headers,
                                  this->environment.dialect.HeaderNames());
   SetHeader(sent.headers, kPartitionHeader, std::move(partition));
+  SetCaller(sent.headers, call->caller);
   sent.body = call->request.body;
   sent.timeout = kResponseTimeout;
   sent.connect_timeout = kConnectTimeout;
--- a/Services/Gateway/job_relay.h
+++ b/Services/Gateway/job_relay.h
@@ -37,10 +37,13 @@
   JobRelay(const JobRelay&) = delete;
   JobRelay& operator=(const JobRelay&) = delete;
 
-  // A caller's submission of a job.
-  void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-  // A caller's request about a submitted job. The relay may send the request
-  // several times.
+  // A caller's submission of a job. The request of a caller who is not
+  // unrestricted must no longer contain the key.
+  void Submit(HttpRequest request,
+              std::shared_ptr<HttpResponder> responder,
+              Caller caller = {});
+  // A caller's request about a submitted job; `decoded` contains the caller.
+  // The relay may send the request several times.
   void Handle(HttpRequest request,
               JobCall decoded,
               std::shared_ptr<HttpResponder> responder);
@@ -57,6 +60,7 @@
     HttpRequest request;
     // The decoded `request`.
     JobRequest decoded;
+    Caller caller;
     std::shared_ptr<HttpResponder> responder;
     MonotonicTime deadline{};
     std::unique_ptr<Timer> retry;
@@ -82,11 +86,13 @@
 
   void Start(HttpRequest request,
              JobRequest decoded,
+             Caller caller,
              std::shared_ptr<HttpResponder> responder,
              Milliseconds timeout);
   // Nothing if the submission is malformed; the caller then has an error
-  // response.
+  // response. The job is of the caller's workspace.
   std::optional<BatchJob> ReadSubmission(const HttpRequest& request,
+                                         const Caller& caller,
                                          HttpResponder& responder) const;
   void Attempt(const CallPointer& call);
   void AttemptSubmission(const CallPointer& call, JobPartition& partition);
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -328,11 +328,15 @@
   for (const SampleHeader& header : sample.headers) {
     request.headers.push_back({header.name, header.value});
   }
+  if (this->environment.configuration->workspaces) {
+    RemoveIdentity(request.headers, this->environment.dialect.HeaderNames());
+  }
   SetHeader(request.headers, "Host", state.job.host);
   SetHeader(request.headers, this->environment.dialect.HeaderNames().request_id,
             sample.id);
   request.body = *body;
   request.request_id = sample.id;
+  request.workspace = state.job.workspace;
   request.digest = progress.digest;
   request.owed = true;
   request.time_left = this->TimeLeftOf(state);
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -116,6 +116,7 @@
        reward.id}};
   request.body = *body;
   request.request_id = reward.id;
+  request.workspace = state.job.workspace;
   request.digest = progress.reward_digest;
   request.owed = true;
   request.time_left = this->TimeLeftOf(state);
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -18,6 +18,7 @@
 #include "LibPlatform/platform.h"
 #include "LibRouting/routing.h"
 #include "LibVersions/versions.h"
+#include "caller.h"
 
 namespace carobbank {
 
@@ -37,6 +38,9 @@
   std::int64_t version = 0;
   HostRoutes routes;
   std::map<std::string, ServiceTraits, std::less<>> services;
+  // Nothing when the configuration has no workspaces: callers need no key. With
+  // an empty list nobody has a key.
+  std::optional<Workspaces> workspaces;
 };
 
 // Names of header fields.
@@ -69,6 +73,11 @@
   // Requests per second that the server that responds takes from all callers
   // together; absent when it has no limit.
   std::string_view request_limit;
+  // The caller's key, after `key_scheme` and a space. Never sent to a server.
+  std::string_view authorization;
+  std::string_view key_scheme;
+  // The name of the workspace for which a server runs the request.
+  std::string_view workspace;
 };
 
 // Calls that the gateway handles itself, unlike requests that it forwards.
@@ -82,6 +91,8 @@
   Milliseconds wait{0};
   // kReadBody
   std::string sample_id;
+  // Set by the gateway that authenticated the call.
+  Caller caller;
 };
 
 // A request about batch jobs: a submitted job, or a call about one.
--- a/Services/Sidecar/traffic_server.cc
+++ b/Services/Sidecar/traffic_server.cc
@@ -15,7 +15,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kTimelinePageEvents = 1'000;
-constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr std::string_view kTokenScheme = "Bearer";
 
 std::uint64_t QueryNumber(const HttpRequest& request,
                           std::string_view name,
@@ -134,11 +134,7 @@
   if (expected.empty()) {
     return true;
   }
-  const auto header = FindHeader(request.headers, "Authorization");
-  if (!header || !header->starts_with(kBearerPrefix)) {
-    return false;
-  }
-  return ConstantTimeEqual(Sha256Hex(header->substr(kBearerPrefix.size())),
+  return ConstantTimeEqual(CredentialDigest(request.headers, kTokenScheme),
                            expected);
 }
 
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -47,7 +47,10 @@
         .wait = "Wait",
         .leaving = "Leaving",
         .server_id = "Server-Id",
-        .request_limit = "Limit"};
+        .request_limit = "Limit",
+        .authorization = "Pass",
+        .key_scheme = "Key",
+        .workspace = "Party"};
     return kHeaderNames;
   }
   std::string_view ReadinessPath() const override { return "/ready"; }
