--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibProcess/process.h"
+#include "caller_authentication.h"
 #include "refusals.h"
 #include "request_quarantine.h"
 #include "retry_budgets.h"
@@ -82,10 +83,14 @@
     const HostRoute& route,
     HttpRequest request,
     std::shared_ptr<HttpResponder> responder,
-    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended) {
+    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended,
+    std::string workspace) {
   auto call = std::shared_ptr<ForwardedCall>(new ForwardedCall(
       environment, route, std::move(request), std::move(responder)));
   call->ended = std::move(ended);
+  call->request.workspace = std::move(workspace);
+  call->route.priority =
+      PriorityOf(*environment.configuration, route, call->request.workspace);
   call->Begin();
   return call;
 }
--- a/Services/Gateway/job_relay.h
+++ b/Services/Gateway/job_relay.h
@@ -37,10 +37,13 @@
   JobRelay(const JobRelay&) = delete;
   JobRelay& operator=(const JobRelay&) = delete;
 
-  // A caller's submission of a job.
-  void Submit(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-  // A caller's request about a submitted job. The relay may send the request
-  // several times.
+  // A caller's submission of a job. The request of a caller who is not
+  // unrestricted must no longer contain the key.
+  void Submit(HttpRequest request,
+              std::shared_ptr<HttpResponder> responder,
+              Caller caller = {});
+  // A caller's request about a submitted job; `decoded` contains the caller.
+  // The relay may send the request several times.
   void Handle(HttpRequest request,
               JobCall decoded,
               std::shared_ptr<HttpResponder> responder);
@@ -49,7 +52,7 @@
   static bool IsRelayed(const HttpRequest& request);
   // Responds to the request, or reports that this instance does not own the
   // partition. Never forwards the request again.
-  void HandleRelayed(const HttpRequest& request,
+  void HandleRelayed(HttpRequest request,
                      std::shared_ptr<HttpResponder> responder);
 
  private:
@@ -57,6 +60,7 @@
     HttpRequest request;
     // The decoded `request`.
     JobRequest decoded;
+    Caller caller;
     std::shared_ptr<HttpResponder> responder;
     MonotonicTime deadline{};
     std::unique_ptr<Timer> retry;
@@ -82,11 +86,14 @@
 
   void Start(HttpRequest request,
              JobRequest decoded,
+             Caller caller,
              std::shared_ptr<HttpResponder> responder,
              Milliseconds timeout);
   // Nothing if the submission is malformed; the caller then has an error
-  // response.
-  std::optional<BatchJob> ReadSubmission(const HttpRequest& request,
+  // response. The job is of the caller's workspace. The request's body is
+  // replaced if it contains a key.
+  std::optional<BatchJob> ReadSubmission(HttpRequest& request,
+                                         const Caller& caller,
                                          HttpResponder& responder) const;
   void Attempt(const CallPointer& call);
   void AttemptSubmission(const CallPointer& call, JobPartition& partition);
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -18,6 +18,7 @@
 #include "LibPlatform/platform.h"
 #include "LibRouting/routing.h"
 #include "LibVersions/versions.h"
+#include "caller.h"
 
 namespace carobbank {
 
@@ -37,6 +38,9 @@
   std::int64_t version = 0;
   HostRoutes routes;
   std::map<std::string, ServiceTraits, std::less<>> services;
+  // Nothing when the configuration has no workspaces: callers need no key. With
+  // an empty list nobody has a key.
+  std::optional<Workspaces> workspaces;
 };
 
 // Names of header fields.
@@ -69,6 +73,11 @@
   // Requests per second that the server that responds takes from all callers
   // together; absent when it has no limit.
   std::string_view request_limit;
+  // The caller's key, after `key_scheme` and a space. Never sent to a server.
+  std::string_view authorization;
+  std::string_view key_scheme;
+  // The name of the workspace for which a server runs the request.
+  std::string_view workspace;
 };
 
 // Calls that the gateway handles itself, unlike requests that it forwards.
@@ -82,6 +91,8 @@
   Milliseconds wait{0};
   // kReadBody
   std::string sample_id;
+  // Set by the gateway that authenticated the call.
+  Caller caller;
 };
 
 // A request about batch jobs: a submitted job, or a call about one.
@@ -138,6 +149,9 @@
   // Errors: kInvalidArgument names the field.
   virtual Outcome<TrafficConfiguration> DecodeConfiguration(
       std::string_view text) const = 0;
+  // The text with a digest in place of each key, for a peer.
+  // DecodeConfiguration() reads it like `text`, which must be valid.
+  virtual std::string WithoutKeys(std::string_view text) const = 0;
   // Empty when the key belongs to no announced version or the text is
   // malformed.
   virtual std::optional<AnnouncedVersion> DecodeAnnouncedVersion(
@@ -154,6 +168,9 @@
   // Errors: kInvalidArgument names the field.
   virtual Outcome<BatchJob> DecodeSubmission(
       const HttpRequest& request) const = 0;
+  // The submission's body without keys and workspaces in the samples' headers.
+  // `body` must be valid.
+  virtual std::string WithoutSampleIdentities(std::string_view body) const = 0;
   virtual std::string EncodeResults(const ResultPage& page) const = 0;
 
   virtual HttpClientRequest HealthRequest(
