Gateway: Move the order lease into a class of its own

LogLease reads, acquires and renews it (same topic, key and times); LeaseState (LibVersions, pure) decides.

--- a/Libraries/LibVersions/versions.h
+++ b/Libraries/LibVersions/versions.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "LibVersions/fleet_upgrade.h"
+#include "LibVersions/lease_state.h"
 #include "LibVersions/order_authority.h"
 #include "LibVersions/order_state_machine.h"
 #include "LibVersions/staleness.h"
--- a/Services/Gateway/fleet_upgrader.cc
+++ b/Services/Gateway/fleet_upgrader.cc
@@ -1,4 +1,4 @@
-// The order lease, and the progress of an order at each server.
+// The progress of an order at each server.
 
 #include "fleet_upgrader.h"
 
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::string_view kLeaseKey = "holder";
 // Period of checks while an order is pending or planned orders are not sent
 // yet.
 constexpr Milliseconds kTickPeriod{100};
@@ -25,16 +24,9 @@
 constexpr Milliseconds kOrderTimeout{1'200};
 constexpr Milliseconds kFailureBackoff{300};
 constexpr Milliseconds kCallTimeout{1'000};
-// Fractions of the lease duration after which the holder renews the lease, and
-// after which it sends no more orders without a renewal: the rest of the lease
-// covers in-flight orders.
-constexpr int kRenewalPercent = 33;
-constexpr int kUsableLeasePercent = 80;
 // Fraction of the possible loads that the plan counts on; the others compensate
 // for late servers.
 constexpr double kPlannedLoadFraction = 0.85;
-// Placeholder for a lease holder whose record has not been read.
-constexpr std::string_view kUnknownHolder = "?";
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
@@ -46,13 +38,7 @@
 FleetUpgrader::FleetUpgrader(GatewayEnvironment& environment,
                              TopicPartition lease_partition)
     : environment(environment),
-      lease_follower(environment.loop,
-                     environment.clock,
-                     environment.log,
-                     std::move(lease_partition),
-                     {.wait = Milliseconds(1'000)},
-                     this->LeaseHandlers()) {
-  this->lease_follower.Start();
+      lease(environment, std::move(lease_partition), this->LeaseHandlers()) {
   this->Tick();
 }
 
@@ -60,40 +46,18 @@
   *this->alive = false;
 }
 
-LogFollowerHandlers FleetUpgrader::LeaseHandlers() {
-  LogFollowerHandlers handlers;
-  handlers.on_record = [this](const KeyedLogRecord& record) {
-    this->ApplyLeaseRecord(record);
-  };
+LogLeaseHandlers FleetUpgrader::LeaseHandlers() {
+  LogLeaseHandlers handlers;
+  handlers.on_holder_changed = [this] { this->servers.clear(); };
   handlers.on_batch = [this] { this->Reconcile(); };
   return handlers;
 }
 
-void FleetUpgrader::ApplyLeaseRecord(const KeyedLogRecord& record) {
-  if (record.record.key != kLeaseKey) {
-    return;
-  }
-  this->lease_renewed_at = this->environment.clock.BootNow();
-  if (this->lease_holder == record.record.value) {
-    return;
-  }
-  this->lease_holder = record.record.value;
-  this->lease_start_offset = record.offset;
-  this->servers.clear();
-  WriteLog(LogLevel::kInfo, "order lease has a new holder",
-           {{"holder", this->lease_holder},
-            {"fencing_token", std::to_string(this->lease_start_offset + 1)}});
-}
-
 void FleetUpgrader::SetElected(bool now_elected) {
-  this->elected = now_elected;
+  this->lease.SetElected(now_elected);
   this->Reconcile();
 }
 
-void FleetUpgrader::Shutdown() {
-  this->shut_down = true;
-}
-
 void FleetUpgrader::OnVersionAnnounced(const AnnouncedVersion& version) {
   std::int64_t& newest = this->announced_versions[version.model];
   if (version.version <= newest) {
@@ -112,69 +76,9 @@
   this->Reconcile();
 }
 
-bool FleetUpgrader::IsLeaseHolder() const {
-  return this->lease_holder == this->environment.settings.instance;
-}
-
-bool FleetUpgrader::HoldsLease() const {
-  const Milliseconds limit =
-      Milliseconds(this->environment.settings.order_lease_ms) *
-      kUsableLeasePercent / 100;
-  return this->IsLeaseHolder() && !this->shut_down &&
-         this->environment.clock.BootNow() - this->lease_renewed_at < limit;
-}
-
-bool FleetUpgrader::LeaseInUse() const {
-  return !this->lease_holder.empty() &&
-         this->environment.clock.BootNow() - this->lease_renewed_at <
-             Milliseconds(this->environment.settings.order_lease_ms);
-}
-
-void FleetUpgrader::AcquireOrRenewLease() {
-  const Milliseconds renewal =
-      Milliseconds(this->environment.settings.order_lease_ms) *
-      kRenewalPercent / 100;
-  const bool renewal_due =
-      this->IsLeaseHolder() &&
-      this->environment.clock.BootNow() - this->lease_renewed_at >= renewal;
-  const bool can_acquire = this->elected && !this->LeaseInUse();
-  if (!this->shut_down && (renewal_due || can_acquire)) {
-    this->AppendLeaseRecord();
-  }
-}
-
-void FleetUpgrader::AppendLeaseRecord() {
-  if (this->appending_lease_record || !this->lease_follower.Synced()) {
-    return;
-  }
-  this->appending_lease_record = true;
-  const std::vector<KeyedRecord> records = {
-      {std::string(kLeaseKey), this->environment.settings.instance}};
-  const MonotonicTime began = this->environment.clock.BootNow();
-  this->environment.log.Append(
-      this->lease_follower.Partition(), records, this->lease_follower.Next(),
-      [this, alive = this->alive, records,
-       began](const AppendOutcome& outcome) {
-        if (!*alive) {
-          return;
-        }
-        this->appending_lease_record = false;
-        if (outcome.status == AppendStatus::kAppended) {
-          this->lease_follower.DeliverOwnAppend(records, outcome.offset,
-                                                outcome.end);
-          // The waiting read may have delivered the record already.
-          this->lease_renewed_at =
-              this->IsLeaseHolder() ? began : this->lease_renewed_at;
-        } else {
-          this->lease_follower.Refresh([](bool /*fresh*/) {});
-        }
-      });
-}
-
 void FleetUpgrader::Tick() {
   this->tick = this->environment.loop.CallAfter(kTickPeriod, [this] {
     this->Tick();
-    this->AcquireOrRenewLease();
     this->Reconcile();
   });
 }
@@ -451,8 +355,7 @@
   state.ordered_at = now;
   OrderPreconditions preconditions;
   preconditions.holder = this->environment.settings.instance;
-  // Fencing tokens begin at 1, offsets at 0.
-  preconditions.fencing_token = this->lease_start_offset + 1;
+  preconditions.fencing_token = this->lease.FencingToken();
   preconditions.expected_orders_accepted = state.orders_accepted;
   HttpClientRequest request =
       this->environment.dialect.OrderRequest(server, order, preconditions);
@@ -462,7 +365,7 @@
   request.fresh_connection = true;
   this->environment.client.Fetch(std::move(request),
                                  [this, alive = this->alive, id = server.id,
-                                  token = this->lease_start_offset,
+                                  token = preconditions.fencing_token,
                                   sent_at = this->environment.clock.WallNow()](
                                      const Outcome<HttpResponse>& outcome) {
                                    if (*alive) {
@@ -505,11 +408,10 @@
     server.not_before = now + kStatusPeriod;
     return;
   }
-  if (status == kFenced && this->lease_start_offset == token) {
+  if (status == kFenced) {
     // Another holder has used a higher token: wait until its lease expires,
     // then acquire the lease.
-    this->lease_holder = std::string(kUnknownHolder);
-    this->lease_renewed_at = this->environment.clock.BootNow();
+    this->lease.OnFenced(token);
   }
   WriteLog(LogLevel::kWarning, "engine refused the order",
            {{"server", id},
--- a/Services/Gateway/fleet_upgrader.h
+++ b/Services/Gateway/fleet_upgrader.h
@@ -1,8 +1,5 @@
 // Orders engines to load announced versions. Only one instance at a time does
-// so: it acquires a lease in the log and renews the lease. The offset of the
-// first record of its lease is the fencing token. Another instance may acquire
-// the lease only after a lease duration without a renewal, and the holder stops
-// sending orders well before that.
+// so: the holder of a lease in the log, whose fencing token its orders carry.
 
 #pragma once
 
@@ -13,7 +10,7 @@
 #include <string>
 
 #include "gateway_environment.h"
-#include "log_follower.h"
+#include "log_lease.h"
 
 namespace carobbank {
 
@@ -28,7 +25,7 @@
   // Sets whether this instance acquires the lease when no instance holds it.
   void SetElected(bool elected);
   // Stops acquiring and renewing the lease, for a shutdown.
-  void Shutdown();
+  void Shutdown() { this->lease.Shutdown(); }
   // A trainer announced a version. Versions that are not newer than the newest
   // announced one are ignored.
   void OnVersionAnnounced(const AnnouncedVersion& version);
@@ -38,7 +35,9 @@
   // versions.
   void Reconcile();
 
-  bool HoldsLease() const;
+  bool HoldsLease() const { return this->lease.HoldsLease(); }
+  // The lease, for the other duties of its holder.
+  LogLease& Lease() { return this->lease; }
 
   // Estimate of the load time before the first load completes.
   static constexpr Milliseconds kInitialLoadTime{1'100};
@@ -63,13 +62,7 @@
     MonotonicTime not_before = MonotonicTime::min();
   };
 
-  LogFollowerHandlers LeaseHandlers();
-  void ApplyLeaseRecord(const KeyedLogRecord& record);
-  // The newest lease, of this or another instance, may not have expired yet.
-  bool LeaseInUse() const;
-  bool IsLeaseHolder() const;
-  void AcquireOrRenewLease();
-  void AppendLeaseRecord();
+  LogLeaseHandlers LeaseHandlers();
   NumberByModel VersionsToServe(
       std::span<const UpgradableServer> servers) const;
   void Tick();
@@ -97,18 +90,7 @@
                        const Outcome<HttpResponse>& outcome);
 
   GatewayEnvironment& environment;
-  LogFollower lease_follower;
-  bool elected = false;
-  bool shut_down = false;
-  bool appending_lease_record = false;
-  // Holder of the newest lease in the log; empty when there is none.
-  std::string lease_holder;
-  // Offset of the first record in the holder's unbroken sequence of lease
-  // records.
-  std::uint64_t lease_start_offset = 0;
-  // When the newest lease record was read, or for an own record when its append
-  // began, by Clock::BootNow().
-  MonotonicTime lease_renewed_at = MonotonicTime::min();
+  LogLease lease;
   // Newest announced version of each model.
   NumberByModel announced_versions;
   NumberByModel demand;
