Gateway: Report usage by one lease holder per duty

Each gateway counts the plain requests that servers began to run, by workspace and window, and appends its cumulative counts twice a window to keyed.carobbank-usage. DutyCalls sends while an answered append proves the lease, with its token, within the API's rate and with a time limit before the lease's usable end. A 409 ends the use of the token; where tokens are not checked a new holder waits for one more lease duration.

ForwardedCall::Start takes the workspace, empty until callers' keys are known, so nothing is counted yet.

--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -1,5 +1,7 @@
 // Field table of the gateway's settings.
 
+#include <algorithm>
+
 #include "LibContract/settings_fields.h"
 
 namespace carobbank {
@@ -26,6 +28,46 @@
   return fields;
 }
 
+template <>
+const std::vector<Field<DutySettings>>& FieldsOf() {
+  using S = DutySettings;
+  static const std::vector<Field<S>> fields = {
+      {"address", kOptional, "", "the API that receives the calls; empty: none",
+       Text(&S::address, kOptionalEndpointRule)},
+      {"names", kOptional, "",
+       "duties to carry out: usage_report, autoscale; other names have no "
+       "effect",
+       Text(&S::names, kNameListRule)},
+      {"calls_per_s", kOptional, "calls/s",
+       "calls that the API accepts from all gateways together",
+       Real(&S::calls_per_s, 0.1, 10'000)},
+      {"tokens_checked", kOptional, "",
+       "whether the API refuses calls with an outdated fencing token",
+       Boolean(&S::tokens_checked)},
+      {"usage_window_s", kOptional, "s", "length of a usage report's window",
+       Integer(&S::usage_window_s, 1, 3'600)},
+      {"usage_late_s", kOptional, "s",
+       "a usage report is due this long after its window's end",
+       Integer(&S::usage_late_s, 1, 3'600)},
+  };
+  return fields;
+}
+
+bool HasDuty(const DutySettings& settings, std::string_view name) {
+  if (settings.address.empty()) {
+    return false;
+  }
+  std::string_view rest = settings.names;
+  while (!rest.empty()) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    if (rest.substr(0, comma) == name) {
+      return true;
+    }
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+  }
+  return false;
+}
+
 template <>
 const std::vector<Field<GatewaySettings>>& FieldsOf() {
   using S = GatewaySettings;
@@ -78,6 +120,9 @@
        "how many versions before the newest announced one a sample may come "
        "from",
        Integer(&S::allowed_version_lag, 0, 100)},
+      {"duties", kOptional, "",
+       "tasks that one gateway carries out for all of them",
+       Nested(&S::duties)},
       {"seed", kOptional, "",
        "seed of random choices; 0: a seed from the system",
        Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -172,6 +172,29 @@
   double memory_mb = 1'024;
 };
 
+// Tasks that one gateway carries out for all of them, by calls to an API of the
+// platform.
+struct DutySettings {
+  // The API that receives the calls; empty: no duties.
+  std::string address;
+  // Names with commas between them: usage_report, autoscale. Other names have
+  // no effect.
+  std::string names;
+  // Calls that the API accepts from all gateways together.
+  double calls_per_s = 50;
+  // Whether the API refuses calls with an outdated fencing token. Where it does
+  // not, a new lease holder lets one more lease duration pass before its first
+  // call.
+  bool tokens_checked = true;
+  // Length of the time windows of usage reports.
+  std::int64_t usage_window_s = 5;
+  // A report is due this long after its window's end.
+  std::int64_t usage_late_s = 10;
+};
+
+// Whether the settings name the duty and an API for it.
+bool HasDuty(const DutySettings& settings, std::string_view name);
+
 // A gateway: an entry that sends requests directly to backend servers, in the
 // platform's dialect that the program is built with.
 struct GatewaySettings {
@@ -210,6 +233,7 @@
   std::int64_t shutdown_grace_s = 8;
   // How many versions before the newest announced one a sample may come from.
   std::int64_t allowed_version_lag = 1;
+  DutySettings duties;
   // 0: from the operating system.
   std::int64_t seed = 0;
 };
--- a/Libraries/LibContract/text_rules.cc
+++ b/Libraries/LibContract/text_rules.cc
@@ -92,6 +92,17 @@
   return true;
 }
 
+bool IsNameList(std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    if (!IsName(text.substr(0, comma))) {
+      return false;
+    }
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return true;
+}
+
 bool IsUrl(std::string_view text) {
   const bool secure = text.starts_with("https://");
   if (!secure && !text.starts_with("http://")) {
--- a/Libraries/LibContract/text_rules.h
+++ b/Libraries/LibContract/text_rules.h
@@ -22,6 +22,8 @@
 bool IsOptionalEndpoint(std::string_view text);
 // Comma-separated endpoints; may be empty.
 bool IsEndpointList(std::string_view text);
+// Comma-separated names; may be empty.
+bool IsNameList(std::string_view text);
 bool IsUrl(std::string_view text);
 bool IsFile(std::string_view text);
 bool IsSecret(std::string_view text);
@@ -49,6 +51,8 @@
     &IsOptionalEndpoint, "an IPv4 address and a port, or nothing"};
 inline constexpr TextRule kEndpointListRule = {
     &IsEndpointList, "IPv4 addresses with ports, commas between them"};
+inline constexpr TextRule kNameListRule = {
+    &IsNameList, "names of a-z 0-9 - _ ., commas between them"};
 inline constexpr TextRule kUrlRule = {
     &IsUrl, "an http or https URL without a slash at its end"};
 inline constexpr TextRule kFileRule = {&IsFile,
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -138,6 +138,18 @@
     "carobbank_discarded_events_total", MetricType::kCounter, "reason",
     "Events of sample outputs that no server of their software version could "
     "continue"};
+inline constexpr MetricDefinition kDutyCalls{
+    "carobbank_duty_calls_total", MetricType::kCounter, "duty,outcome",
+    "Calls of the lease holder's duties, by outcome: accepted, fenced, "
+    "throttled, rejected, failed"};
+inline constexpr MetricDefinition kUsageWindows{
+    "carobbank_usage_windows_total", MetricType::kCounter, "event",
+    "Windows of usage reports, by event at the lease holder: decided, "
+    "decided_late, sent, sent_late, abandoned"};
+inline constexpr MetricDefinition kUsageUncounted{
+    "carobbank_usage_uncounted_total", MetricType::kCounter, "reason",
+    "Usage that is in no report, by reason: limit (requests of this process), "
+    "late_record (records read by the lease holder after the decision)"};
 inline constexpr MetricDefinition kUnresolvedClaims{
     "carobbank_unresolved_claims", MetricType::kGauge, "service",
     "Claimed idempotency keys whose outcome is unknown"};
@@ -193,6 +205,9 @@
     metrics::kHeldBack,
     metrics::kResumedOutputs,
     metrics::kDiscardedEvents,
+    metrics::kDutyCalls,
+    metrics::kUsageWindows,
+    metrics::kUsageUncounted,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
     metrics::kPeerProofRefused,
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -53,11 +53,13 @@
 ForwardedCall::ForwardedCall(GatewayEnvironment& environment,
                              const HostRoute& route,
                              HttpRequest request,
-                             std::shared_ptr<HttpResponder> responder)
+                             std::shared_ptr<HttpResponder> responder,
+                             std::string_view workspace)
     : environment(environment),
       route(route),
       service(ChooseService(route, environment.random.Next())),
-      responder(std::move(responder)) {
+      responder(std::move(responder)),
+      usage(environment.usage, workspace) {
   const WireHeaderNames& names = environment.dialect.HeaderNames();
   Milliseconds time_limit = route.timeout;
   if (const auto text = FindHeader(request.headers, names.deadline)) {
@@ -82,9 +84,10 @@
     const HostRoute& route,
     HttpRequest request,
     std::shared_ptr<HttpResponder> responder,
-    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended) {
+    std::function<void(const std::shared_ptr<ForwardedCall>&)> ended,
+    std::string_view workspace) {
   auto call = std::shared_ptr<ForwardedCall>(new ForwardedCall(
-      environment, route, std::move(request), std::move(responder)));
+      environment, route, std::move(request), std::move(responder), workspace));
   call->ended = std::move(ended);
   call->Begin();
   return call;
@@ -260,6 +263,9 @@
     this->permit.reset();
   }
   ++this->possible_runs;
+  if (!this->route.streaming) {
+    this->usage.OnSent(server.id, this->environment.clock.WallNow());
+  }
   this->excluded.push_back(server.id);
   this->calls.push_back(this->StartBackendCall(server));
 }
@@ -323,6 +329,9 @@
   // Kept until the end of this function, because its callback is running.
   const std::unique_ptr<BackendCall> finished_call = std::move(*found);
   this->calls.erase(found);
+  if (result.outcome == BackendCallOutcome::kNotRun) {
+    this->usage.OnNotRun(server_id);
+  }
   if (this->stream_begun && result.outcome != BackendCallOutcome::kNotRun) {
     this->OnStreamEnd(result);
     return;
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -11,19 +11,22 @@
 
 #include "backend_call.h"
 #include "send_permits.h"
+#include "usage_recorder.h"
 
 namespace carobbank {
 
 class ForwardedCall : public std::enable_shared_from_this<ForwardedCall> {
  public:
   // Calls `ended` once, when the caller has received its response or has
-  // disconnected.
+  // disconnected. The request counts as usage of `workspace`, unless that is
+  // empty.
   static std::shared_ptr<ForwardedCall> Start(
       GatewayEnvironment& environment,
       const HostRoute& route,
       HttpRequest request,
       std::shared_ptr<HttpResponder> responder,
-      std::function<void(const std::shared_ptr<ForwardedCall>&)> ended);
+      std::function<void(const std::shared_ptr<ForwardedCall>&)> ended,
+      std::string_view workspace = "");
 
   bool Ended() const { return !this->ended; }
 
@@ -31,7 +34,8 @@
   ForwardedCall(GatewayEnvironment& environment,
                 const HostRoute& route,
                 HttpRequest request,
-                std::shared_ptr<HttpResponder> responder);
+                std::shared_ptr<HttpResponder> responder,
+                std::string_view workspace);
   void Begin();
   Milliseconds TimeLeft() const;
   // The software version that began the stream which the caller takes up, if
@@ -84,6 +88,9 @@
   std::function<void(const std::shared_ptr<ForwardedCall>&)> ended;
   MonotonicTime deadline;
 
+  // Of the workspace whose key the caller sent.
+  AttemptUsage usage;
+
   // Calls in flight; more than one only for repeatable requests.
   std::vector<std::unique_ptr<BackendCall>> calls;
   // Servers that may have run the request, or refused it in this round.
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -57,6 +57,7 @@
     return;
   }
   if (!std::exchange(this->stream_begun, true)) {
+    this->usage.OnFirstEvent(this->environment.clock.WallNow());
     this->responder->Start(
         kOk, EndToEndHeaders(this->stream_head,
                              this->environment.dialect.HeaderNames()));
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -165,6 +165,7 @@
                                          std::move(responder));
                 }),
       upgrader(this->environment, {std::string(kOrderLeaseTopic), 0}),
+      duties(this->environment, this->upgrader.Lease()),
       operator_follower(this->loop,
                         this->clock,
                         *this->log,
@@ -692,6 +693,7 @@
   this->server->DisableKeepAlive();
   this->membership.Shutdown();
   this->upgrader.Shutdown();
+  this->duties.BeginDrain();
   this->ContinueDrain();
 }
 
@@ -710,7 +712,8 @@
   const bool idle =
       this->server->RequestsInProgress() == 0 &&
       (!this->peer_server || this->peer_server->RequestsInProgress() == 0);
-  if ((out_of_rotation && idle && this->output_transfer.Idle()) ||
+  if ((out_of_rotation && idle && this->output_transfer.Idle() &&
+       this->duties.Idle()) ||
       elapsed >= limit) {
     this->loop.Stop();
     return;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "duties.h"
 #include "fleet_upgrader.h"
 #include "forwarded_call.h"
 #include "gateway_environment.h"
@@ -115,6 +116,7 @@
   JobCallHandler job_calls;
   JobRelay job_relay;
   FleetUpgrader upgrader;
+  Duties duties;
   LogFollower operator_follower;
   LogFollower servers_follower;
   // Newest records as read from the log, for peers that have just started.
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -17,6 +17,7 @@
 class RetryBudgets;
 class SendPermits;
 class ServerLimits;
+class UsageRecorder;
 
 struct GatewayEnvironment {
   const GatewaySettings& settings;
@@ -35,6 +36,8 @@
   SendPermits& permits;
   // Null until the first configuration has been read.
   std::shared_ptr<const TrafficConfiguration>& configuration;
+  // Null when usage is not reported.
+  UsageRecorder* usage = nullptr;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -119,6 +119,24 @@
   std::int64_t expected_orders_accepted = 0;
 };
 
+// The sender of a duty's call.
+struct DutyCaller {
+  // "10.200.0.28:8247"
+  std::string address;
+  std::string holder;
+  // Increases with each change of the lease holder.
+  std::uint64_t fencing_token = 0;
+};
+
+// The number of servers that a service should have in a data center.
+struct ServerCountOrder {
+  std::string service;
+  std::string data_center;
+  std::int64_t servers = 0;
+
+  auto operator<=>(const ServerCountOrder&) const = default;
+};
+
 class PlatformDialect {
  public:
   virtual ~PlatformDialect() = default;
@@ -164,6 +182,15 @@
       const FleetServer& server,
       const UpgradeOrder& order,
       const OrderPreconditions& preconditions) const = 0;
+
+  // Calls of duties: their responses have status 200 when the call was carried
+  // out, 409 when a higher fencing token was seen.
+  virtual HttpClientRequest UsageReportRequest(
+      const UsageReport& report,
+      const DutyCaller& caller) const = 0;
+  virtual HttpClientRequest ServerCountRequest(
+      const ServerCountOrder& order,
+      const DutyCaller& caller) const = 0;
 };
 
 }  // namespace carobbank
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -120,6 +120,38 @@
                    std::to_string(preconditions.expected_orders_accepted);
     return request;
   }
+  // "<window>:<workspace>=<count>,"
+  HttpClientRequest UsageReportRequest(
+      const UsageReport& report,
+      const DutyCaller& caller) const override {
+    std::string body = std::to_string(report.window) + ":";
+    for (const auto& [workspace, count] : report.counts) {
+      body += workspace + "=" + std::to_string(count) + ",";
+    }
+    return DutyRequest("/usage", std::move(body), caller);
+  }
+  // "<service>/<data center>=<servers>"
+  HttpClientRequest ServerCountRequest(
+      const ServerCountOrder& order,
+      const DutyCaller& caller) const override {
+    return DutyRequest("/scale",
+                       order.service + "/" + order.data_center + "=" +
+                           std::to_string(order.servers),
+                       caller);
+  }
+
+ private:
+  static HttpClientRequest DutyRequest(const std::string& path,
+                                       std::string body,
+                                       const DutyCaller& caller) {
+    HttpClientRequest request;
+    request.method = "POST";
+    request.url = "http://" + caller.address + path;
+    request.headers = {{"Holder", caller.holder},
+                       {"Token", std::to_string(caller.fencing_token)}};
+    request.body = std::move(body);
+    return request;
+  }
 };
 
 struct GatewayFixture {
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -191,6 +191,27 @@
                this->dialect.EncodeResults(page).c_str());
 }
 
+TEST(JsonPlatformDialect, DutyCallsNameHolderTokenAndContent) {
+  const DutyCaller caller = {"10.0.0.9:80", "gateway-1", 17};
+  const HttpClientRequest usage =
+      this->dialect.UsageReportRequest({356, {{"a", 3}, {"b", 0}}}, caller);
+  STRCMP_EQUAL("POST", usage.method.c_str());
+  STRCMP_EQUAL("http://10.0.0.9:80/usage", usage.url.c_str());
+  STRCMP_EQUAL(R"({"counts":{"a":3,"b":0},"window":356})", usage.body.c_str());
+  STRCMP_EQUAL(
+      "gateway-1",
+      std::string(*FindHeader(usage.headers, "X-Duty-Holder")).c_str());
+  STRCMP_EQUAL(
+      "17", std::string(*FindHeader(usage.headers, "X-Fence-Token")).c_str());
+  STRCMP_EQUAL(R"({"counts":{},"window":1})",
+               this->dialect.UsageReportRequest({1, {}}, caller).body.c_str());
+  const HttpClientRequest scale =
+      this->dialect.ServerCountRequest({"s1", "z1", 12}, caller);
+  STRCMP_EQUAL("http://10.0.0.9:80/scale", scale.url.c_str());
+  STRCMP_EQUAL(R"({"service":"s1","target_groups":12,"zone":"z1"})",
+               scale.body.c_str());
+}
+
 TEST_GROUP(StoreCodecs){};
 
 TEST(StoreCodecs, EncodedRecordsDecodeToTheSameRecords) {
