--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -173,6 +173,7 @@
       weight_loads(this->environment,
                    this->owners,
                    [this] { this->runner.ScheduleDispatch(); }),
+      duties(this->environment, this->upgrader.Lease()),
       operator_follower(this->loop,
                         this->clock,
                         *this->log,
@@ -768,6 +769,7 @@
   this->server->DisableKeepAlive();
   this->membership.Shutdown();
   this->upgrader.Shutdown();
+  this->duties.BeginDrain();
   this->ContinueDrain();
 }
 
@@ -786,7 +788,8 @@
   const bool idle =
       this->server->RequestsInProgress() == 0 &&
       (!this->peer_server || this->peer_server->RequestsInProgress() == 0);
-  if ((out_of_rotation && idle && this->output_transfer.Idle()) ||
+  if ((out_of_rotation && idle && this->output_transfer.Idle() &&
+       this->duties.Idle()) ||
       elapsed >= limit) {
     this->loop.Stop();
     return;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "caller_authentication.h"
+#include "duties.h"
 #include "fleet_upgrader.h"
 #include "forwarded_call.h"
 #include "gateway_environment.h"
@@ -122,6 +123,7 @@
   JobRelay job_relay;
   FleetUpgrader upgrader;
   WeightLoads weight_loads;
+  Duties duties;
   LogFollower operator_follower;
   LogFollower servers_follower;
   // Newest records as read from the log, for peers that have just started. The
