Gateway: Prove the origin of a resumed stream by records made before its use

Resumed streams could be joined from two software versions. Tests on the code before (GatewayFleetTest -g StreamVersions) showed six ways; the first five fail with "joined from", or with 200 instead of 503: - a gateway that had not read of a release yet took its only version for the stream's; - a gateway that knew only the new version, since long ago, did so for a stream that a gateway with an older view had begun; - a resumed request drew one of its route's services again; - a route had moved to another service; - an attempt id that was used for two streams kept its first version; - after a server's entry vanished during an attempt, the stream's version was forgotten, and a server without a version could continue it.

The proof rested on what one gateway knew and since when. Now each gateway records the origin (route, service, version) in the log before it begins a stream there (StreamOrigins). A stream without a record of its own is continued only if, after a read of the log that began after the resume request arrived, its path has one origin; no time or clock is involved. Records of streams name the service; an id with two origins is refused. A stream is also recorded under the client's last attempt. While the log is unreachable, streams go to the peers.

--- a/Libraries/LibMembership/fleet.cc
+++ b/Libraries/LibMembership/fleet.cc
@@ -174,4 +174,13 @@
   return eligible;
 }
 
+std::vector<const FleetServer*> ServerFleet::All() const {
+  std::vector<const FleetServer*> all;
+  all.reserve(this->servers.size());
+  for (const auto& [id, entry] : this->servers) {
+    all.push_back(&entry.server);
+  }
+  return all;
+}
+
 }  // namespace carobbank
--- a/Libraries/LibMembership/fleet.h
+++ b/Libraries/LibMembership/fleet.h
@@ -102,6 +102,9 @@
   // Servers of the service that accept new work, ordered by id. Pointers are
   // valid until the next change.
   std::vector<const FleetServer*> Eligible(std::string_view service) const;
+  // All servers, also those that leave. Pointers are valid until the next
+  // change.
+  std::vector<const FleetServer*> All() const;
   std::size_t Size() const { return this->servers.size(); }
 
   // Servers register again within two seconds after the registry becomes
--- a/Libraries/LibRouting/host_routes.cc
+++ b/Libraries/LibRouting/host_routes.cc
@@ -64,4 +64,14 @@
   return nullptr;
 }
 
+std::vector<const HostRoute*> HostRoutes::All() const {
+  std::vector<const HostRoute*> all;
+  for (const auto& [host, routes] : this->routes_by_host) {
+    for (const HostRoute& route : routes) {
+      all.push_back(&route);
+    }
+  }
+  return all;
+}
+
 }  // namespace carobbank
--- a/Libraries/LibRouting/host_routes.h
+++ b/Libraries/LibRouting/host_routes.h
@@ -69,6 +69,8 @@
   // The host's route with the longest prefix of `path`, or null. Host names are
   // compared without case and port.
   const HostRoute* Find(std::string_view host, std::string_view path) const;
+  // Pointers are valid as long as this table.
+  std::vector<const HostRoute*> All() const;
 
  private:
   // By host name in lower case; each host's longest prefix first.
--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -16,3 +16,4 @@
 #include "LibRouting/server_crash_detector.h"
 #include "LibRouting/server_table.h"
 #include "LibRouting/step_plan.h"
+#include "LibRouting/stream_origins.h"
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -57,14 +57,15 @@
     : environment(environment),
       route(route),
       service(ChooseService(route, environment.random.Next())),
-      responder(std::move(responder)) {
+      responder(std::move(responder)),
+      began(environment.clock.Now()) {
   const WireHeaderNames& names = environment.dialect.HeaderNames();
   Milliseconds time_limit = route.timeout;
   if (const auto text = FindHeader(request.headers, names.deadline)) {
     time_limit =
         std::min(time_limit, ParseMilliseconds(*text).value_or(time_limit));
   }
-  this->deadline = environment.clock.Now() + time_limit;
+  this->deadline = this->began + time_limit;
   this->request.method = std::move(request.method);
   this->request.target = std::move(request.target);
   this->request.headers = EndToEndHeaders(request.headers, names);
@@ -110,21 +111,8 @@
       resumed ||
       FindHeader(this->request.headers, names.last_event_id).has_value();
   if (this->resumes) {
-    const std::optional<std::string> software = this->SoftwareOfResumed();
-    if (!software) {
-      WriteLog(LogLevel::kInfo,
-               "stream not taken up: the software version that began it is "
-               "unknown",
-               {{"request", this->request.request_id},
-                {"stream", this->stream_id},
-                {"service", this->service}});
-      this->Finish(NotRunResponse(
-          "unknown_software_version",
-          "the software version that began the stream is unknown",
-          kRetryAfter));
-      return;
-    }
-    this->software_version = *software;
+    this->BeginResumed();
+    return;
   }
   this->environment.retries.OnFirstAttempt(this->service);
   this->StartAttempt();
@@ -186,7 +174,7 @@
     }
     return;
   }
-  if (this->environment.quarantine.AwaitsRecords() ||
+  if (this->environment.quarantine.AwaitsRecords() || this->AwaitsOrigin() ||
       this->environment.quarantine.MustWait(this->request.digest)) {
     if (first) {
       this->StartAttemptAfter(kSuspectCheckPeriod);
@@ -278,9 +266,11 @@
   }
   StreamHandlers stream;
   stream.on_head = [weak = this->weak_from_this(),
-                    id = server.id](const HttpHeaders& headers) {
+                    software = server.started_at == 0 ? server.software_version
+                                                      : std::string()](
+                       const HttpHeaders& headers) {
     if (const auto self = weak.lock()) {
-      self->OnStreamHead(id, headers);
+      self->OnStreamHead(software, headers);
     }
   };
   stream.on_events = [weak = this->weak_from_this()](
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -11,6 +11,7 @@
 
 #include "backend_call.h"
 #include "send_permits.h"
+#include "stream_versions.h"
 
 namespace carobbank {
 
@@ -34,9 +35,16 @@
                 std::shared_ptr<HttpResponder> responder);
   void Begin();
   Milliseconds TimeLeft() const;
-  // The software version that began the stream which the caller takes up, if
-  // it is known for sure.
-  std::optional<std::string> SoftwareOfResumed() const;
+  // Begins the stream that the caller takes up where it was begun, or refuses.
+  void BeginResumed();
+  void OnRecordsRead(bool fresh);
+  void TakeUp(const StreamVersion& begun);
+  void RefuseResumed();
+  // The stream can begin at no server yet, because the log doesn't hold their
+  // origins.
+  bool AwaitsOrigin() const;
+  // For a route without streams, of which no origins are recorded.
+  void TakeUpPlain();
   bool MayRunAgain() const;
   void StartAttempt();
   void SendTo(const FleetServer& server);
@@ -67,7 +75,11 @@
   std::unique_ptr<BackendCall> StartBackendCall(const FleetServer& server);
   // The server may run the request: its software version is that of the stream.
   bool MayRun(const FleetServer& server) const;
-  void OnStreamHead(const std::string& server_id, const HttpHeaders& headers);
+  // `software_of_server`: as known when the attempt was sent; empty if another
+  // start of the server may have run it.
+  void OnStreamHead(const std::string& software_of_server,
+                    const HttpHeaders& headers);
+  void RecordStream();
   void OnEvents(std::string_view bytes, std::string_view event_id);
   void WriteEvents();
   void OnEventsWritten(bool written);
@@ -82,6 +94,7 @@
   BackendRequest request;
   std::shared_ptr<HttpResponder> responder;
   std::function<void(const std::shared_ptr<ForwardedCall>&)> ended;
+  MonotonicTime began;
   MonotonicTime deadline;
 
   // Calls in flight; more than one only for repeatable requests.
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -9,6 +9,7 @@
 #include "LibProcess/process.h"
 #include "refusals.h"
 #include "request_quarantine.h"
+#include "retry_budgets.h"
 
 namespace carobbank {
 
@@ -17,38 +18,145 @@
 constexpr int kOk = 200;
 // Events that a caller has not read; its server is read again below that.
 constexpr std::size_t kMaxUnwrittenBytes = 64 * 1024;
+// A gateway that has just started reads the records of streams first.
+constexpr Milliseconds kRecordsCheckPeriod{20};
+constexpr Milliseconds kRetryAfter{250};
+// An origin is recorded and read within this time, also when the log is slow.
+constexpr Milliseconds kLongestWaitForOrigin{1'000};
 // From the end of a stream until its caller takes it up.
 constexpr Milliseconds kTimeToTakeUp{2'000};
 
 }  // namespace
 
-std::optional<std::string> ForwardedCall::SoftwareOfResumed() const {
-  if (auto recorded =
-          this->environment.quarantine.Streams().Find(this->stream_id)) {
-    return recorded;
+void ForwardedCall::BeginResumed() {
+  RequestQuarantine& quarantine = this->environment.quarantine;
+  if (quarantine.AwaitsRecords()) {
+    this->retry_timer = this->environment.loop.CallAfter(
+        kRecordsCheckPeriod, [weak = this->weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->BeginResumed();
+          }
+        });
+    return;
+  }
+  if (const auto begun = quarantine.Streams().Find(this->stream_id)) {
+    this->TakeUp(*begun);
+    return;
+  }
+  if (!this->route.streaming) {
+    this->TakeUpPlain();
+    return;
+  }
+  // Another gateway may have recorded the stream, or begun to use a further
+  // origin, since this gateway last read.
+  quarantine.Log().Refresh([weak = this->weak_from_this()](bool fresh) {
+    const auto self = weak.lock();
+    if (self && self->responder) {
+      self->OnRecordsRead(fresh);
+    }
+  });
+}
+
+void ForwardedCall::OnRecordsRead(bool fresh) {
+  RequestQuarantine& quarantine = this->environment.quarantine;
+  if (const auto begun = quarantine.Streams().Find(this->stream_id)) {
+    this->TakeUp(*begun);
+    return;
+  }
+  std::string_view path = this->request.target;
+  path = path.substr(0, path.find('?'));
+  const std::optional<StreamOrigin> only =
+      fresh ? quarantine.Origins().Only(this->route.host, path) : std::nullopt;
+  if (!only) {
+    this->RefuseResumed();
+    return;
   }
+  this->TakeUp({this->stream_id, only->service, only->software_version, 0});
+}
+
+void ForwardedCall::TakeUpPlain() {
   const MonotonicTime begin =
       this->environment.clock.BootNow() - this->route.timeout - kTimeToTakeUp;
-  return this->environment.fleet.OnlySoftware(this->service, begin);
+  const std::optional<std::string> software =
+      this->environment.fleet.OnlySoftware(this->service, begin);
+  if (!software) {
+    this->RefuseResumed();
+    return;
+  }
+  this->TakeUp({this->stream_id, this->service, *software, 0});
+}
+
+void ForwardedCall::TakeUp(const StreamVersion& begun) {
+  if (begun.software_version.empty()) {
+    this->RefuseResumed();
+    return;
+  }
+  this->software_version = begun.software_version;
+  if (!begun.service.empty()) {
+    this->service = begun.service;
+  }
+  this->environment.retries.OnFirstAttempt(this->service);
+  this->StartAttempt();
+}
+
+void ForwardedCall::RefuseResumed() {
+  WriteLog(LogLevel::kInfo,
+           "stream not taken up: the software version that began it is unknown",
+           {{"request", this->request.request_id},
+            {"stream", this->stream_id},
+            {"service", this->service}});
+  this->Finish(NotRunResponse(
+      "unknown_software_version",
+      "the software version that began the stream is unknown", kRetryAfter));
 }
 
 bool ForwardedCall::MayRun(const FleetServer& server) const {
+  if (!this->stream_begun && !this->resumes) {
+    return this->environment.quarantine.Origins().MayBegin(this->route, server);
+  }
   // A server with a start time may be back under its id at another version.
-  return (!this->stream_begun && !this->resumes) ||
-         (server.started_at == 0 &&
-          server.software_version == this->software_version);
+  return server.started_at == 0 &&
+         server.software_version == this->software_version;
+}
+
+bool ForwardedCall::AwaitsOrigin() const {
+  const bool may_wait =
+      this->route.streaming && !this->resumes && !this->stream_begun &&
+      this->environment.clock.Now() - this->began < kLongestWaitForOrigin;
+  if (!may_wait) {
+    return false;
+  }
+  const std::vector<const FleetServer*> servers =
+      this->environment.fleet.Eligible(this->service);
+  return !servers.empty() && std::none_of(servers.begin(), servers.end(),
+                                          [this](const FleetServer* server) {
+                                            return this->MayRun(*server);
+                                          });
 }
 
-void ForwardedCall::OnStreamHead(const std::string& server_id,
+void ForwardedCall::OnStreamHead(const std::string& software_of_server,
                                  const HttpHeaders& headers) {
   if (this->stream_begun) {
     return;
   }
   this->stream_head = headers;
-  const FleetServer* const server = this->environment.fleet.Find(server_id);
-  this->software_version = server != nullptr && server->started_at == 0
-                               ? server->software_version
-                               : std::string();
+  if (!this->resumes) {
+    this->software_version = software_of_server;
+  }
+}
+
+void ForwardedCall::RecordStream() {
+  if (!this->route.resumable || this->software_version.empty()) {
+    return;
+  }
+  const StreamOrigin origin{this->route.host, this->route.path_prefix,
+                            this->service, this->software_version};
+  StreamVersions& streams = this->environment.quarantine.Streams();
+  streams.OnBegun(this->stream_id, origin);
+  // The caller may name its last attempt instead of the first.
+  if (this->stream_id != this->request.request_id) {
+    streams.OnBegun(this->request.request_id, origin);
+  }
 }
 
 void ForwardedCall::OnEvents(std::string_view bytes,
@@ -60,10 +168,7 @@
     this->responder->Start(
         kOk, EndToEndHeaders(this->stream_head,
                              this->environment.dialect.HeaderNames()));
-    if (this->route.resumable && !this->software_version.empty()) {
-      this->environment.quarantine.Streams().OnBegun(
-          this->stream_id, this->service, this->software_version);
-    }
+    this->RecordStream();
   }
   const auto number = ParseInteger<std::uint64_t>(event_id);
   const auto last = ParseInteger<std::uint64_t>(this->last_event_id);
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -305,6 +305,7 @@
       std::make_shared<const TrafficConfiguration>(std::move(decoded.Value()));
   WriteLog(LogLevel::kInfo, "configuration in force",
            {{"version", std::to_string(this->configuration->version)}});
+  this->quarantine.UpdateStreams();
   this->runner.ScheduleDispatch();
   this->upgrader.Reconcile();
 }
@@ -371,7 +372,7 @@
 
 void Gateway::OnServersChanged() {
   this->fleet.RecordSoftware(this->clock.BootNow());
-  this->quarantine.Streams().ShareMixed();
+  this->quarantine.UpdateStreams();
   this->runner.ScheduleDispatch();
   this->upgrader.Reconcile();
 }
@@ -432,6 +433,7 @@
     this->Housekeep();
     this->UpdateFollowedPartitions();
     this->fleet.RecordSoftware(this->clock.BootNow());
+    this->quarantine.UpdateStreams();
     this->fleet.RemoveExpired(this->servers_follower.LastReadAt());
     if (this->upgrader.HoldsLease()) {
       this->quarantine.RemoveOldRecords();
@@ -525,6 +527,7 @@
     for (const KeyedLogRecord& record : state.operator_records) {
       this->ApplyOperatorRecord(record);
     }
+    this->quarantine.UpdateStreams();
   };
   return handlers;
 }
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -58,7 +58,8 @@
           environment,
           this->log,
           [this](std::string_view digest) { return this->NeedsTrial(digest); }),
-      streams(environment, this->log) {}
+      origins(environment, this->log),
+      streams(environment, this->log, this->origins) {}
 
 RequestQuarantine::~RequestQuarantine() {
   *this->alive = false;
@@ -102,7 +103,18 @@
   handlers.on_stream_removed = [this](std::string_view request_id) {
     this->streams.OnRemoved(request_id);
   };
+  handlers.on_origin = [this](const StreamOrigin& origin) {
+    this->origins.OnRecord(origin);
+  };
+  handlers.on_origin_removed = [this](std::string_view key) {
+    this->origins.OnRemoved(key);
+  };
+  handlers.on_read = [this] {
+    this->origins.OnRead();
+    this->streams.ShareMixed();
+  };
   handlers.on_reset = [this] {
+    this->origins.Reset();
     this->streams.Reset();
     this->crashes = RequestCrashes(kOptions, kOwedOptions);
     this->trials.Reset();
@@ -453,6 +465,7 @@
 }
 
 void RequestQuarantine::RemoveOldRecords() {
+  this->origins.RemoveUnused();
   const WallMilliseconds now = this->environment.clock.WallNow();
   this->RemoveOldCrashes(this->crashes.Plain(), now - kCrashRetention.count());
   this->RemoveOldCrashes(this->crashes.Owed(), now - kOwedRetention.count());
@@ -494,6 +507,9 @@
   for (const QuarantineTrial& trial : this->trials.Trials().All()) {
     records.push_back(EncodeTrial(trial));
   }
+  for (const StreamOrigin& origin : this->origins.Recorded()) {
+    records.push_back(EncodeStreamOrigin(origin));
+  }
   for (const StreamVersion& stream : this->streams.Shared()) {
     records.push_back(EncodeStreamVersion(stream));
   }
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -98,6 +98,12 @@
   const SampleFailures& Failures() const { return this->failures; }
   // Shared in the same log.
   StreamVersions& Streams() { return this->streams; }
+  StreamOrigins& Origins() { return this->origins; }
+  // The configuration or the servers may have changed.
+  void UpdateStreams() {
+    this->origins.Update();
+    this->streams.ShareMixed();
+  }
 
   // Deletes the crashes of digests without a recent one, and old failures of
   // samples, for all gateways.
@@ -150,6 +156,7 @@
   SampleFailures failures;
   RequestRecordLog log;
   TrialClaims trials;
+  StreamOrigins origins;
   StreamVersions streams;
   MonotonicTime started_at = MonotonicTime::min();
   // Servers of the attempts in flight, by digest.
--- a/Services/Gateway/request_record_log.cc
+++ b/Services/Gateway/request_record_log.cc
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxRecordsPerAppend = 500;
 // Beyond it, the record with the lowest key is no longer appended.
 constexpr std::size_t kMaxUnconfirmed = 4'096;
+// Records of streams of one version are shared during an outage of the log only
+// below this number, so that the appends after it stay few.
+constexpr std::size_t kMaxSharedInOutage = 256;
 constexpr char kSeparator = '/';
 
 struct CrashKey {
@@ -65,7 +68,7 @@
 
 bool IsRecordKey(const std::string& key) {
   return DecodeTrial({key, ""}) || DecodeKey(key) || DecodeSampleFailure(key) ||
-         IsStreamVersionKey(key);
+         IsStreamVersionKey(key) || IsStreamOriginKey(key);
 }
 
 void LogMalformed(const KeyedRecord& record) {
@@ -116,9 +119,12 @@
   };
   followed.on_record = [this](const KeyedLogRecord& record) {
     this->Confirm(record.record);
-    this->ApplyRecord(record.record);
+    this->ApplyConfirmedRecord(record.record);
   };
   followed.on_batch = [this] {
+    if (this->handlers.on_read) {
+      this->handlers.on_read();
+    }
     if (this->follower.Next() == 0) {
       // A long poll on a partition without records may miss the first one.
       this->Put(EncodeNoOp(), Milliseconds(0));
@@ -136,7 +142,7 @@
   this->handlers.on_reset();
   for (const KeyedLogRecord& record : records) {
     this->Confirm(record.record);
-    this->ApplyRecord(record.record);
+    this->ApplyConfirmedRecord(record.record);
   }
   for (const auto& [key, value] : this->unconfirmed) {
     this->ApplyRecord({key, value});
@@ -152,6 +158,9 @@
     this->ApplyStream(record);
     return;
   }
+  if (IsStreamOriginKey(record.key)) {
+    return;
+  }
   const auto failure = DecodeSampleFailure(record.key);
   if (!failure) {
     this->ApplyCrash(record);
@@ -162,6 +171,27 @@
   }
 }
 
+void RequestRecordLog::ApplyConfirmedRecord(const KeyedRecord& record) {
+  if (IsStreamOriginKey(record.key)) {
+    this->ApplyOrigin(record);
+  } else {
+    this->ApplyRecord(record);
+  }
+}
+
+void RequestRecordLog::ApplyOrigin(const KeyedRecord& record) {
+  if (!this->handlers.on_origin) {
+    return;
+  }
+  if (record.value.empty()) {
+    this->handlers.on_origin_removed(record.key);
+  } else if (const auto origin = DecodeStreamOrigin(record)) {
+    this->handlers.on_origin(*origin);
+  } else {
+    LogMalformed(record);
+  }
+}
+
 void RequestRecordLog::ApplyTrial(const KeyedRecord& record) {
   const std::optional<QuarantineTrial> trial = DecodeTrial(record);
   if (!trial) {
@@ -278,6 +308,41 @@
   this->Put({EncodeStreamVersion(stream).key, ""}, kRetractionDelay);
 }
 
+void RequestRecordLog::Record(const StreamOrigin& origin, Milliseconds delay) {
+  this->Put(EncodeStreamOrigin(origin), delay);
+}
+
+void RequestRecordLog::Remove(const StreamOrigin& origin) {
+  this->Put({EncodeStreamOrigin(origin).key, ""}, kRetractionDelay);
+}
+
+bool RequestRecordLog::Awaits(const KeyedRecord& record) const {
+  const auto found = this->unconfirmed.find(record.key);
+  return found != this->unconfirmed.end() && found->second == record.value;
+}
+
+bool RequestRecordLog::SharesWithPeersOnly() const {
+  return this->started && !this->follower.Reachable() && !this->peers.empty() &&
+         this->unconfirmed.size() < kMaxSharedInOutage;
+}
+
+void RequestRecordLog::Refresh(std::function<void(bool fresh)> done) {
+  if (this->Synced() && this->follower.Reachable()) {
+    this->follower.Refresh(
+        [kept = this->alive, done = std::move(done)](bool fresh) {
+          if (*kept) {
+            done(fresh);
+          }
+        });
+    return;
+  }
+  this->environment.loop.Post([done = std::move(done), kept = this->alive] {
+    if (*kept) {
+      done(false);
+    }
+  });
+}
+
 // The first failure after a while is shared at once, because its owner may be
 // lost.
 Milliseconds RequestRecordLog::DelayOfFailure() const {
@@ -411,8 +476,15 @@
 
 void RequestRecordLog::ApplyConfirmed(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
-    if (!this->unconfirmed.contains(record.key)) {
+    if (this->unconfirmed.contains(record.key)) {
+      continue;
+    }
+    // Origins that the peer has read before this gateway could. Afterwards the
+    // peer may know less.
+    if (this->follower.Synced()) {
       this->ApplyRecord(record);
+    } else {
+      this->ApplyConfirmedRecord(record);
     }
   }
 }
--- a/Services/Gateway/request_record_log.h
+++ b/Services/Gateway/request_record_log.h
@@ -1,7 +1,7 @@
 // Shares among gateways which servers crashed under which requests, the trials
-// of quarantined requests, which samples failed, and the software versions of
-// clients' streams, through one partition of the log. While the log is
-// unreachable, records go directly to the peers, and wait to be appended.
+// of quarantined requests, which samples failed, and the origins and software
+// versions of clients' streams, through one partition of the log. While the log
+// is unreachable, records go directly to the peers, and wait to be appended.
 
 #pragma once
 
@@ -17,6 +17,7 @@
 #include "gateway_environment.h"
 #include "log_follower.h"
 #include "sample_failures.h"
+#include "stream_origins.h"
 #include "stream_versions.h"
 #include "trial_record.h"
 
@@ -36,6 +37,11 @@
   std::function<void(const SampleFailure& failure)> on_sample_failure_removed;
   std::function<void(const StreamVersion& stream)> on_stream;
   std::function<void(std::string_view request_id)> on_stream_removed;
+  // The log holds a record of the origin, or holds none any more.
+  std::function<void(const StreamOrigin& origin)> on_origin;
+  std::function<void(std::string_view key)> on_origin_removed;
+  // All records that a read of the log returned were reported.
+  std::function<void()> on_read;
   // The records reported next replace all earlier ones.
   std::function<void()> on_reset;
 };
@@ -77,6 +83,23 @@
   void Record(const StreamVersion& stream);
   void Remove(const StreamVersion& stream);
 
+  // Shares an origin of streams, after `delay` unless the log has it by then,
+  // or that no stream of it can be resumed any more.
+  void Record(const StreamOrigin& origin, Milliseconds delay);
+  void Remove(const StreamOrigin& origin);
+  // The record waits to be appended.
+  bool Awaits(const KeyedRecord& record) const;
+
+  bool Started() const { return this->started; }
+  // All records were read once.
+  bool Synced() const { return this->started && this->follower.Synced(); }
+  // The log is unreachable, and peers can take further records, without loss of
+  // more important ones.
+  bool SharesWithPeersOnly() const;
+  // Calls `done(true)` after every record was reported that the log held when
+  // Refresh() was called; `done(false)` if the log can't be read.
+  void Refresh(std::function<void(bool fresh)> done);
+
   // Records that the log has not confirmed yet, for peers.
   std::vector<KeyedRecord> Unconfirmed() const;
   // Applies unconfirmed records of a peer and appends them too, because the
@@ -103,6 +126,10 @@
   void ApplyCrash(const KeyedRecord& record);
   void ApplyTrial(const KeyedRecord& record);
   void ApplyStream(const KeyedRecord& record);
+  // A record that the log holds. Only such records of origins count: the
+  // others may be lost.
+  void ApplyConfirmedRecord(const KeyedRecord& record);
+  void ApplyOrigin(const KeyedRecord& record);
   void Confirm(const KeyedRecord& record);
   void Put(KeyedRecord record, Milliseconds delay);
   Milliseconds DelayOfFailure() const;
--- a/Services/Gateway/stream_versions.cc
+++ b/Services/Gateway/stream_versions.cc
@@ -9,15 +9,26 @@
 namespace {
 
 constexpr std::string_view kPrefix = "s/";
-// A service counts as mixed for this long after its last server of another
-// version was known.
-constexpr Milliseconds kMixedTime{2'000};
+
+bool Differs(const StreamOrigin& known,
+             std::string_view service,
+             std::string_view software_version) {
+  return known.software_version != software_version ||
+         (!service.empty() && !known.service.empty() &&
+          known.service != service);
+}
 
 }  // namespace
 
 KeyedRecord EncodeStreamVersion(const StreamVersion& stream) {
   Json::Value value;
+  if (!stream.service.empty()) {
+    value["service"] = stream.service;
+  }
   value["software"] = stream.software_version;
+  if (stream.software_version.empty()) {
+    value["ambiguous"] = true;
+  }
   value["at"] = Json::Int64(stream.at);
   return {std::string(kPrefix) + stream.request_id, WriteJson(value)};
 }
@@ -36,67 +47,98 @@
     return stream;
   }
   const std::optional<Json::Value> body = ParseJsonObject(record.value);
-  if (!body || JsonString(*body, "software").empty()) {
+  if (!body || (JsonString(*body, "software").empty() &&
+                !JsonBoolean(*body, "ambiguous", false))) {
     return std::nullopt;
   }
+  stream.service = JsonString(*body, "service");
   stream.software_version = JsonString(*body, "software");
   stream.at = JsonInteger(*body, "at");
   return stream;
 }
 
 void StreamVersions::OnBegun(std::string_view request_id,
-                             const std::string& service,
-                             const std::string& software_version) {
+                             const StreamOrigin& origin) {
   if (request_id.empty() || request_id.size() > kMaxIdBytes) {
     return;
   }
   const auto [found, is_new] = this->streams.try_emplace(
       std::string(request_id),
-      Stream{software_version, service, this->environment.clock.WallNow()});
+      Stream{origin, this->environment.clock.WallNow()});
   Stream& stream = found->second;
-  if (!stream.shared && this->IsMixed(service)) {
+  if (Differs(stream.origin, origin.service, origin.software_version)) {
+    this->SetAmbiguous(found->first, stream);
+  } else if (!stream.shared && this->NeedsRecord(origin)) {
     this->Share(found->first, stream);
+  } else if (!stream.shared) {
+    this->unshared_origins.insert(origin);
   }
 }
 
-bool StreamVersions::IsMixed(const std::string& service) const {
-  return !this->environment.fleet.OnlySoftware(
-      service, this->environment.clock.BootNow() - kMixedTime);
+bool StreamVersions::NeedsRecord(const StreamOrigin& origin) const {
+  return !this->origins.Only(origin.host, origin.path_prefix) ||
+         this->log.SharesWithPeersOnly();
+}
+
+void StreamVersions::SetAmbiguous(const std::string& request_id,
+                                  Stream& stream) {
+  if (!stream.origin.software_version.empty()) {
+    stream.origin.software_version.clear();
+    this->Share(request_id, stream);
+  }
 }
 
 void StreamVersions::ShareMixed() {
-  std::map<std::string_view, bool> mixed;
-  for (auto& [request_id, stream] : this->streams) {
-    if (stream.shared) {
-      continue;
+  std::set<StreamOrigin> needed;
+  for (const StreamOrigin& origin : this->unshared_origins) {
+    if (this->NeedsRecord(origin)) {
+      needed.insert(origin);
     }
-    const auto [known, is_new] = mixed.try_emplace(stream.service);
-    if (is_new) {
-      known->second = this->IsMixed(stream.service);
-    }
-    if (known->second) {
+  }
+  if (needed.empty()) {
+    return;
+  }
+  for (auto& [request_id, stream] : this->streams) {
+    if (!stream.shared && needed.contains(stream.origin)) {
       this->Share(request_id, stream);
     }
   }
+  for (const StreamOrigin& origin : needed) {
+    this->unshared_origins.erase(origin);
+  }
 }
 
 void StreamVersions::Share(const std::string& request_id, Stream& stream) {
   stream.shared = true;
-  this->log.Record(
-      StreamVersion{request_id, stream.software_version, stream.at});
+  this->log.Record(StreamVersion{request_id, stream.origin.service,
+                                 stream.origin.software_version, stream.at});
 }
 
-std::optional<std::string> StreamVersions::Find(
+std::optional<StreamVersion> StreamVersions::Find(
     std::string_view request_id) const {
   const auto found = this->streams.find(request_id);
-  return found == this->streams.end()
-             ? std::nullopt
-             : std::optional(found->second.software_version);
+  if (found == this->streams.end()) {
+    return std::nullopt;
+  }
+  const StreamOrigin& origin = found->second.origin;
+  return StreamVersion{found->first, origin.service, origin.software_version,
+                       found->second.at};
 }
 
 void StreamVersions::OnRecord(const StreamVersion& stream) {
-  this->streams.try_emplace(
-      stream.request_id, Stream{stream.software_version, "", stream.at, true});
+  const auto [found, is_new] = this->streams.try_emplace(
+      stream.request_id,
+      Stream{
+          {"", "", stream.service, stream.software_version}, stream.at, true});
+  Stream& known = found->second;
+  if (is_new ||
+      !Differs(known.origin, stream.service, stream.software_version)) {
+    return;
+  }
+  if (known.IsOwn()) {
+    this->SetAmbiguous(found->first, known);
+  }
+  known.origin.software_version.clear();
 }
 
 void StreamVersions::OnRemoved(std::string_view request_id) {
@@ -108,14 +150,15 @@
 
 void StreamVersions::Reset() {
   std::erase_if(this->streams,
-                [](const auto& entry) { return entry.second.service.empty(); });
+                [](const auto& entry) { return !entry.second.IsOwn(); });
 }
 
 std::vector<StreamVersion> StreamVersions::Shared() const {
   std::vector<StreamVersion> shared;
   for (const auto& [request_id, stream] : this->streams) {
     if (stream.shared) {
-      shared.push_back({request_id, stream.software_version, stream.at});
+      shared.push_back({request_id, stream.origin.service,
+                        stream.origin.software_version, stream.at});
     }
   }
   return shared;
@@ -128,7 +171,7 @@
     const auto& [request_id, stream] = entry;
     const bool old = stream.at < oldest;
     if (old && stream.shared && remove_records) {
-      this->log.Remove(StreamVersion{request_id, "", 0});
+      this->log.Remove(StreamVersion{request_id, "", "", 0});
     }
     return old && (remove_records || !stream.shared);
   });
--- a/Services/Gateway/stream_versions.h
+++ b/Services/Gateway/stream_versions.h
@@ -1,23 +1,28 @@
 // The software versions that began clients' streams, so that any gateway can
-// continue a stream at its version. While a service has servers of several
-// versions, they are shared through the log of request records; otherwise the
-// only version is known without a record.
+// continue a stream at its version. While a path has several origins (see
+// StreamOriginTable), they are shared through the log of request records;
+// otherwise the only origin is known without a record of the stream.
 
 #pragma once
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "gateway_environment.h"
+#include "stream_origins.h"
 
 namespace carobbank {
 
 struct StreamVersion {
   // Id of the client attempt that brought the stream's first event.
   std::string request_id;
+  // Empty if a record of an earlier release of this program doesn't say.
+  std::string service;
+  // Empty if streams of this id began at several services or versions.
   std::string software_version;
   // When the stream began.
   WallMilliseconds at = 0;
@@ -33,18 +38,18 @@
 
 class StreamVersions {
  public:
-  StreamVersions(GatewayEnvironment& environment, RequestRecordLog& log)
-      : environment(environment), log(log) {}
-
-  // A stream began, or went on, at a server of the software version.
-  void OnBegun(std::string_view request_id,
-               const std::string& service,
-               const std::string& software_version);
-  // Shares the streams of this gateway whose services have several versions
-  // now. Call when servers have changed.
+  StreamVersions(GatewayEnvironment& environment,
+                 RequestRecordLog& log,
+                 const StreamOrigins& origins)
+      : environment(environment), log(log), origins(origins) {}
+
+  // A stream began, or went on, at the origin.
+  void OnBegun(std::string_view request_id, const StreamOrigin& origin);
+  // Shares the streams of this gateway whose paths have several origins now.
+  // Call when origins have changed.
   void ShareMixed();
-  // The version that began the stream, if a record or this gateway knows it.
-  std::optional<std::string> Find(std::string_view request_id) const;
+  // Where the stream began, if a record or this gateway knows it.
+  std::optional<StreamVersion> Find(std::string_view request_id) const;
 
   // Applies records of the log.
   void OnRecord(const StreamVersion& stream);
@@ -61,19 +66,27 @@
 
  private:
   struct Stream {
-    std::string software_version;
-    // Empty for a stream that only its record tells of.
-    std::string service;
+    // The software version is empty if it is ambiguous. Without a path for a
+    // stream of which only its record is known.
+    StreamOrigin origin;
     WallMilliseconds at = 0;
     bool shared = false;
+
+    bool IsOwn() const { return !this->origin.path_prefix.empty(); }
   };
 
-  bool IsMixed(const std::string& service) const;
+  // Another gateway may need a record of the stream.
+  bool NeedsRecord(const StreamOrigin& origin) const;
+  // The id stands for streams of several origins.
+  void SetAmbiguous(const std::string& request_id, Stream& stream);
   void Share(const std::string& request_id, Stream& stream);
 
   GatewayEnvironment& environment;
   RequestRecordLog& log;
+  const StreamOrigins& origins;
   std::map<std::string, Stream, std::less<>> streams;
+  // Origins of the streams that are not shared, and maybe of some more.
+  std::set<StreamOrigin> unshared_origins;
 };
 
 }  // namespace carobbank
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -115,6 +115,12 @@
     return peers;
   }
 
+  // As Gateway does after a change of its servers or its configuration.
+  void OnServersChanged() {
+    this->fleet.RecordSoftware(this->environment.clock.BootNow());
+    this->quarantine.UpdateStreams();
+  }
+
   HttpResponse HandlePeer(const HttpClientRequest& request) {
     if (request.url.ends_with(SendPermits::kPath)) {
       HttpRequest received;
--- a/Tests/GatewayFleet/stream_take_up_test.cc
+++ b/Tests/GatewayFleet/stream_take_up_test.cc
@@ -43,8 +43,7 @@
         server.software_version = software(index++ / 2);
         gateway->fleet.Put(server);
       }
-      gateway->fleet.RecordSoftware(gateway->environment.clock.BootNow());
-      gateway->quarantine.Streams().ShareMixed();
+      gateway->OnServersChanged();
     }
   }
   void Mix() {
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -41,6 +41,8 @@
   // Time that the server was given, as sent.
   Milliseconds time_left{0};
   MonotonicTime at;
+  // Id of the server's start, as the client expected it.
+  std::string expected_id;
 };
 
 class FakeServers {
@@ -252,10 +254,12 @@
     }
     server->runs.push_back(run);
     if (!run->request.url.ends_with(kHealthPath)) {
-      this->served.push_back({server->registered.id,
-                              std::string(rest.substr(rest.find('/'))),
-                              run->request.body, TimeLeft(run->request),
-                              std::chrono::steady_clock::now()});
+      this->served.push_back(
+          {server->registered.id, std::string(rest.substr(rest.find('/'))),
+           run->request.body, TimeLeft(run->request),
+           std::chrono::steady_clock::now(),
+           std::string(
+               FindHeader(run->request.headers, "For-Server").value_or(""))});
     }
     if (this->IsFatalRun(run->request)) {
       const FatalCrash crash{
