Gateway: Refuse at once to resume a stream whose version has no server

A resumed stream whose software version has no server left went through two rounds and used the retry budget before its refusal. Also tests that peers continue streams while the log is away, and compares origins without copies of their texts, because every server of a service is compared for each stream.

--- a/Libraries/LibRouting/stream_origins.cc
+++ b/Libraries/LibRouting/stream_origins.cc
@@ -28,15 +28,18 @@
 
 std::set<StreamOrigin> OriginsOf(const HostRoutes& routes,
                                  std::span<const FleetServer* const> servers) {
+  std::vector<const HostRoute*> streaming = routes.All();
+  std::erase_if(streaming,
+                [](const HostRoute* route) { return !route->streaming; });
+  if (streaming.empty()) {
+    return {};
+  }
   std::map<std::string_view, std::set<std::string_view>> versions;
   for (const FleetServer* const server : servers) {
     versions[server->service].insert(server->software_version);
   }
   std::set<StreamOrigin> origins;
-  for (const HostRoute* const route : routes.All()) {
-    if (!route->streaming) {
-      continue;
-    }
+  for (const HostRoute* const route : streaming) {
     for (const WeightedService& target : route->services) {
       for (const std::string_view version : versions[target.service]) {
         origins.insert({route->host, route->path_prefix, target.service,
@@ -66,16 +69,30 @@
   this->recorded.erase(origin);
 }
 
+// Called for each server that a request could use. There are few origins.
+bool StreamOriginTable::IsRecorded(const HostRoute& route,
+                                   const FleetServer& server) const {
+  return std::any_of(
+      this->recorded.begin(), this->recorded.end(), [&](const auto& entry) {
+        const StreamOrigin& origin = entry.first;
+        return origin.software_version == server.software_version &&
+               origin.service == server.service &&
+               origin.path_prefix == route.path_prefix &&
+               origin.host == route.host;
+      });
+}
+
 void StreamOriginTable::Reset() {
   this->recorded.clear();
 }
 
 std::vector<StreamOrigin> StreamOriginTable::Unrecorded() const {
   std::vector<StreamOrigin> unrecorded;
-  std::copy_if(
-      this->present.begin(), this->present.end(),
-      std::back_inserter(unrecorded),
-      [this](const StreamOrigin& origin) { return !this->IsRecorded(origin); });
+  std::copy_if(this->present.begin(), this->present.end(),
+               std::back_inserter(unrecorded),
+               [this](const StreamOrigin& origin) {
+                 return !this->recorded.contains(origin);
+               });
   return unrecorded;
 }
 
--- a/Libraries/LibRouting/stream_origins.h
+++ b/Libraries/LibRouting/stream_origins.h
@@ -45,9 +45,7 @@
   void OnRemoved(const StreamOrigin& origin);
   void Reset();
 
-  bool IsRecorded(const StreamOrigin& origin) const {
-    return this->recorded.contains(origin);
-  }
+  bool IsRecorded(const HostRoute& route, const FleetServer& server) const;
   const std::map<StreamOrigin, MonotonicTime>& Recorded() const {
     return this->recorded;
   }
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -40,6 +40,8 @@
   void OnRecordsRead(bool fresh);
   void TakeUp(const StreamVersion& begun);
   void RefuseResumed();
+  // Whether some server of the service may run the request.
+  bool HasServer() const;
   // The stream can begin at no server yet, because the log doesn't hold their
   // origins.
   bool AwaitsOrigin() const;
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -95,6 +95,13 @@
   if (!begun.service.empty()) {
     this->service = begun.service;
   }
+  if (!this->HasServer()) {
+    this->Finish(NotRunResponse(
+        "no_server",
+        "no server of the software version that began the stream is registered",
+        kRetryAfter));
+    return;
+  }
   this->environment.retries.OnFirstAttempt(this->service);
   this->StartAttempt();
 }
@@ -126,12 +133,16 @@
   if (!may_wait) {
     return false;
   }
+  return !this->HasServer() &&
+         !this->environment.fleet.Eligible(this->service).empty();
+}
+
+bool ForwardedCall::HasServer() const {
   const std::vector<const FleetServer*> servers =
       this->environment.fleet.Eligible(this->service);
-  return !servers.empty() && std::none_of(servers.begin(), servers.end(),
-                                          [this](const FleetServer* server) {
-                                            return this->MayRun(*server);
-                                          });
+  return std::any_of(
+      servers.begin(), servers.end(),
+      [this](const FleetServer* server) { return this->MayRun(*server); });
 }
 
 void ForwardedCall::OnStreamHead(const std::string& software_of_server,
--- a/Services/Gateway/stream_origins.cc
+++ b/Services/Gateway/stream_origins.cc
@@ -78,8 +78,7 @@
 bool StreamOrigins::MayBegin(const HostRoute& route,
                              const FleetServer& server) const {
   return !route.streaming || !this->log.Started() ||
-         this->table.IsRecorded({route.host, route.path_prefix, server.service,
-                                 server.software_version});
+         this->table.IsRecorded(route, server);
 }
 
 void StreamOrigins::RemoveUnused() {
--- a/Tests/GatewayFleet/stream_versions_test.cc
+++ b/Tests/GatewayFleet/stream_versions_test.cc
@@ -296,6 +296,39 @@
   LONGS_EQUAL(200, this->TakeUp(*this->fleet.gateways[0], "s0", "s0", "third"));
 }
 
+TEST(StreamVersions, IsLostThoughPeersKnowItWhileTheLogIsAway) {
+  this->BeginAll(*this->fleet.gateways[2]);
+  this->fleet.fixture.log.faults.outage = true;
+  this->fleet.fixture.log.FailWaitingReads();
+  this->fleet.RunFor(Milliseconds(50));
+  // Gateway does so regularly.
+  this->fleet.gateways[2]->OnServersChanged();
+  LONGS_EQUAL(200, this->Begin(*this->fleet.gateways[2], "during"));
+  this->fleet.RunFor(Milliseconds(50));
+  this->fleet.gateways.pop_back();
+  LONGS_EQUAL(200, this->TakeUp(*this->fleet.gateways[0], "s0", "s0", "again"));
+  LONGS_EQUAL(200, this->TakeUp(*this->fleet.gateways[1], "during", "during",
+                                "again-during"));
+}
+
+TEST(StreamVersions, TriesAgainThoughItsVersionHasNoServer) {
+  this->ShowAll(HalfV2);
+  this->fleet.RunFor(kTimeToShare);
+  this->BeginAll(*this->fleet.gateways[2]);
+  this->fleet.RunFor(kTimeToShare);
+  this->ShowAll(AllV2);
+  const std::size_t runs = this->fleet.servers.served.size();
+  for (std::size_t number = 0; number < kStreams; ++number) {
+    const std::string stream = "s" + std::to_string(number);
+    const bool began_at_v2 = this->Sources(stream).contains("app v2");
+    LONGS_EQUAL(began_at_v2 ? 200 : 503,
+                this->TakeUp(*this->fleet.gateways[0], stream, stream,
+                             "again-" + stream));
+    LONGS_EQUAL(1, this->Sources(stream).size());
+  }
+  CHECK_TRUE(this->fleet.servers.served.size() < runs + kStreams);
+}
+
 TEST(StreamVersions, GoesOnAtServersThatMayBeBackUnderTheirIds) {
   this->BeginAll(*this->fleet.gateways[2]);
   std::vector<FleetServer> listed = this->Listed(AllV1);
