--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -416,7 +416,8 @@
 
     async def inject_faults(self, end):
         """Injects faults one after the other without waiting for their end, so they overlap."""
-        kinds = [name for name in FAULTS if not self.options.faults or name in self.options.faults]
+        named = self.options.faults or FAULTS.keys() - ONLY_IF_NAMED
+        kinds = [name for name in FAULTS if name in named]
         while time.monotonic() < end - TOUCH_S:
             await asyncio.sleep(self.random.expovariate(1 / self.options.fault_gap_s))
             kind = self.random.choice(kinds)
@@ -459,6 +460,12 @@
         gateway = rng.choice(self.gateways)
         await self.disrupt(gateway, self.restart(gateway, signal.SIGKILL, rng.uniform(0.1, 2)))
 
+    async def kill_all(self, rng):
+        """Kills all gateways at once; they start again at different times."""
+        for gateway in self.gateways:
+            self.spawn(self.disrupt(
+                gateway, self.restart(gateway, signal.SIGKILL, rng.uniform(0.1, 1))))
+
     async def kill_owners(self, rng):
         """Kills each owner of job partitions soon after it became one, several times."""
         for _ in range(rng.randrange(2, 6)):
@@ -639,7 +646,10 @@
     "reset": Soak.reset_connections,
     "limit": Soak.limit,
     "software": Soak.change_software,
+    "kill_all": Soak.kill_all,
 }
+# Jobs may get too few results for the checks then.
+ONLY_IF_NAMED = {"kill_all"}
 
 
 class PortBlocks:
