--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -16,4 +16,5 @@
 #include "LibRouting/server_crash_detector.h"
 #include "LibRouting/server_table.h"
 #include "LibRouting/step_plan.h"
+#include "LibRouting/stream_origins.h"
 #include "LibRouting/workspaces.h"
