LibScheduling: Decide when calls to an overloaded service are sent

A gateway sends every call at once and learns of an overload only from refusals, after its servers' queues are full. AdmissionQueue holds calls back behind a concurrency window that refusals and response times drive, orders them by priority, then by fair share of cost among workspaces, then by arrival, and refuses calls that can't be served within their deadlines.

--- a/Libraries/LibScheduling/scheduling.h
+++ b/Libraries/LibScheduling/scheduling.h
@@ -4,9 +4,11 @@
 
 #pragma once
 
+#include "LibScheduling/admission_queue.h"
 #include "LibScheduling/batch_slowdown.h"
 #include "LibScheduling/permit_home.h"
 #include "LibScheduling/permit_schedule.h"
+#include "LibScheduling/refused_calls.h"
 #include "LibScheduling/request_rate.h"
 #include "LibScheduling/scheduler.h"
 #include "LibScheduling/token_bucket.h"
