Gateway: Hold plain calls back while their service is overloaded

With the setting admission, ForwardedCall asks PlainCallAdmission before its first attempt, reports what its attempts show of the service's capacity, and answers refusals with a Retry-After by the pace of the queue. Without the setting the code path is as before.

--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -78,6 +78,10 @@
        "how many versions before the newest announced one a sample may come "
        "from",
        Integer(&S::allowed_version_lag, 0, 100)},
+      {"admission", kOptional, "",
+       "whether plain calls wait at the gateway, by priority and fair share, "
+       "while the servers of their service are overloaded",
+       Boolean(&S::admission)},
       {"seed", kOptional, "",
        "seed of random choices; 0: a seed from the system",
        Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -210,6 +210,9 @@
   std::int64_t shutdown_grace_s = 8;
   // How many versions before the newest announced one a sample may come from.
   std::int64_t allowed_version_lag = 1;
+  // Whether plain calls wait here, by priority and fair share, while the
+  // servers of their service are overloaded.
+  bool admission = false;
   // 0: from the operating system.
   std::int64_t seed = 0;
 };
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -130,6 +130,19 @@
     "carobbank_held_back_total", MetricType::kCounter, "service,outcome",
     "Calls and permits held back by limits that backend servers name, by "
     "outcome: waited, refused, home_silent"};
+inline constexpr MetricDefinition kAdmissionQueue{
+    "carobbank_admission_queue_calls", MetricType::kGauge, "service",
+    "Plain calls that wait at this gateway for capacity of their service"};
+inline constexpr MetricDefinition kAdmissionLimit{
+    "carobbank_admission_limit_calls", MetricType::kGauge, "service",
+    "Plain calls that this gateway may have in flight at the service"};
+inline constexpr MetricDefinition kAdmissionCalls{
+    "carobbank_admission_calls_total", MetricType::kCounter, "service,outcome",
+    "Plain calls that were not sent at once, by outcome: waited, too_late, "
+    "queue_full, shed, expired, withdrawn"};
+inline constexpr MetricDefinition kAdmissionWaitTime{
+    "carobbank_admission_wait_seconds", MetricType::kTiming, "service",
+    "Time in the gateway's queue of the calls that were sent after a wait"};
 inline constexpr MetricDefinition kResumedOutputs{
     "carobbank_resumed_outputs_total", MetricType::kCounter, "service,software",
     "Attempts that continue the output of an earlier attempt, by the server's "
@@ -191,6 +204,10 @@
     metrics::kServerLimits,
     metrics::kLimitedAttempts,
     metrics::kHeldBack,
+    metrics::kAdmissionQueue,
+    metrics::kAdmissionLimit,
+    metrics::kAdmissionCalls,
+    metrics::kAdmissionWaitTime,
     metrics::kResumedOutputs,
     metrics::kDiscardedEvents,
     metrics::kUnresolvedClaims,
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -83,6 +83,7 @@
 
   const std::string& ServerId() const { return this->attempt.ServerId(); }
   const std::string& RequestId() const { return this->attempt.RequestId(); }
+  MonotonicTime Began() const { return this->attempt.Began(); }
   // Replaces the callback that Start() received.
   void SetCallback(Callback callback) { this->done = std::move(callback); }
   // Stops and resumes reading, for a caller that reads slowly.
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -25,6 +25,8 @@
 // Rounds over all servers before the caller receives a 503 response with
 // Retry-After.
 constexpr int kMaxRefusedRounds = 2;
+// The same for a call that the gateway's own queue has admitted.
+constexpr int kMaxAdmittedRounds = 20;
 // The first round asks every server; a slot that has become free since is
 // likely at the least loaded ones.
 constexpr int kServersInLaterRounds = 2;
@@ -127,7 +129,7 @@
     this->software_version = *software;
   }
   this->environment.retries.OnFirstAttempt(this->service);
-  this->StartAttempt();
+  this->AskAdmission();
 }
 
 Milliseconds ForwardedCall::TimeLeft() const {
@@ -306,6 +308,7 @@
         const auto self = weak.lock();
         if (self && self->calls.size() == 1 && self->MayRunAgain() &&
             !self->environment.quarantine.IsSuspect(self->request.digest) &&
+            !self->environment.admission.Congested(self->service) &&
             self->TryRepeat()) {
           self->StartAttempt();
         }
@@ -323,6 +326,7 @@
   // Kept until the end of this function, because its callback is running.
   const std::unique_ptr<BackendCall> finished_call = std::move(*found);
   this->calls.erase(found);
+  this->ReportAttempt(*finished_call, result);
   if (this->stream_begun && result.outcome != BackendCallOutcome::kNotRun) {
     this->OnStreamEnd(result);
     return;
@@ -422,11 +426,14 @@
   ++this->refused_rounds;
   const bool no_servers =
       this->environment.fleet.Eligible(this->service).empty();
-  if (no_servers || this->refused_rounds > kMaxRefusedRounds ||
+  // An admitted call keeps its place while its service is overloaded.
+  const int rounds = this->pass ? kMaxAdmittedRounds : kMaxRefusedRounds;
+  if (no_servers || this->refused_rounds > rounds ||
       this->TimeLeft() <= 2 * kRefusalBackoff || !this->TryRepeat()) {
     if (this->possible_runs == 0) {
-      this->Finish(
-          NotRunResponse("no_server", this->last_failure, kRetryAfter));
+      this->Finish(NotRunResponse(
+          "no_server", this->last_failure,
+          no_servers ? kRetryAfter : this->RefusalRetryAfter(kRetryAfter)));
     } else {
       this->Finish(
           MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
@@ -435,14 +442,15 @@
   }
   this->excluded.clear();
   this->refusals_in_round = 0;
-  this->StartAttemptAfter(kRefusalBackoff * this->refused_rounds);
+  this->StartAttemptAfter(kRefusalBackoff *
+                          std::min(this->refused_rounds, kMaxRefusedRounds));
 }
 
 void ForwardedCall::OnDeadline() {
   if (this->possible_runs == 0) {
     this->Finish(NotRunResponse(
         "deadline", "no server accepted the request before its deadline",
-        kRetryAfter));
+        this->RefusalRetryAfter(kRetryAfter)));
     return;
   }
   this->Finish(MayHaveRunResponse(
@@ -469,6 +477,7 @@
 void ForwardedCall::Close() {
   this->responder = nullptr;
   this->calls.clear();
+  this->pass.reset();
   this->timeout.reset();
   this->retry_timer.reset();
   this->hedge_timer.reset();
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "backend_call.h"
+#include "plain_call_admission.h"
 #include "send_permits.h"
 
 namespace carobbank {
@@ -33,6 +34,14 @@
                 HttpRequest request,
                 std::shared_ptr<HttpResponder> responder);
   void Begin();
+  // Starts the first attempt now or once the service has capacity, or refuses
+  // the call.
+  void AskAdmission();
+  void OnAdmission(AdmissionState state);
+  void ReportAttempt(const BackendCall& call, const BackendCallResult& result);
+  // For a call that no server ran: by the pace of the service's queue, or
+  // `otherwise` without one.
+  Milliseconds RefusalRetryAfter(Milliseconds otherwise) const;
   Milliseconds TimeLeft() const;
   // The software version that began the stream which the caller takes up, if
   // it is known for sure.
@@ -112,6 +121,8 @@
   bool writing = false;
   bool paused = false;
   bool awaiting_permit = false;
+  // Null without the setting `admission`.
+  std::unique_ptr<AdmissionPass> pass;
   std::optional<SendPermit> permit;
   std::string last_failure = "no backend server is registered";
   std::unique_ptr<Timer> timeout;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "job_runner.h"
 #include "partition_membership.h"
 #include "peer_state_poller.h"
+#include "plain_call_admission.h"
 #include "request_quarantine.h"
 #include "retry_budgets.h"
 #include "send_permits.h"
@@ -104,6 +105,7 @@
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
   ServerLimits limits;
+  PlainCallAdmission admission;
   // Since when this instance owns each of its partitions; see Clock::BootNow().
   std::map<std::int64_t, MonotonicTime> owned_since;
   SendPermits permits;
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -13,6 +13,7 @@
 
 namespace carobbank {
 
+class PlainCallAdmission;
 class RequestQuarantine;
 class RetryBudgets;
 class SendPermits;
@@ -35,6 +36,7 @@
   SendPermits& permits;
   // Null until the first configuration has been read.
   std::shared_ptr<const TrafficConfiguration>& configuration;
+  PlainCallAdmission& admission;
 };
 
 }  // namespace carobbank
--- a/Tests/Gateway/endless_server_test.cc
+++ b/Tests/Gateway/endless_server_test.cc
@@ -104,10 +104,11 @@
   }
   GatewayEnvironment Environment() {
     GatewayFixture& parts = this->fixture;
-    return {parts.settings,    parts.dialect, parts.clock,        parts.random,
-            parts.runner.loop, *this->client, parts.log,          parts.metrics,
-            parts.fleet,       parts.loads,   parts.quarantine,   parts.retries,
-            parts.limits,      parts.permits, parts.configuration};
+    return {
+        parts.settings,    parts.dialect, parts.clock,         parts.random,
+        parts.runner.loop, *this->client, parts.log,           parts.metrics,
+        parts.fleet,       parts.loads,   parts.quarantine,    parts.retries,
+        parts.limits,      parts.permits, parts.configuration, parts.admission};
   }
   bool RunUntil(EndlessServer& endless,
                 Milliseconds limit,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Services/Gateway/gateway_environment.h"
+#include "Services/Gateway/plain_call_admission.h"
 #include "Services/Gateway/request_quarantine.h"
 #include "Services/Gateway/retry_budgets.h"
 #include "Services/Gateway/send_permits.h"
@@ -205,13 +206,14 @@
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
   RetryBudgets retries{metrics, random};
-  GatewayEnvironment environment{settings,    dialect, clock,        random,
-                                 runner.loop, client,  log,          metrics,
-                                 fleet,       loads,   quarantine,   retries,
-                                 limits,      permits, configuration};
+  GatewayEnvironment environment{
+      settings, dialect, clock,         random,   runner.loop, client,
+      log,      metrics, fleet,         loads,    quarantine,  retries,
+      limits,   permits, configuration, admission};
   // Not started: shares nothing until a test starts it.
   RequestQuarantine quarantine{environment, CrashesPartition(), {}};
   ServerLimits limits{environment};
+  PlainCallAdmission admission{environment};
   // The home of all servers.
   SendPermits permits{environment,
                       {[](std::string_view) {
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -10,6 +10,7 @@
 #include "Services/Gateway/forwarded_call.h"
 #include "Services/Gateway/job_runner.h"
 #include "Services/Gateway/peer_state_poller.h"
+#include "Services/Gateway/plain_call_admission.h"
 #include "Services/Gateway/server_restarts.h"
 #include "Support/fake_servers.h"
 #include "gateway_fixture.h"
@@ -63,7 +64,8 @@
                     fixture.random, fixture.runner.loop, *this->client,
                     fixture.log,    fixture.metrics,     this->fleet,
                     this->loads,    this->quarantine,    this->retries,
-                    this->limits,   this->permits,       fixture.configuration},
+                    this->limits,   this->permits,       fixture.configuration,
+                    this->admission},
         quarantine(this->environment, CrashesPartition(), OtherPeers(name)),
         peer_poller(this->environment, OtherPeers(name), this->PeerHandlers()),
         operator_follower(fixture.runner.loop,
@@ -175,6 +177,7 @@
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
   ServerLimits limits{environment};
+  PlainCallAdmission admission{environment};
   SendPermits permits{environment, this->Homes(),
                       [this] { this->runner->ScheduleDispatch(); }};
   PeerStatePoller peer_poller;
--- a/Tests/Gateway/relaying_instances.h
+++ b/Tests/Gateway/relaying_instances.h
@@ -106,11 +106,13 @@
                    HttpClient& client,
                    std::string address)
       : settings(fixture.settings),
-        environment{this->settings, this->dialect,       fixture.clock,
-                    fixture.random, fixture.runner.loop, client,
-                    fixture.log,    fixture.metrics,     fixture.fleet,
-                    fixture.loads,  fixture.quarantine,  fixture.retries,
-                    fixture.limits, fixture.permits,     fixture.configuration},
+        environment{
+            this->settings,   this->dialect,       fixture.clock,
+            fixture.random,   fixture.runner.loop, client,
+            fixture.log,      fixture.metrics,     fixture.fleet,
+            fixture.loads,    fixture.quarantine,  fixture.retries,
+            fixture.limits,   fixture.permits,     fixture.configuration,
+            fixture.admission},
         partitions(this->environment,
                    std::string(kTopic),
                    [this](std::int64_t number) {
--- a/Tests/Gateway/send_permits_test.cc
+++ b/Tests/Gateway/send_permits_test.cc
@@ -49,7 +49,8 @@
                                  fixture.retries,
                                  limits,
                                  permits,
-                                 fixture.configuration};
+                                 fixture.configuration,
+                                 fixture.admission};
   ServerLimits limits{environment};
   PermitHomeLocation home{MonotonicTime(), ""};
   SendPermits permits{environment,
