--- a/Libraries/LibScheduling/admission_queue.cc
+++ b/Libraries/LibScheduling/admission_queue.cc
@@ -180,14 +180,14 @@
   observation.highest_first_ms =
       static_cast<double>(objective.count()) * kHighestFirstTime;
   observation.least_load = this->Limit() < kLeastLoad;
-  this->times.Observe(route, response_ms, observation);
+  this->times.Observe(route, response_ms, observation, now);
 }
 
 void AdmissionQueue::OnStreamed(std::string_view route,
                                 MonotonicTime began,
                                 MonotonicTime now) {
   this->times.Observe(route, static_cast<double>(Elapsed(began, now).count()),
-                      RouteObservation());
+                      RouteObservation(), now);
 }
 
 Milliseconds AdmissionQueue::DrainTime() const {
--- a/Libraries/LibScheduling/concurrency_window.cc
+++ b/Libraries/LibScheduling/concurrency_window.cc
@@ -16,7 +16,7 @@
 // Mean response time, relative to the uncongested one, that counts as
 // congestion. Servers slow down by up to 1.6 times when nearly full; the rest
 // is a short queue at the servers, which keeps all slots in use.
-constexpr double kCongestedTime = 2.0;
+constexpr double kCongestedTime = 2.3;
 // Weight of the newest response time: single ones are up to five times the
 // mean without any congestion.
 constexpr double kResponseTimeWeight = 0.05;
--- a/Libraries/LibScheduling/route_times.cc
+++ b/Libraries/LibScheduling/route_times.cc
@@ -3,16 +3,17 @@
 #include "LibScheduling/route_times.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace carobbank {
 
 namespace {
 
 constexpr double kUnknownCostMs = 25;
-// A faster block counts at once; slower ones raise the value over hundreds of
-// blocks, so that an overload of minutes does not pass for the normal state.
-constexpr double kFallWeight = 0.3;
-constexpr double kRiseWeight = 0.003;
+// A faster block counts at once; slower ones raise the value over many minutes,
+// so that an overload does not pass for the normal state.
+constexpr double kFallWeight = 0.2;
+constexpr double kRiseTimeS = 300;
 constexpr double kLeastLoadRiseWeight = 0.1;
 constexpr double kMinimumMs = 1;
 
@@ -20,7 +21,8 @@
 
 void RouteTimes::Observe(std::string_view route,
                          double response_ms,
-                         const RouteObservation& observation) {
+                         const RouteObservation& observation,
+                         MonotonicTime now) {
   auto found = this->routes.find(route);
   if (found == this->routes.end()) {
     found = this->routes.emplace(std::string(route), State()).first;
@@ -28,18 +30,23 @@
   State& state = found->second;
   state.sum_ms += response_ms;
   ++state.count;
-  if (state.count < kBlock) {
+  const bool first = state.uncongested_ms == 0;
+  if (state.count < kBlock || (!first && now - state.updated < kBlockTime)) {
     return;
   }
   const double mean = std::max(state.sum_ms / state.count, kMinimumMs);
   state.sum_ms = 0;
   state.count = 0;
-  if (state.uncongested_ms == 0) {
+  if (first) {
     state.uncongested_ms = std::min(mean, observation.highest_first_ms);
+    state.updated = now;
     return;
   }
-  const double rise =
-      observation.least_load ? kLeastLoadRiseWeight : kRiseWeight;
+  const std::chrono::duration<double> since = now - state.updated;
+  state.updated = now;
+  const double rise = observation.least_load
+                          ? kLeastLoadRiseWeight
+                          : 1 - std::exp(-since.count() / kRiseTimeS);
   const double weight = mean < state.uncongested_ms ? kFallWeight : rise;
   state.uncongested_ms += weight * (mean - state.uncongested_ms);
 }
--- a/Tests/Gateway/plain_call_admission_test.cc
+++ b/Tests/Gateway/plain_call_admission_test.cc
@@ -4,11 +4,11 @@
 
 #include "Services/Gateway/plain_call_admission.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include "Services/Gateway/forwarded_call.h"
 #include "gateway_fixture.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace carobbank {
 
 namespace {
--- a/Tests/Support/overload_simulation.h
+++ b/Tests/Support/overload_simulation.h
@@ -385,7 +385,8 @@
   void Answer(const CallPointer& call) {
     Gateway& gateway = *this->gateways[call->gateway];
     --gateway.in_flight[call->server];
-    gateway.queue.OnAnswered("plain", kObjective, kStart + call->sent, this->Now());
+    gateway.queue.OnAnswered("plain", kObjective, kStart + call->sent,
+                             this->Now());
     this->answered = true;
     this->End(call);
     this->answered = false;
