LibScheduling: Average the first blocks of a route's response times

One block of 32 responses is off by a fifth, and a value that is too low kept a third of the slots idle where one gateway has all of the demand.

--- a/Libraries/LibScheduling/route_times.cc
+++ b/Libraries/LibScheduling/route_times.cc
@@ -16,6 +16,8 @@
 constexpr double kRiseTimeS = 300;
 constexpr double kLeastLoadRiseWeight = 0.1;
 constexpr double kMinimumMs = 1;
+// Averaged for the first estimate: a single block is off by a fifth.
+constexpr std::uint32_t kFirstBlocks = 5;
 
 }  // namespace
 
@@ -30,20 +32,22 @@
   State& state = found->second;
   state.sum_ms += response_ms;
   ++state.count;
-  const bool first = state.uncongested_ms == 0;
+  const bool first = state.blocks == 0;
   if (state.count < kBlock || (!first && now - state.updated < kBlockTime)) {
     return;
   }
   const double mean = std::max(state.sum_ms / state.count, kMinimumMs);
+  const std::chrono::duration<double> since = now - state.updated;
   state.sum_ms = 0;
   state.count = 0;
-  if (first) {
-    state.uncongested_ms = std::min(mean, observation.highest_first_ms);
-    state.updated = now;
+  state.updated = now;
+  if (state.blocks < kFirstBlocks) {
+    ++state.blocks;
+    state.uncongested_ms += (mean - state.uncongested_ms) / state.blocks;
+    state.uncongested_ms =
+        std::min(state.uncongested_ms, observation.highest_first_ms);
     return;
   }
-  const std::chrono::duration<double> since = now - state.updated;
-  state.updated = now;
   const double rise = observation.least_load
                           ? kLeastLoadRiseWeight
                           : 1 - std::exp(-since.count() / kRiseTimeS);
--- a/Libraries/LibScheduling/route_times.h
+++ b/Libraries/LibScheduling/route_times.h
@@ -16,8 +16,8 @@
 
 // Under which conditions a response time was observed.
 struct RouteObservation {
-  // The first estimate is not above this: a process that starts during an
-  // overload sees no other response times.
+  // The estimate from the first blocks is not above this: a process that starts
+  // during an overload sees no other response times.
   double highest_first_ms = std::numeric_limits<double>::infinity();
   // The sender sends so little that it could not send less: slow responses are
   // then the normal state.
@@ -46,6 +46,7 @@
     std::uint32_t count = 0;
     double sum_ms = 0;
     double uncongested_ms = 0;
+    std::uint32_t blocks = 0;
     // End of the last block.
     MonotonicTime updated{};
   };
