LibHTTP: Bound what unread responses hold

Responses of plain calls are buffered whole until their callers have read them, for up to the write timeout, and a system's default send buffer takes megabytes for each connection. A limit on the bytes of unsent complete responses closes those that wait the longest, and a send buffer size bounds the kernel's part. A gateway sets both with the setting admission.

--- a/Libraries/LibHTTP/connection_registry.cc
+++ b/Libraries/LibHTTP/connection_registry.cc
@@ -27,7 +27,8 @@
 
 ConnectionRegistry::ConnectionRegistry(asio::io_context& context,
                                        HttpServerOptions options)
-    : context(context),
+    : unsent(options.max_unsent_bytes),
+      context(context),
       options(std::move(options)),
       sweep_timer(context),
       sweep_period(SweepPeriod(this->options)) {}
--- a/Libraries/LibHTTP/connection_registry.h
+++ b/Libraries/LibHTTP/connection_registry.h
@@ -16,6 +16,7 @@
 
 #include "LibHTTP/http_server.h"
 #include "LibHTTP/server_connection.h"
+#include "LibHTTP/unsent_responses.h"
 
 namespace carobbank {
 
@@ -56,6 +57,7 @@
   std::weak_ptr<void> acceptor_owner;
   std::shared_ptr<asio::ssl::context> tls_context;
   std::size_t requests_in_progress = 0;
+  UnsentResponses unsent;
   // Responses carry "Connection: close" once set.
   bool keep_alive_disabled = false;
 
--- a/Libraries/LibHTTP/http_server.cc
+++ b/Libraries/LibHTTP/http_server.cc
@@ -190,8 +190,10 @@
           this->port = acceptor.local_endpoint().port();
         })
         .socket_options_setter(
-            [silent_timeout = options.silent_timeout](auto& socket) {
+            [silent_timeout = options.silent_timeout,
+             send_buffer_bytes = options.send_buffer_bytes](auto& socket) {
               SetConnectionOptions(socket, silent_timeout);
+              SetSendBuffer(socket, send_buffer_bytes);
             })
         .request_handler(
             [registry = this->registry](restinio::request_handle_t request) {
--- a/Libraries/LibHTTP/http_server.h
+++ b/Libraries/LibHTTP/http_server.h
@@ -58,6 +58,16 @@
   // TCP_USER_TIMEOUT of accepted connections: a connection whose data stays
   // unacknowledged for longer is closed as unresponsive.
   Milliseconds silent_timeout{10'000};
+  // Complete responses that are not written yet may hold this much memory;
+  // above it, the connections whose responses wait the longest are closed. 0:
+  // no limit. Streamed responses are not counted: their writers wait for each
+  // chunk.
+  std::size_t max_unsent_bytes = 0;
+  // Called for each connection that is closed at that limit.
+  std::function<void()> on_unsent_limit;
+  // The kernel's buffer of each connection (SO_SNDBUF). 0: the system's
+  // default, with which a peer that does not read may hold megabytes.
+  int send_buffer_bytes = 0;
   // Treats a half-close while a request is in progress as a disconnect: the
   // connection is closed and OnClosed() reports it. Otherwise a half-closed
   // connection still receives its response.
--- a/Libraries/LibHTTP/server_responder.cc
+++ b/Libraries/LibHTTP/server_responder.cc
@@ -113,6 +113,7 @@
   if (this->state != State::kEnded) {
     this->state = State::kEnded;
     --this->registry->requests_in_progress;
+    this->registry->unsent.Remove(this->unsent_id);
   }
 }
 
@@ -157,12 +158,31 @@
   auto builder = this->request->create_response(StatusLine(response.status));
   this->request.reset();
   this->AddHeaders(builder, response.headers);
+  this->TrackUnsent(response.body.size());
   builder.set_body(std::move(response.body));
   builder.done([self = this->shared_from_this()](const auto& /*error*/) {
     self->OnResponseWritten();
   });
 }
 
+void ServerExchange::TrackUnsent(std::size_t bytes) {
+  if (!this->registry->unsent.Limited()) {
+    return;
+  }
+  this->unsent_id =
+      this->registry->unsent.Add(bytes, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->Abort();
+        }
+      });
+  for (std::function<void()>& abort : this->registry->unsent.TakeExcess()) {
+    if (this->registry->Options().on_unsent_limit) {
+      this->registry->Options().on_unsent_limit();
+    }
+    this->Post(std::move(abort));
+  }
+}
+
 void ServerExchange::SendWithoutBody(const HttpResponse& response) {
   auto builder =
       this->request->create_response<restinio::user_controlled_output_t>(
--- a/Libraries/LibHTTP/server_responder.h
+++ b/Libraries/LibHTTP/server_responder.h
@@ -52,12 +52,16 @@
   void OnConnectionClosed();
   void Post(std::function<void()> task);
   bool ResponseHasBody(int status) const;
+  // Counts a complete response against the server's limit.
+  void TrackUnsent(std::size_t bytes);
 
   std::shared_ptr<ConnectionRegistry> registry;
   std::shared_ptr<ServerConnection> connection;
   // Null after a response builder was created from the request.
   restinio::request_handle_t request;
   bool is_head_request = false;
+  // Id of the complete response in the registry's unsent ones, or 0.
+  std::uint64_t unsent_id = 0;
 
   State state = State::kWaiting;
   std::optional<ChunkedBuilder> builder;
--- a/Libraries/LibHTTP/socket_options.h
+++ b/Libraries/LibHTTP/socket_options.h
@@ -65,4 +65,14 @@
                     ignored);
 }
 
+// 0 keeps the system's default. `socket`: as above.
+template <typename Socket>
+void SetSendBuffer(Socket& socket, int bytes) {
+  if (bytes > 0) {
+    asio::error_code ignored;
+    socket.set_option(IntegerSocketOption<SOL_SOCKET, SO_SNDBUF>(bytes),
+                      ignored);
+  }
+}
+
 }  // namespace carobbank
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -143,6 +143,9 @@
 inline constexpr MetricDefinition kAdmissionWaitTime{
     "carobbank_admission_wait_seconds", MetricType::kTiming, "service",
     "Time in the gateway's queue of the calls that were sent after a wait"};
+inline constexpr MetricDefinition kSlowReaders{
+    "carobbank_slow_readers_closed_total", MetricType::kCounter, "",
+    "Connections closed because unread responses held too much memory"};
 inline constexpr MetricDefinition kResumedOutputs{
     "carobbank_resumed_outputs_total", MetricType::kCounter, "service,software",
     "Attempts that continue the output of an earlier attempt, by the server's "
@@ -208,6 +211,7 @@
     metrics::kAdmissionLimit,
     metrics::kAdmissionCalls,
     metrics::kAdmissionWaitTime,
+    metrics::kSlowReaders,
     metrics::kResumedOutputs,
     metrics::kDiscardedEvents,
     metrics::kUnresolvedClaims,
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -48,6 +48,9 @@
 // Below the ten seconds after which backend servers close idle connections.
 constexpr Milliseconds kBackendIdleTime{8'000};
 constexpr Milliseconds kSilentTimeout{2'500};
+// The kernel counts twice as much against the instance's memory: 25 MB for 200
+// callers that do not read.
+constexpr int kSendBufferBytes = 64 * 1024;
 
 // The settings' validation has checked the form of the address.
 HttpServerOptions ServerOptions(std::string_view listen,
@@ -196,15 +199,23 @@
 }
 
 Result<void> Gateway::Listen() {
+  HttpServerOptions options =
+      ServerOptions(this->settings.listen, this->settings.limits);
+  if (this->settings.admission) {
+    options.max_unsent_bytes = MaxBufferedBytes(this->settings);
+    options.send_buffer_bytes = kSendBufferBytes;
+    options.on_unsent_limit = [this] {
+      this->metrics.GetCounter(metrics::kSlowReaders).Add();
+    };
+  }
   BOOST_LEAF_ASSIGN(
       this->server,
-      HttpServer::Create(
-          this->loop,
-          ServerOptions(this->settings.listen, this->settings.limits),
-          [this](HttpRequest request,
-                 std::shared_ptr<HttpResponder> responder) {
-            this->Handle(std::move(request), std::move(responder));
-          }));
+      HttpServer::Create(this->loop, std::move(options),
+                         [this](HttpRequest request,
+                                std::shared_ptr<HttpResponder> responder) {
+                           this->Handle(std::move(request),
+                                        std::move(responder));
+                         }));
   BOOST_LEAF_ASSIGN(
       this->ready_server,
       HttpServer::Create(
