--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -123,6 +123,10 @@
       {"duties", kOptional, "",
        "tasks that one gateway carries out for all of them",
        Nested(&S::duties)},
+      {"admission", kOptional, "",
+       "whether plain calls wait at the gateway, by priority and fair share, "
+       "while the servers of their service are overloaded",
+       Boolean(&S::admission)},
       {"seed", kOptional, "",
        "seed of random choices; 0: a seed from the system",
        Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -234,6 +234,9 @@
   // How many versions before the newest announced one a sample may come from.
   std::int64_t allowed_version_lag = 1;
   DutySettings duties;
+  // Whether plain calls wait here, by priority and fair share, while the
+  // servers of their service are overloaded.
+  bool admission = false;
   // 0: from the operating system.
   std::int64_t seed = 0;
 };
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "backend_call.h"
+#include "plain_call_admission.h"
 #include "send_permits.h"
 #include "stream_versions.h"
 #include "usage_recorder.h"
@@ -38,6 +39,14 @@
                 std::shared_ptr<HttpResponder> responder,
                 std::string_view workspace);
   void Begin();
+  // Starts the first attempt now or once the service has capacity, or refuses
+  // the call.
+  void AskAdmission();
+  void OnAdmission(AdmissionState state);
+  void ReportAttempt(const BackendCall& call, const BackendCallResult& result);
+  // For a call that no server ran: by the pace of the service's queue, or
+  // `otherwise` without one.
+  Milliseconds RefusalRetryAfter(Milliseconds otherwise) const;
   Milliseconds TimeLeft() const;
   // Begins the stream that the caller takes up where it was begun, or refuses.
   void BeginResumed();
@@ -134,6 +143,8 @@
   bool writing = false;
   bool paused = false;
   bool awaiting_permit = false;
+  // Null without the setting `admission`.
+  std::unique_ptr<AdmissionPass> pass;
   std::optional<SendPermit> permit;
   std::string last_failure = "no backend server is registered";
   std::unique_ptr<Timer> timeout;
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -13,6 +13,7 @@
 
 namespace carobbank {
 
+class PlainCallAdmission;
 class RequestQuarantine;
 class RetryBudgets;
 class SendPermits;
@@ -36,6 +37,7 @@
   SendPermits& permits;
   // Null until the first configuration has been read.
   std::shared_ptr<const TrafficConfiguration>& configuration;
+  PlainCallAdmission& admission;
   // Null when usage is not reported.
   UsageRecorder* usage = nullptr;
 };
