--- a/Benchmarks/Routing/placement_experiment.cc
+++ b/Benchmarks/Routing/placement_experiment.cc
@@ -54,6 +54,10 @@
   cases.back().setup.servers = 2;
   cases.back().setup.owners = 1;
   cases.back().setup.samples = 24;
+  cases.push_back({"1 server, one owner", usual});
+  cases.back().setup.servers = 1;
+  cases.back().setup.owners = 1;
+  cases.back().setup.samples = 8;
   return cases;
 }
 
--- a/Benchmarks/Routing/placement_simulation.h
+++ b/Benchmarks/Routing/placement_simulation.h
@@ -331,8 +331,8 @@
     const FleetServer* const server =
         this->policy == PlacementPolicy::kExpectedEnd
             ? ExpectedEndPlacement().Choose(query, work, owner.loads,
-                                            this->Now(), this->random)
-            : ChooseBackend(query, owner.loads, this->Now(), this->random);
+                                            this->Now(), this->choices)
+            : ChooseBackend(query, owner.loads, this->Now(), this->choices);
     return server == nullptr
                ? kNone
                : static_cast<std::size_t>(server - this->fleet.data());
@@ -448,7 +448,9 @@
 
   PlacementSetup setup;
   PlacementPolicy policy;
+  // Of lengths, hints and slowdowns, which are the same for all policies.
   Random random;
+  Random choices{1};
   std::vector<FleetServer> fleet;
   std::vector<const FleetServer*> pointers;
   std::vector<Server> servers;
