--- a/Libraries/LibRouting/expected_end_placement.cc
+++ b/Libraries/LibRouting/expected_end_placement.cc
@@ -30,8 +30,10 @@
 // requests at the target by the prefill of the output so far.
 constexpr double kMoveCostMs = 500;
 // A move must save this time, and this part of the time left.
-constexpr double kMinimumGainMs = 250;
+constexpr double kMinimumGainMs = 500;
 constexpr double kMinimumGainPart = 0.2;
+// A change of weights pauses a server's streams for about a second.
+constexpr Milliseconds kUsualSilence{1'200};
 // A target whose requests lately waited longer is full of others' requests.
 constexpr double kMaxTargetWaitMs = 150;
 
@@ -83,10 +85,12 @@
   if (!work.events || pace == nullptr || !pace->IsKnown()) {
     return std::nullopt;
   }
-  // A silence may be a change of weights: it lasts as long again.
-  return static_cast<double>(running.silence.count()) +
-         work.events->mean *
-             pace->EventMs(loads.InFlight(running.server_id), now);
+  // A longer silence lasts as long again.
+  const Milliseconds silence =
+      running.silence > kUsualSilence ? running.silence : Milliseconds(0);
+  return static_cast<double>(silence.count()) +
+         work.events->upper *
+             pace->SettledEventMs(loads.InFlight(running.server_id), now);
 }
 
 }  // namespace
@@ -185,8 +189,9 @@
         !pace->IsKnown() || pace->WaitMs(now) > kMaxTargetWaitMs) {
       continue;
     }
-    const double end_ms = kMoveCostMs + pace->WaitMs(now) +
-                          work.events->mean * pace->EventMs(in_flight + 1, now);
+    const double end_ms =
+        kMoveCostMs + pace->WaitMs(now) +
+        work.events->upper * pace->EventMs(in_flight + 1, now);
     if (end_ms < best_end_ms) {
       best = server;
       best_end_ms = end_ms;
--- a/Libraries/LibRouting/server_paces.cc
+++ b/Libraries/LibRouting/server_paces.cc
@@ -26,6 +26,7 @@
 // A full server refuses; it frees a slot within about this time.
 constexpr double kRefusedWaitMs = 300;
 constexpr std::int64_t kKnownObservations = 8;
+constexpr double kSlowdownFactor = 1.5;
 // Events that arrive together.
 constexpr double kMinimumGapMs = 0.1;
 
@@ -58,6 +59,14 @@
          LoadFactor(in_flight);
 }
 
+double ServerPace::SettledEventMs(std::int64_t in_flight,
+                                  MonotonicTime now) const {
+  if (this->slow_since && now - *this->slow_since < kSettlingTime) {
+    return std::exp(this->usual) * LoadFactor(in_flight);
+  }
+  return this->EventMs(in_flight, now);
+}
+
 double ServerPace::WaitMs(MonotonicTime now) const {
   return std::max(Remembered(this->wait_ms, this->waited_at, now),
                   Remembered(this->silence_ms, this->silent_at, now));
@@ -89,6 +98,11 @@
                      : 0.0);
     pace.usual += weight * (value - pace.usual);
   }
+  if (pace.recent - pace.usual < std::log(kSlowdownFactor)) {
+    pace.slow_since.reset();
+  } else if (!pace.slow_since) {
+    pace.slow_since = now;
+  }
   ++pace.observations;
   pace.observed_at = now;
   pace.silence_ms = 0;
--- a/Libraries/LibRouting/server_paces.h
+++ b/Libraries/LibRouting/server_paces.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,12 +19,17 @@
   // at the server; 0 without a measurement. Load of other processes shows as a
   // slower pace.
   double EventMs(std::int64_t in_flight, MonotonicTime now) const;
+  // Like EventMs(), but a slowdown counts only after kSettlingTime: a pause for
+  // new weights is part of a few gaps.
+  double SettledEventMs(std::int64_t in_flight, MonotonicTime now) const;
   // Time that a request lately waited at the server before its first event, or
   // since the server's last event while it sends none, in milliseconds.
   double WaitMs(MonotonicTime now) const;
   // Enough events were observed to rely on the pace.
   bool IsKnown() const;
 
+  static constexpr Milliseconds kSettlingTime{800};
+
  private:
   friend class ServerPaces;
 
@@ -32,6 +38,9 @@
   double recent = 0;
   double usual = 0;
   std::int64_t observations = 0;
+  // Since when the recent pace is slower than the usual one by
+  // kSlowdownFactor.
+  std::optional<MonotonicTime> slow_since;
   MonotonicTime observed_at{};
   double wait_ms = 0;
   MonotonicTime waited_at{};
--- a/Libraries/LibRouting/work_estimator.cc
+++ b/Libraries/LibRouting/work_estimator.cc
@@ -19,6 +19,7 @@
 constexpr double kRetainedWeight = 0.999;
 // The ratios of all samples count as this many samples with a similar hint.
 constexpr double kRatioWeight = 8;
+constexpr double kUpperQuantile = 0.9;
 constexpr double kHighQuantile = 0.99;
 // An output beyond all earlier ones is expected to grow by this part once more.
 constexpr double kOverrunPart = 0.25;
@@ -129,7 +130,7 @@
   }
   if (total < kNoOutput) {
     const double more = std::max(so_far * kOverrunPart, 1.0);
-    return ExpectedEvents{more, more, 2 * more};
+    return ExpectedEvents{more, more, 2 * more, 2 * more};
   }
   ExpectedEvents expected;
   expected.mean = std::max(sum / total, 1.0);
@@ -141,12 +142,16 @@
     if (before < 0.5 && below / total >= 0.5) {
       expected.median = events;
     }
+    if (before < kUpperQuantile && below / total >= kUpperQuantile) {
+      expected.upper = events;
+    }
     if (below / total >= kHighQuantile) {
       expected.high = events;
       break;
     }
   }
-  expected.high = std::max(expected.high, expected.mean);
+  expected.upper = std::max(expected.upper, expected.mean);
+  expected.high = std::max(expected.high, expected.upper);
   return expected;
 }
 
--- a/Libraries/LibRouting/work_estimator.h
+++ b/Libraries/LibRouting/work_estimator.h
@@ -19,6 +19,8 @@
 struct ExpectedEvents {
   double median = 0;
   double mean = 0;
+  // Exceeded by one output in ten.
+  double upper = 0;
   // Exceeded by one output in a hundred.
   double high = 0;
 };
