--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -11,6 +11,14 @@
 constexpr Presence kRequired = Presence::kRequired;
 constexpr Presence kOptional = Presence::kOptional;
 
+constexpr std::array kPlacementModes = {
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kLeastRequests,
+                                    "least_requests"},
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kExpectedEnd,
+                                    "expected_end"},
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kAuto, "auto"},
+};
+
 }  // namespace
 
 template <>
@@ -127,6 +135,10 @@
        "whether plain calls wait at the gateway, by priority and fair share, "
        "while the servers of their service are overloaded",
        Boolean(&S::admission)},
+      {"placement", kOptional, "",
+       "how the server of a sample is chosen; auto: by expected end for "
+       "services whose servers differ in speed",
+       Choice(&S::placement, kPlacementModes)},
       {"seed", kOptional, "",
        "seed of random choices; 0: a seed from the system",
        Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -197,6 +197,16 @@
 
 // A gateway: an entry that sends requests directly to backend servers, in the
 // platform's dialect that the program is built with.
+// How the server of a sample is chosen.
+enum class SamplePlacementMode {
+  // The server with the fewest requests relative to its slots.
+  kLeastRequests,
+  // The server where the sample ends early enough for its job.
+  kExpectedEnd,
+  // By expected end for services whose servers differ in speed.
+  kAuto,
+};
+
 struct GatewaySettings {
   std::string instance;
   std::string data_center;
@@ -237,6 +247,7 @@
   // Whether plain calls wait here, by priority and fair share, while the
   // servers of their service are overloaded.
   bool admission = false;
+  SamplePlacementMode placement = SamplePlacementMode::kAuto;
   // 0: from the operating system.
   std::int64_t seed = 0;
 };
--- a/Services/Gateway/forwarded_call_admission.cc
+++ b/Services/Gateway/forwarded_call_admission.cc
@@ -33,6 +33,7 @@
   call.service = this->service;
   call.route = this->route.name;
   call.objective = this->route.objective;
+  call.workspace = this->request.workspace;
   call.route_priority = this->route.priority;
   call.digest = this->request.digest;
   call.bytes = BytesOf(this->request);
