--- a/Tests/Platform/workspaces_test.cc
+++ b/Tests/Platform/workspaces_test.cc
@@ -102,6 +102,33 @@
   }
 }
 
+TEST(ConfiguredWorkspaces, AScaleWhoseMinIsAboveItsMaxIsRefused) {
+  const std::string error = this->ErrorOf(
+      R"({"version":7,"routes":[],"services":[
+      {"name":"s1","scale":{"min":2,"max":2}},
+      {"name":"s2","scale":{"min":3,"max":2}}]})");
+  STRCMP_CONTAINS("services.s2.scale.min", error.c_str());
+}
+
+// Guards against decoding in quadratic time, which would stop a small gateway
+// for minutes.
+TEST(ConfiguredWorkspaces, ALargeListIsDecoded) {
+  constexpr int kWorkspaces = 10'000;
+  std::string list;
+  for (int index = 0; index < kWorkspaces; ++index) {
+    const std::string number = std::to_string(index);
+    list += std::string(index == 0 ? "" : ",") + R"({"name":"w)" + number +
+            R"(","api_keys":["a)" + number + R"(","b)" + number + R"(","c)" +
+            number + R"("]})";
+  }
+  const auto decoded =
+      this->dialect.DecodeConfiguration(Tenants("[" + list + "]"));
+  CHECK_TRUE(decoded.Ok());
+  LONGS_EQUAL(kWorkspaces, decoded.Value().workspaces->Size());
+  STRCMP_EQUAL("w9999",
+               decoded.Value().workspaces->FindByKey("c9999")->name.c_str());
+}
+
 TEST(ConfiguredWorkspaces, APeerGetsDigestsThatIdentifyTheSameKeys) {
   const std::string text = Tenants(
       R"([{"name":"acme","api_keys":["secret-1","secret-2"],"priority":3},
