Gateway: Keep outputs and failures of samples apart by workspace

Cause: outputs of ended jobs are kept by the sample's id, which the caller chooses. Another workspace that submits a sample under the same id received the first one's output. Failures were counted together in the same way.

Change: kept and transferred outputs carry the workspace of their job, and failures are counted for each workspace. Nothing changes for jobs without a workspace.

--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -287,7 +287,7 @@
   OutputTransferCallback transfer_outputs;
   std::set<std::int64_t> owned;
   JobMap jobs;
-  // By sample id.
+  // By OutputKey().
   std::map<std::string, RetainedOutput, std::less<>> retained;
   ReleasedAttempts released_attempts;
   // Ended streams and calls, destroyed only after their own callback has
--- a/Services/Gateway/job_runner_outputs.cc
+++ b/Services/Gateway/job_runner_outputs.cc
@@ -19,6 +19,7 @@
     for (std::size_t index = 0; index < job->samples.size(); ++index) {
       if (auto output = ExtractOutput(job->samples[index],
                                       state->job.samples[index].id)) {
+        output->workspace = state->job.workspace;
         outputs.push_back(std::move(*output));
       }
       this->ReleaseAttempt(*state, index, job->samples[index]);
@@ -61,14 +62,14 @@
   return SampleOutput{sample_id,         std::move(progress.output),
                       progress.events,   progress.last_event_id,
                       progress.versions, progress.software_version,
-                      complete};
+                      complete,          ""};
 }
 
 void JobRunner::ReceiveOutputs(std::vector<SampleOutput> outputs) {
   const MonotonicTime now = this->environment.clock.Now();
   for (SampleOutput& output : outputs) {
-    const std::string sample_id = output.sample_id;
-    this->retained[sample_id] = {std::move(output), now};
+    const std::string key = OutputKey(output.workspace, output.sample_id);
+    this->retained[key] = {std::move(output), now};
   }
   for (const auto& [id, job] : this->jobs) {
     if (const JobState* const state = job->State()) {
@@ -89,7 +90,9 @@
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
     const std::string& sample_id = state.job.samples[index].id;
     if (auto output = ExtractOutput(job.samples[index], sample_id)) {
-      this->retained[sample_id] = {std::move(*output), now};
+      output->workspace = state.job.workspace;
+      this->retained[OutputKey(state.job.workspace, sample_id)] = {
+          std::move(*output), now};
     }
   }
   for (const JobResult& result : state.results) {
@@ -102,7 +105,9 @@
       output.events = 1;
       output.versions = {result.versions.begin(), result.versions.end()};
       output.complete = true;
-      this->retained[result.sample_id] = {std::move(output), now};
+      output.workspace = state.job.workspace;
+      this->retained[OutputKey(state.job.workspace, result.sample_id)] = {
+          std::move(output), now};
     }
   }
 }
@@ -110,7 +115,8 @@
 void JobRunner::ApplyRetainedOutputs(ActiveJob& job, const JobState& state) {
   std::size_t applied = 0;
   for (std::size_t index = 0; index < job.samples.size(); ++index) {
-    const auto found = this->retained.find(state.job.samples[index].id);
+    const auto found = this->retained.find(
+        OutputKey(state.job.workspace, state.job.samples[index].id));
     if (found == this->retained.end()) {
       continue;
     }
--- a/Services/Gateway/sample_failures.cc
+++ b/Services/Gateway/sample_failures.cc
@@ -50,7 +50,8 @@
 }  // namespace
 
 SampleKey MakeSampleKey(const BatchJob& job, const JobSample& sample) {
-  return {std::to_string(FastHash(job.host + sample.path + sample.id)),
+  return {std::to_string(
+              FastHash(job.host + sample.path + sample.id + job.workspace)),
           std::to_string(FastHash(job.id))};
 }
 
--- a/Services/Gateway/sample_output_transfer.cc
+++ b/Services/Gateway/sample_output_transfer.cc
@@ -27,6 +27,9 @@
   value["versions"] = IntegersToJson(output.versions);
   value["software_version"] = output.software_version;
   value["whole"] = output.complete;
+  if (!output.workspace.empty()) {
+    value["workspace"] = output.workspace;
+  }
   return value;
 }
 
@@ -51,11 +54,19 @@
   // Earlier releases don't send it.
   output.software_version = JsonString(value, "software_version");
   output.complete = value["whole"].asBool();
+  output.workspace = JsonString(value, "workspace");
   return output;
 }
 
 }  // namespace
 
+std::string OutputKey(std::string_view workspace, std::string_view sample_id) {
+  // Neither has a line feed.
+  return workspace.empty()
+             ? std::string(sample_id)
+             : std::string(workspace) + "\n" + std::string(sample_id);
+}
+
 std::string EncodeSampleOutputs(const std::vector<SampleOutput>& outputs) {
   Json::Value body;
   body["texts"] = Json::arrayValue;
--- a/Services/Gateway/sample_output_transfer.h
+++ b/Services/Gateway/sample_output_transfer.h
@@ -29,8 +29,13 @@
   std::string software_version;
   // No event follows; only the reward call may be missing.
   bool complete = false;
+  // Of the job that it was generated for; only for jobs of the same workspace.
+  std::string workspace;
 };
 
+// Identifies the sample among those of all workspaces.
+std::string OutputKey(std::string_view workspace, std::string_view sample_id);
+
 std::string EncodeSampleOutputs(const std::vector<SampleOutput>& outputs);
 // Nothing if the JSON is malformed. Malformed entries are left out.
 std::optional<std::vector<SampleOutput>> DecodeSampleOutputs(
--- a/Tests/Gateway/workspace_jobs_test.cc
+++ b/Tests/Gateway/workspace_jobs_test.cc
@@ -331,6 +331,41 @@
     }));
     LONGS_EQUAL(2, this->fixture.client.seen.size());
   }
+  // A job of the workspace ends with one event of its sample's output. Then
+  // another workspace, or the same, submits the sample in a new job.
+  void SubmitUnfinishedSampleAgain(const std::string& first,
+                                   const std::string& second) {
+    this->fixture.client.answer = [this](const HttpClientRequest& request) {
+      const bool resumed =
+          FindHeader(request.headers, "After-Event").has_value();
+      ScriptedResponse response = GatewayFixture::Respond(
+          request, 200,
+          resumed ? "id: 2\ndata: e2\n\n"
+                  : "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+      if (this->fixture.client.seen.size() == 1) {
+        response.body = "id: 1\ndata: e1\n\n";
+        response.ending = ScriptedResponse::Ending::kTruncated;
+      }
+      return response;
+    };
+    BatchJob job = MakeJob("j", 1);
+    job.accepted_at = this->fixture.clock.WallNow();
+    job.workspace = first;
+    this->fixture.log.Put(JobsPartition(), EncodeJob(job, 262'144));
+    CHECK_TRUE(this->fixture.runner.RunUntil(
+        [this] { return this->fixture.client.seen.size() == 1; }));
+    this->fixture.runner.RunFor(Milliseconds(5));
+    this->fixture.log.Put(JobsPartition(), {EncodeEnd("j")});
+    CHECK_TRUE(this->fixture.runner.RunUntil(
+        [this] { return this->partitions[0]->Fold().Find("j")->ended; }));
+    job.id = "k";
+    job.workspace = second;
+    this->fixture.log.Put(JobsPartition(), EncodeJob(job, 262'144));
+    CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+      const JobState* const state = this->partitions[0]->Fold().Find("k");
+      return state != nullptr && state->Complete();
+    }));
+  }
   std::string Sent(std::size_t request, std::string_view name) const {
     const auto value =
         FindHeader(this->fixture.client.seen[request].headers, name);
@@ -374,6 +409,34 @@
   }
 }
 
+// Outputs of ended jobs are reused by the sample's id, which a caller chooses.
+TEST(WorkspaceSamples, AnOutputIsNotReusedForAnotherWorkspace) {
+  this->SubmitUnfinishedSampleAgain("acme", "beta");
+  STRCMP_EQUAL(
+      "(none)",
+      this->Sent(this->fixture.client.seen.size() - 1, "After-Event").c_str());
+}
+
+TEST(WorkspaceSamples, AnOutputIsReusedForItsWorkspace) {
+  this->SubmitUnfinishedSampleAgain("acme", "acme");
+  STRCMP_EQUAL(
+      "1",
+      this->Sent(this->fixture.client.seen.size() - 1, "After-Event").c_str());
+}
+
+TEST(WorkspaceSamples, ATransferredOutputKeepsItsWorkspace) {
+  SampleOutput output;
+  output.sample_id = "j-0";
+  output.workspace = "acme";
+  const auto received = DecodeSampleOutputs(EncodeSampleOutputs({output}));
+  STRCMP_EQUAL("acme", received->front().workspace.c_str());
+  output.workspace.clear();
+  CHECK_TRUE(EncodeSampleOutputs({output}).find("workspace") ==
+             std::string::npos);
+  CHECK_TRUE(OutputKey("acme", "j-0") != OutputKey("beta", "j-0"));
+  STRCMP_EQUAL("j-0", OutputKey("", "j-0").c_str());
+}
+
 TEST(WorkspaceSamples, AJobWithoutAWorkspaceHasNone) {
   this->fixture.configuration =
       WithWorkspaces(*this->fixture.configuration, {{"acme", {"k1"}}});
