Gateway: Start with a peer's configuration when the newest one has errors

Cause: a gateway that started after a configuration with errors was published had none and answered 503, although the earlier one was in force elsewhere.

--- a/Benchmarks/Soak/keys.py
+++ b/Benchmarks/Soak/keys.py
@@ -88,8 +88,15 @@
         self.publish(3, [acme | {"api_keys": [ACME, ADDED]}, beta], broken=True)
         await asyncio.sleep(1)
         await self.expect(401, "key of a refused configuration", 0, "POST", "/app/1", ADDED)
+        self.restart_gateway(2)
+        await self.until(200, "start after a refused configuration", 5, 2, "POST", "/app/1", ACME)
         await self.check_outages(acme, beta)
 
+    def restart_gateway(self, index):
+        self.gateways[index].process.kill()
+        self.gateways[index].process.wait()
+        self.gateways[index].start()
+
     async def check_plain_calls(self):
         for at in range(3):
             await self.expect(200, "known key", at, "POST", "/app/1", ACME, **{"X-Tenant": "beta"})
@@ -180,9 +187,7 @@
         # A started gateway without the log gets digests from its peers.
         for faults in self.store.faults.values():
             faults.mode = "busy"
-        self.gateways[2].process.kill()
-        self.gateways[2].process.wait()
-        self.gateways[2].start()
+        self.restart_gateway(2)
         await self.until(200, "known key after a start without the log", 10, 2, "POST", "/app/1",
                          ADDED)
         await self.expect(503, "unknown key after a start without the log", 2, "POST", "/app/1",
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -313,10 +313,11 @@
 
 void Gateway::AdoptConfiguration(const KeyedLogRecord& record) {
   if (record.record.key != this->dialect.ConfigurationKey() ||
-      record.record.value.empty()) {
+      record.record.value.empty() ||
+      (this->configuration && record.offset <= this->configuration_offset)) {
     return;
   }
-  WriteLog(LogLevel::kInfo, "a peer has read a newer configuration",
+  WriteLog(LogLevel::kInfo, "received a configuration from a peer",
            {{"offset", std::to_string(record.offset)}});
   this->ApplyConfigurationRecord(record);
 }
@@ -324,6 +325,7 @@
 bool Gateway::ApplyConfiguration(std::string_view text) {
   Outcome<TrafficConfiguration> decoded =
       this->dialect.DecodeConfiguration(text);
+  this->configuration_refused = !decoded.Ok();
   if (!decoded.Ok()) {
     WriteLog(LogLevel::kError,
              "configuration refused; the current one, if any, stays in force",
@@ -471,6 +473,9 @@
       this->quarantine.RemoveOldRecords();
     }
     this->quarantine.Streams().RemoveOld(this->upgrader.HoldsLease());
+    if (!this->configuration && this->configuration_refused) {
+      this->peer_poller.RequestConfigurations();
+    }
     this->upgrader.SetDemand(this->DemandOfModels());
     this->loads.RemoveUnknown([this](const std::string& id) {
       return this->fleet.Find(id) != nullptr;
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -52,7 +52,8 @@
   void ApplyConfigurationRecord(const KeyedLogRecord& record);
   // False for a configuration with errors, and for one that is not newer.
   bool ApplyConfiguration(std::string_view text);
-  // A peer's configuration, if this gateway can't read the log.
+  // A peer's configuration, if this gateway can't read the log, or has none
+  // because the newest one has errors.
   void AdoptConfiguration(const KeyedLogRecord& record);
   std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void ApplyServerRecord(const KeyedLogRecord& record);
@@ -128,6 +129,8 @@
   std::map<std::string, KeyedLogRecord, std::less<>> server_records;
   // Highest offset of a configuration that was read, also of a refused one.
   std::uint64_t configuration_offset = 0;
+  // The configuration that was read last has errors.
+  bool configuration_refused = false;
   CallerAuthentication authentication;
   PeerStatePoller peer_poller;
   std::set<std::shared_ptr<ForwardedCall>> forwarded_calls;
--- a/Services/Gateway/peer_state_poller.cc
+++ b/Services/Gateway/peer_state_poller.cc
@@ -145,22 +145,50 @@
   this->peer_reaches_log = false;
   const std::string query = this->Query();
   for (const std::string& peer : this->peers) {
-    HttpClientRequest request;
-    request.url = "http://" + peer + std::string(kPath) + query;
-    request.timeout = kCallTimeout;
-    request.connect_timeout = kCallTimeout;
-    request.max_body_bytes = kMaxStateBytes;
-    this->environment.client.Fetch(
-        std::move(request),
-        [this, alive = this->alive,
-         poll_round = this->round](const Outcome<HttpResponse>& outcome) {
-          if (*alive) {
-            this->OnResponse(poll_round, outcome);
-          }
+    this->Fetch(
+        peer, query,
+        [this, poll_round = this->round](const Outcome<HttpResponse>& outcome) {
+          this->OnResponse(poll_round, outcome);
         });
   }
 }
 
+void PeerStatePoller::Fetch(
+    const std::string& peer,
+    const std::string& query,
+    std::function<void(const Outcome<HttpResponse>&)> on_response) {
+  HttpClientRequest request;
+  request.url = "http://" + peer + std::string(kPath) + query;
+  request.timeout = kCallTimeout;
+  request.connect_timeout = kCallTimeout;
+  request.max_body_bytes = kMaxStateBytes;
+  this->environment.client.Fetch(
+      std::move(request),
+      [alive = this->alive, on_response = std::move(on_response)](
+          const Outcome<HttpResponse>& outcome) {
+        if (*alive) {
+          on_response(outcome);
+        }
+      });
+}
+
+void PeerStatePoller::RequestConfigurations() {
+  for (const std::string& peer : this->peers) {
+    this->Fetch(peer, "?" + std::string(kRecordsQuery) + "=1",
+                [this](const Outcome<HttpResponse>& outcome) {
+                  const auto state = outcome.Ok()
+                                         ? DecodePeerState(outcome.Value().body)
+                                         : std::nullopt;
+                  if (!state) {
+                    return;
+                  }
+                  for (const auto& record : state->operator_records) {
+                    this->handlers.on_newer_configuration(record);
+                  }
+                });
+  }
+}
+
 void PeerStatePoller::OnResponse(std::uint64_t poll_round,
                                  const Outcome<HttpResponse>& outcome) {
   if (poll_round != this->round) {
--- a/Services/Gateway/peer_state_poller.h
+++ b/Services/Gateway/peer_state_poller.h
@@ -45,7 +45,8 @@
   // The offset of the newest known configuration; nothing if no newer one is
   // wanted from a peer. May be empty.
   std::function<std::optional<std::uint64_t>()> configuration_offset;
-  // Receives a peer's configuration whose offset is higher.
+  // Receives a peer's configuration whose offset is higher. Called with each of
+  // the operator's records after RequestConfigurations().
   std::function<void(const KeyedLogRecord&)> on_newer_configuration;
   // Receives a peer's crashes; may be empty.
   std::function<void(const PeerState&)> on_request_records;
@@ -65,6 +66,9 @@
   // reachable again.
   void SetLogUnreachable(bool unreachable);
   bool CutOff() const { return this->cut_off; }
+  // Requests the peers' configurations once, whether or not the log is
+  // reachable; they go to `on_newer_configuration` with any offset.
+  void RequestConfigurations();
 
   static constexpr std::string_view kPath = "/peer/state";
   // Query parameters: all records are requested, or the configuration if its
@@ -75,6 +79,9 @@
  private:
   void Poll();
   std::string Query() const;
+  void Fetch(const std::string& peer,
+             const std::string& query,
+             std::function<void(const Outcome<HttpResponse>&)> on_response);
   void ReceiveRecords(const PeerState& state);
   void OnResponse(std::uint64_t poll_round,
                   const Outcome<HttpResponse>& outcome);
--- a/Tests/Gateway/peer_state_poller_test.cc
+++ b/Tests/Gateway/peer_state_poller_test.cc
@@ -146,6 +146,20 @@
   LONGS_EQUAL(9, this->newer_configurations[1]);
 }
 
+// Guards against a gateway that has started after a configuration with errors
+// was published, and has none for as long as it reaches the log.
+TEST(PeerStatePoller, ConfigurationsAreRequestedWhileTheLogIsReachable) {
+  this->Start({Peer::kReachesLog, Peer::kUnresponsive});
+  this->poller->SetLogUnreachable(false);
+  this->fixture.client.seen.clear();
+  this->poller->RequestConfigurations();
+  this->RunRounds(1);
+  LONGS_EQUAL(1, this->newer_configurations.size());
+  LONGS_EQUAL(7, this->newer_configurations[0]);
+  LONGS_EQUAL(0, this->records_received);
+  LONGS_EQUAL(0, this->cut_off_changes.size());
+}
+
 TEST(PeerStatePoller, AGatewayWithoutWorkspacesRequestsNoConfiguration) {
   this->Start({Peer::kReachesLog});
   this->RunRounds(2);
