Gateway: Append the removal of an unused origin once

While the append of a removal waits, housekeeping put it again every 500 ms. It now leaves a waiting removal alone.

--- a/Services/Gateway/stream_origins.cc
+++ b/Services/Gateway/stream_origins.cc
@@ -84,7 +84,9 @@
 void StreamOrigins::RemoveUnused() {
   for (const StreamOrigin& origin : this->table.Unused(
            this->environment.clock.BootNow(), StreamVersions::kRetention)) {
-    this->log.Remove(origin);
+    if (!this->log.Awaits({EncodeStreamOrigin(origin).key, ""})) {
+      this->log.Remove(origin);
+    }
   }
 }
 
--- a/Tests/LibRouting/stream_origins_test.cc
+++ b/Tests/LibRouting/stream_origins_test.cc
@@ -92,9 +92,8 @@
   // It may have been present until then.
   const MonotonicTime gone = this->now + Milliseconds(500);
   this->table.SetPresent({}, gone);
-  CHECK_TRUE(
-      this->table.Unused(gone + kRetention - Milliseconds(1), kRetention)
-          .empty());
+  CHECK_TRUE(this->table.Unused(gone + kRetention - Milliseconds(1), kRetention)
+                 .empty());
   LONGS_EQUAL(1, this->table.Unused(gone + kRetention, kRetention).size());
   this->table.SetPresent({v1}, this->now + kRetention);
   CHECK_TRUE(
