Gateway: Order numbers of servers by the lease holder

Services may have limits for their number of servers (scale in the configuration; contradicting limits are refused with service and field). Where the settings name the duty autoscale, each gateway appends its requests at such services to keyed.carobbank-loads, and the lease holder orders the number that ScalePolicy (LibScheduling, pure) derives: up at once, down one at a time after the boot time plus 10 s. The figures of the policy are not measured.

Run: LibSchedulingTest -g ScalePolicy (9, one property), LibLedgerTest -g ServiceLoads (3), PlatformTest (22), GatewayTest -g ServerScaler (7) and UsageReports (14): green.

--- a/Libraries/LibLedger/ledger.h
+++ b/Libraries/LibLedger/ledger.h
@@ -19,6 +19,7 @@
 #include "LibLedger/rollout_entries.h"
 #include "LibLedger/rollout_fold.h"
 #include "LibLedger/server_entries.h"
+#include "LibLedger/service_loads.h"
 #include "LibLedger/usage_counter.h"
 #include "LibLedger/usage_ledger.h"
 #include "LibLedger/usage_records.h"
--- a/Libraries/LibScheduling/scheduling.h
+++ b/Libraries/LibScheduling/scheduling.h
@@ -8,6 +8,7 @@
 #include "LibScheduling/permit_home.h"
 #include "LibScheduling/permit_schedule.h"
 #include "LibScheduling/request_rate.h"
+#include "LibScheduling/scale_policy.h"
 #include "LibScheduling/scheduler.h"
 #include "LibScheduling/token_bucket.h"
 #include "LibScheduling/work.h"
--- a/Services/Gateway/duties.cc
+++ b/Services/Gateway/duties.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "LibProcess/process.h"
 
@@ -13,6 +14,7 @@
 
 constexpr std::string_view kUsageCountsTopic = "keyed.carobbank-usage";
 constexpr std::string_view kUsageReportsTopic = "keyed.carobbank-usage-reports";
+constexpr std::string_view kLoadsTopic = "keyed.carobbank-loads";
 // Part of the time until a report is due after which it is decided; the rest is
 // for sending it, with retries.
 constexpr int kDecidePercent = 40;
@@ -39,20 +41,27 @@
 
 }  // namespace
 
-Duties::Duties(GatewayEnvironment& environment, LogLease& lease)
+Duties::Duties(GatewayEnvironment& environment,
+               LogLease& lease,
+               ServerScaler::UnfinishedSamples unfinished_samples)
     : environment(environment), calls(environment, lease) {
   const DutySettings& settings = environment.settings.duties;
-  if (!HasDuty(settings, kUsageReport)) {
-    return;
+  if (HasDuty(settings, kUsageReport)) {
+    const UsageTopics topics = {{std::string(kUsageCountsTopic), 0},
+                                {std::string(kUsageReportsTopic), 0}};
+    this->usage_publisher = std::make_unique<UsagePublisher>(
+        environment, topics.counts, PublisherOptions(environment.settings));
+    environment.usage = this->usage_publisher.get();
+    this->usage_reporter =
+        std::make_unique<UsageReporter>(environment, lease, this->calls, topics,
+                                        ReporterOptions(environment.settings));
+  }
+  if (HasDuty(settings, kAutoscale)) {
+    const TopicPartition loads = {std::string(kLoadsTopic), 0};
+    this->load_publisher = std::make_unique<LoadPublisher>(environment, loads);
+    this->server_scaler = std::make_unique<ServerScaler>(
+        environment, lease, this->calls, loads, std::move(unfinished_samples));
   }
-  const UsageTopics topics = {{std::string(kUsageCountsTopic), 0},
-                              {std::string(kUsageReportsTopic), 0}};
-  this->usage_publisher = std::make_unique<UsagePublisher>(
-      environment, topics.counts, PublisherOptions(environment.settings));
-  environment.usage = this->usage_publisher.get();
-  this->usage_reporter =
-      std::make_unique<UsageReporter>(environment, lease, this->calls, topics,
-                                      ReporterOptions(environment.settings));
 }
 
 Duties::~Duties() {
--- a/Services/Gateway/duties.h
+++ b/Services/Gateway/duties.h
@@ -7,7 +7,9 @@
 
 #include "duty_calls.h"
 #include "gateway_environment.h"
+#include "load_publisher.h"
 #include "log_lease.h"
+#include "server_scaler.h"
 #include "usage_publisher.h"
 #include "usage_reporter.h"
 
@@ -16,7 +18,9 @@
 class Duties {
  public:
   // Sets `environment.usage` when usage is reported.
-  Duties(GatewayEnvironment& environment, LogLease& lease);
+  Duties(GatewayEnvironment& environment,
+         LogLease& lease,
+         ServerScaler::UnfinishedSamples unfinished_samples);
   ~Duties();
   Duties(const Duties&) = delete;
   Duties& operator=(const Duties&) = delete;
@@ -35,6 +39,8 @@
   // Null unless the settings name the duty.
   std::unique_ptr<UsagePublisher> usage_publisher;
   std::unique_ptr<UsageReporter> usage_reporter;
+  std::unique_ptr<LoadPublisher> load_publisher;
+  std::unique_ptr<ServerScaler> server_scaler;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -165,7 +165,9 @@
                                          std::move(responder));
                 }),
       upgrader(this->environment, {std::string(kOrderLeaseTopic), 0}),
-      duties(this->environment, this->upgrader.Lease()),
+      duties(this->environment,
+             this->upgrader.Lease(),
+             [this] { return this->UnfinishedSamples(); }),
       operator_follower(this->loop,
                         this->clock,
                         *this->log,
@@ -476,6 +478,26 @@
   return tokens;
 }
 
+std::map<std::string, std::int64_t> Gateway::UnfinishedSamples() const {
+  std::map<std::string, std::int64_t> samples;
+  const WallMilliseconds now = this->clock.WallNow();
+  for (const auto& partition : this->partitions.All()) {
+    for (const JobState* const state : partition->Fold().Jobs()) {
+      const BatchJob& job = state->job;
+      const bool abandoned = now > job.accepted_at + job.abandon_after.count();
+      const HostRoute* const route =
+          this->configuration->routes.Find(job.host, job.path);
+      if (state->ended || abandoned || route == nullptr ||
+          route->services.empty()) {
+        continue;
+      }
+      samples[route->services.front().service] += static_cast<std::int64_t>(
+          state->has_result.size() - state->results.size());
+    }
+  }
+  return samples;
+}
+
 // A gateway stays ready while no gateway reaches the log: it serves plain calls
 // and reads, and failing readiness would look to the load balancer like a
 // gateway that has just started and has no state. A gateway that is cut off
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -80,6 +80,9 @@
   // others.
   void UpdateFollowedPartitions();
   void Housekeep();
+  // By service, of the jobs in the followed partitions; the holder of the order
+  // lease follows all.
+  std::map<std::string, std::int64_t> UnfinishedSamples() const;
   // Mean expected output tokens of the latest steps of each model.
   NumberByModel DemandOfModels() const;
 
--- a/Services/Gateway/platform_dialect.h
+++ b/Services/Gateway/platform_dialect.h
@@ -17,6 +17,7 @@
 #include "LibMembership/membership.h"
 #include "LibPlatform/platform.h"
 #include "LibRouting/routing.h"
+#include "LibScheduling/scheduling.h"
 #include "LibVersions/versions.h"
 
 namespace carobbank {
@@ -30,6 +31,9 @@
   bool is_engine = false;
   // Path of the servers' health check.
   std::string health_path = "/";
+  // Limits per data center of the number of servers; empty when the number is
+  // fixed.
+  std::optional<ScaleLimits> scale{};
 };
 
 // The complete configuration that the operator published.
--- a/Services/Gateway/usage_reporter.cc
+++ b/Services/Gateway/usage_reporter.cc
@@ -231,14 +231,17 @@
   const std::vector<UsageReport> unsent = this->ledger.Unsent(wall_now);
   const MonotonicTime now = this->environment.clock.Now();
   std::erase_if(this->retries, [&](const auto& entry) {
-    const bool abandoned =
-        UsageWindowEnd(entry.first, this->options.reports.window) +
-            this->options.reports.report_until.count() <=
-        wall_now;
-    if (abandoned) {
+    const std::int64_t window = entry.first;
+    const bool is_unsent = std::any_of(
+        unsent.begin(), unsent.end(),
+        [window](const auto& report) { return report.window == window; });
+    // Otherwise another instance has sent the report.
+    if (!is_unsent && UsageWindowEnd(window, this->options.reports.window) +
+                              this->options.reports.report_until.count() <=
+                          wall_now) {
       this->CountWindow("abandoned");
     }
-    return abandoned;
+    return !is_unsent;
   });
   for (const UsageReport& report : unsent) {
     const auto retry = this->retries.find(report.window);
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -191,6 +191,33 @@
                this->dialect.EncodeResults(page).c_str());
 }
 
+TEST(JsonPlatformDialect, LimitsOfAServicesNumberOfServersAreDecoded) {
+  const auto configuration = this->dialect.DecodeConfiguration(
+      R"({"version":1,"routes":[],"services":[{"name":"a"},{"name":"b",)"
+      R"("scale":{"min":2,"max":9,"boot_s":1.5}}]})");
+  CHECK_TRUE(configuration.Ok());
+  CHECK_FALSE(configuration.Value().services.at("a").scale.has_value());
+  const auto& scale = configuration.Value().services.at("b").scale;
+  CHECK_TRUE(scale.has_value());
+  CHECK_EQUAL(2, scale->min);
+  CHECK_EQUAL(9, scale->max);
+  CHECK_EQUAL(1'500, scale->boot.count());
+}
+
+TEST(JsonPlatformDialect, ContradictingLimitsOfServersNameServiceAndField) {
+  for (const char* const scale :
+       {"7", R"({"min":1})", R"({"min":3,"max":2})", R"({"min":-1,"max":2})",
+        R"({"min":1,"max":2,"boot_s":"x"})",
+        R"({"min":1,"max":2,"boot_s":-1})"}) {
+    const auto configuration = this->dialect.DecodeConfiguration(
+        R"({"version":1,"routes":[],"services":[{"name":"b","scale":)" +
+        std::string(scale) + "}]}");
+    CHECK_FALSE(configuration.Ok());
+    STRCMP_CONTAINS("service b: scale",
+                    configuration.GetError().message.c_str());
+  }
+}
+
 TEST(JsonPlatformDialect, DutyCallsNameHolderTokenAndContent) {
   const DutyCaller caller = {"10.0.0.9:80", "gateway-1", 17};
   const HttpClientRequest usage =
