LibRouting, Gateway: Place samples by expected end on uneven servers

Least requests gives a long sample any server, so steps end with long samples at slow servers. WorkEstimator learns the lengths of outputs from hints and from earlier outputs of the service, ServerPaces the time between events of each server, and ExpectedEndPlacement keeps fast servers for samples that would delay their job elsewhere and moves stragglers, twice at most. The setting placement selects the strategy; auto engages it while the upper quartile of the paces is 1.4 times the lower. Without measurements it chooses as before.

--- a/Libraries/LibContract/gateway_settings.cc
+++ b/Libraries/LibContract/gateway_settings.cc
@@ -9,6 +9,14 @@
 constexpr Presence kRequired = Presence::kRequired;
 constexpr Presence kOptional = Presence::kOptional;
 
+constexpr std::array kPlacementModes = {
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kLeastRequests,
+                                    "least_requests"},
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kExpectedEnd,
+                                    "expected_end"},
+    ChoiceName<SamplePlacementMode>{SamplePlacementMode::kAuto, "auto"},
+};
+
 }  // namespace
 
 template <>
@@ -78,6 +86,10 @@
        "how many versions before the newest announced one a sample may come "
        "from",
        Integer(&S::allowed_version_lag, 0, 100)},
+      {"placement", kOptional, "",
+       "how the server of a sample is chosen; auto: by expected end for "
+       "services whose servers differ in speed",
+       Choice(&S::placement, kPlacementModes)},
       {"seed", kOptional, "",
        "seed of random choices; 0: a seed from the system",
        Integer(&S::seed, 0, std::numeric_limits<std::int64_t>::max())},
--- a/Libraries/LibContract/settings.h
+++ b/Libraries/LibContract/settings.h
@@ -174,6 +174,16 @@
 
 // A gateway: an entry that sends requests directly to backend servers, in the
 // platform's dialect that the program is built with.
+// How the server of a sample is chosen.
+enum class SamplePlacementMode {
+  // The server with the fewest requests relative to its slots.
+  kLeastRequests,
+  // The server where the sample ends early enough for its job.
+  kExpectedEnd,
+  // By expected end for services whose servers differ in speed.
+  kAuto,
+};
+
 struct GatewaySettings {
   std::string instance;
   std::string data_center;
@@ -210,6 +220,7 @@
   std::int64_t shutdown_grace_s = 8;
   // How many versions before the newest announced one a sample may come from.
   std::int64_t allowed_version_lag = 1;
+  SamplePlacementMode placement = SamplePlacementMode::kAuto;
   // 0: from the operating system.
   std::int64_t seed = 0;
 };
--- a/Libraries/LibRouting/backend_choice.cc
+++ b/Libraries/LibRouting/backend_choice.cc
@@ -128,6 +128,7 @@
     case SendOutcome::kRefused:
       state.backoff_until =
           std::max(state.backoff_until, now + kRefusalBackoff);
+      this->paces.OnRefused(server_id, now);
       break;
     case SendOutcome::kFailed: {
       if (state.last_failure != MonotonicTime::min() &&
@@ -151,6 +152,7 @@
 }
 
 void BackendLoads::OnRestarted(std::string_view server_id) {
+  this->paces.Remove(server_id);
   const auto found = this->states.find(server_id);
   if (found != this->states.end()) {
     State fresh;
@@ -182,6 +184,21 @@
     state.window_start = now;
   }
   state.current_gap = std::min(state.current_gap.value_or(gap), gap);
+  this->paces.OnEventGap(server_id, static_cast<double>(gap.count()),
+                         state.in_flight, now);
+}
+
+void BackendLoads::RecordFirstEvent(std::string_view server_id,
+                                    Milliseconds since_sent,
+                                    MonotonicTime now) {
+  this->paces.OnFirstEvent(server_id, since_sent, this->InFlight(server_id),
+                           now);
+}
+
+void BackendLoads::RecordSilence(std::string_view server_id,
+                                 Milliseconds silence,
+                                 MonotonicTime now) {
+  this->paces.OnSilence(server_id, silence, now);
 }
 
 double BackendLoads::ProcessingTimeMs(std::string_view server_id) const {
--- a/Libraries/LibRouting/backend_choice.h
+++ b/Libraries/LibRouting/backend_choice.h
@@ -13,6 +13,7 @@
 
 #include "LibCore/core.h"
 #include "LibMembership/membership.h"
+#include "LibRouting/server_paces.h"
 
 namespace carobbank {
 
@@ -53,6 +54,15 @@
   // response times; 0 without a measurement. The shortest gap ignores pauses of
   // a stream, such as those for a change of weights.
   double ProcessingTimeMs(std::string_view server_id) const;
+  // A stream's first event came this long after its request was sent.
+  void RecordFirstEvent(std::string_view server_id,
+                        Milliseconds since_sent,
+                        MonotonicTime now);
+  // A stream from the server has received nothing for this long.
+  void RecordSilence(std::string_view server_id,
+                     Milliseconds silence,
+                     MonotonicTime now);
+  const ServerPaces& Paces() const { return this->paces; }
   // Removes the state of servers that `is_known` rejects and that have nothing
   // in flight.
   template <typename Predicate>
@@ -60,6 +70,7 @@
     std::erase_if(this->states, [&](const auto& entry) {
       return entry.second.in_flight == 0 && !is_known(entry.first);
     });
+    this->paces.RemoveUnknown(is_known);
   }
 
   // A full server frees a slot within about the time of one request.
@@ -86,6 +97,7 @@
     std::optional<MonotonicTime> window_start;
   };
   std::map<std::string, State, std::less<>> states;
+  ServerPaces paces;
 };
 
 struct BackendQuery {
--- a/Libraries/LibRouting/routing.h
+++ b/Libraries/LibRouting/routing.h
@@ -6,6 +6,7 @@
 
 #include "LibRouting/backend_choice.h"
 #include "LibRouting/crash_quarantine.h"
+#include "LibRouting/expected_end_placement.h"
 #include "LibRouting/host_routes.h"
 #include "LibRouting/idle_lower_bound.h"
 #include "LibRouting/owed_work.h"
@@ -14,5 +15,7 @@
 #include "LibRouting/retry_policy.h"
 #include "LibRouting/router.h"
 #include "LibRouting/server_crash_detector.h"
+#include "LibRouting/server_paces.h"
 #include "LibRouting/server_table.h"
 #include "LibRouting/step_plan.h"
+#include "LibRouting/work_estimator.h"
--- a/Libraries/LibTimeline/metric_names.h
+++ b/Libraries/LibTimeline/metric_names.h
@@ -138,6 +138,15 @@
     "carobbank_server_start_checks_total", MetricType::kCounter, "outcome",
     "Status reports requested to confirm that a server has not restarted, by "
     "outcome: reported, failed"};
+inline constexpr MetricDefinition kSamplePlacements{
+    "carobbank_sample_placements_total", MetricType::kCounter,
+    "service,strategy",
+    "Samples sent to a server, by the strategy that chose it: least_requests, "
+    "expected_end"};
+inline constexpr MetricDefinition kSampleMoves{
+    "carobbank_sample_moves_total", MetricType::kCounter, "service",
+    "Samples moved to another server because they are expected to end there "
+    "earlier"};
 inline constexpr MetricDefinition kDiscardedEvents{
     "carobbank_discarded_events_total", MetricType::kCounter, "reason",
     "Events of sample outputs that no server of their software version could "
@@ -197,6 +206,8 @@
     metrics::kHeldBack,
     metrics::kResumedOutputs,
     metrics::kServerStartChecks,
+    metrics::kSamplePlacements,
+    metrics::kSampleMoves,
     metrics::kDiscardedEvents,
     metrics::kUnresolvedClaims,
     metrics::kDraining,
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -65,7 +65,8 @@
       partitions(partitions),
       transfer_outputs(std::move(transfer_outputs)),
       released_attempts(environment),
-      start_checks(environment, [this] { this->ScheduleDispatch(); }) {
+      start_checks(environment, [this] { this->ScheduleDispatch(); }),
+      placement(environment) {
   this->Tick();
 }
 
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -17,6 +17,7 @@
 #include "job_partition.h"
 #include "released_attempts.h"
 #include "sample_output_transfer.h"
+#include "sample_placement.h"
 #include "sample_stream.h"
 #include "server_start_checks.h"
 
@@ -113,6 +114,8 @@
     ExcludedServers excluded;
     // Attempts since the last one that was not rejected.
     std::int64_t rejections = 0;
+    // Times that the sample was moved to a faster server.
+    int moves = 0;
     // No attempt starts before this time.
     MonotonicTime not_before = MonotonicTime::min();
     std::unique_ptr<SampleStream> stream;
@@ -137,6 +140,10 @@
     std::size_t first_unfinished = 0;
     // Samples with more expected output tokens count as long.
     std::int64_t long_tokens = 0;
+    // Expected events of the longest sample, as of `estimated_at`; 0 if
+    // unknown.
+    double longest_events = 0;
+    MonotonicTime estimated_at = MonotonicTime::min();
     // By group: id of the server that last received one of its samples.
     std::map<std::string, std::string> group_servers;
     // Invariant: the number of samples in Stage::kWaitingForScore.
@@ -209,7 +216,8 @@
                                   std::span<const std::string> excluded,
                                   std::string_view preferred_id,
                                   double max_in_flight_per_slot,
-                                  std::string_view digest) const;
+                                  std::string_view digest,
+                                  const SampleChoice& choice = {}) const;
   // True when the sample or its reward call has to wait after a crash of its
   // server, or for another run of it, here or by an earlier owner or job; then
   // no attempt starts before `not_before`.
@@ -292,6 +300,25 @@
   void Tick();
   void AbortUnresponsiveStreams(ActiveJob& job);
   void MoveFromSlowServers(ActiveJob& job);
+  std::optional<ExpectedEvents> RemainingEvents(const JobState& state,
+                                                std::size_t index,
+                                                const Progress& progress) const;
+  // The sample's output is complete.
+  void RecordLength(const JobState& state,
+                    std::size_t index,
+                    const Progress& progress);
+  void EstimateLongest(ActiveJob& job, const JobState& state);
+  SampleChoice ChoiceOf(ActiveJob& job,
+                        const JobState& state,
+                        std::size_t index,
+                        const std::string& service);
+  // For services whose samples are placed by expected end: ends the sample's
+  // attempt if it delays its job and ends earlier at one of the servers, which
+  // is then removed from `servers`.
+  bool MoveStraggler(ActiveJob& job,
+                     const JobState& state,
+                     std::size_t index,
+                     std::vector<const FleetServer*>& servers);
   // Servers from which an output of that many events would not be moved.
   std::vector<const FleetServer*> FastEnoughServers(
       std::size_t events,
@@ -312,6 +339,7 @@
   std::map<std::string, RetainedOutput, std::less<>> retained;
   ReleasedAttempts released_attempts;
   ServerStartChecks start_checks;
+  SamplePlacement placement;
   // Ended streams and calls, destroyed only after their own callback has
   // returned.
   std::vector<std::unique_ptr<SampleStream>> ended_streams;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -148,7 +148,8 @@
     RemoveLastOfSoftware(servers);
   }
   this->RemoveLoading(state, servers);
-  if (progress.events > 0) {
+  const SampleChoice choice = this->ChoiceOf(job, state, index, service);
+  if (progress.events > 0 && !this->placement.ByExpectedEnd(service)) {
     // The sample would only be moved away from a slow server again.
     if (const FleetServer* const server = this->ChooseServer(
             this->FastEnoughServers(progress.events, servers),
@@ -167,12 +168,12 @@
     });
     if (const FleetServer* const server =
             this->ChooseServer(newest, progress.excluded.Ids(), preferred,
-                               kMaxSamplesPerSlot, progress.digest)) {
+                               kMaxSamplesPerSlot, progress.digest, choice)) {
       return server;
     }
   }
   return this->ChooseServer(servers, progress.excluded.Ids(), preferred,
-                            kMaxSamplesPerSlot, progress.digest);
+                            kMaxSamplesPerSlot, progress.digest, choice);
 }
 
 const FleetServer* JobRunner::ChooseServer(
@@ -180,7 +181,8 @@
     std::span<const std::string> excluded,
     std::string_view preferred_id,
     double max_in_flight_per_slot,
-    std::string_view digest) const {
+    std::string_view digest,
+    const SampleChoice& choice) const {
   BackendQuery query;
   query.excluded = excluded;
   query.data_center = this->environment.settings.data_center;
@@ -203,9 +205,9 @@
   // A permit is lost if it is not used soon.
   for (const auto& candidates : {with_permit, without_limit}) {
     query.servers = candidates;
-    if (const FleetServer* const server = ChooseBackend(
-            query, this->environment.loads, this->environment.clock.Now(),
-            this->environment.random)) {
+    if (const FleetServer* const server = choice.strategy->Choose(
+            query, choice.work, this->environment.loads,
+            this->environment.clock.Now(), this->environment.random)) {
       return server;
     }
   }
@@ -363,6 +365,7 @@
     this->OnStreamEnd(job, index, outcome, reason);
   };
   ++job.starts;
+  this->placement.CountPlacement(server->service);
   job.last_start = this->AgeOf(state);
   progress.attempt_counted = false;
   progress.waits_for_software_since.reset();
@@ -467,6 +470,7 @@
                                  const JobState& state,
                                  std::size_t index) {
   Progress& progress = job.samples[index];
+  this->RecordLength(state, index, progress);
   if (state.job.samples[index].reward) {
     progress.stage = Stage::kWaitingForScore;
     progress.excluded.Clear();
@@ -605,6 +609,10 @@
       engines.shortest_ms =
           ShortestProcessingTimeMs(engines.servers, this->environment.loads);
     }
+    if (this->placement.ByExpectedEnd(service)) {
+      moves += this->MoveStraggler(job, *state, index, engines.servers) ? 1 : 0;
+      continue;
+    }
     const double own_ms =
         this->environment.loads.ProcessingTimeMs(progress.stream->ServerId());
     // A sample that doesn't complete earlier at the fastest engine does so at
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -143,7 +143,11 @@
 }
 
 bool SampleStream::DeliverEvent(const ServerSentEvent& event) {
-  ++this->events;
+  if (++this->events == 1) {
+    this->environment.loads.RecordFirstEvent(this->ServerId(),
+                                             this->attempt.Elapsed(),
+                                             this->environment.clock.Now());
+  }
   this->last_activity = this->environment.clock.Now();
   this->RecordEventGap();
   const std::string_view field =
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -384,6 +384,52 @@
   CHECK_TRUE(this->fixture.client.seen[5].url.ends_with("j-0"));
 }
 
+// Guards against a strategy that isn't wired to what the gateway observes.
+TEST(JobRunner, SamplesGoToFastServersOnceLengthsAndPacesAreKnown) {
+  const auto seen_at = [this](char server, std::size_t from) {
+    const auto& seen = this->fixture.client.seen;
+    return std::count_if(seen.begin() + static_cast<std::ptrdiff_t>(from),
+                         seen.end(), [server](const auto& request) {
+                           return request.url[sizeof("http://") - 1] == server;
+                         });
+  };
+  for (const char* id : {"a", "b", "c", "d"}) {
+    this->fixture.AddServer(id, "llm", 3);
+    FleetServer server = *this->fixture.fleet.Find(id);
+    server.slots = 8;
+    this->fixture.fleet.Put(server);
+    for (int event = 0; event < 10; ++event) {
+      this->fixture.loads.RecordEventGap(id, Milliseconds(*id < 'c' ? 30 : 60),
+                                         this->fixture.clock.Now());
+    }
+  }
+  this->fixture.client.answer = &Stream;
+  BatchJob job = this->JobOf(30);
+  for (JobSample& sample : job.samples) {
+    sample.expected_output_tokens = 120;
+    sample.group.clear();
+  }
+  this->PutJob(job);
+  this->RunUntilComplete();
+  CHECK_TRUE(seen_at('c', 0) > 0);
+  CHECK_TRUE(seen_at('d', 0) > 0);
+  const std::size_t before = this->fixture.client.seen.size();
+  BatchJob next = MakeJob("k", 8);
+  next.accepted_at = this->fixture.clock.WallNow();
+  next.model = "m";
+  next.min_version = 3;
+  for (JobSample& sample : next.samples) {
+    sample.expected_output_tokens = 120;
+    sample.group.clear();
+  }
+  this->PutJob(next);
+  CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+    const JobState* const state = this->partitions[0]->Fold().Find("k");
+    return state != nullptr && state->Complete();
+  }));
+  LONGS_EQUAL(8, seen_at('a', before) + seen_at('b', before));
+}
+
 TEST(JobRunner, NoSampleRunsBeforeAllRecordsAreRead) {
   this->teardown();
   this->fixture.AddServer("a", "llm", 3);
