--- a/Libraries/LibRouting/work_estimator.cc
+++ b/Libraries/LibRouting/work_estimator.cc
@@ -67,37 +67,37 @@
   this->total = this->total * kRetainedWeight + 1;
 }
 
-std::string WorkEstimator::KeyOf(std::string_view route,
+std::string WorkEstimator::KeyOf(std::string_view service,
                                  std::int64_t hint_tokens) {
-  return (hint_tokens > 0 ? "hint " : "none ") + std::string(route);
+  return (hint_tokens > 0 ? "hint " : "none ") + std::string(service);
 }
 
-void WorkEstimator::OnCompleted(std::string_view route,
+void WorkEstimator::OnCompleted(std::string_view service,
                                 std::int64_t hint_tokens,
                                 std::size_t events) {
   if (events == 0) {
     return;
   }
-  std::unique_ptr<Route>& of = this->routes[KeyOf(route, hint_tokens)];
+  std::unique_ptr<Lengths>& of = this->services[KeyOf(service, hint_tokens)];
   if (!of) {
-    of = std::make_unique<Route>();
+    of = std::make_unique<Lengths>();
   }
   const auto length = static_cast<double>(events);
   of->ratios.Add(
       BucketOf(length / HintOf(hint_tokens), kLowestRatioOctave, kBuckets));
   of->events[OctaveOf(hint_tokens, kHintOctaves)].Add(
       BucketOf(length, kLowestEventOctave, kBuckets));
-  if (this->routes.size() > kMaxRoutes) {
-    this->routes.clear();
+  if (this->services.size() > kMaxServices) {
+    this->services.clear();
   }
 }
 
 std::optional<ExpectedEvents> WorkEstimator::Remaining(
-    std::string_view route,
+    std::string_view service,
     std::int64_t hint_tokens,
     std::size_t received) const {
-  const auto found = this->routes.find(KeyOf(route, hint_tokens));
-  if (found == this->routes.end() ||
+  const auto found = this->services.find(KeyOf(service, hint_tokens));
+  if (found == this->services.end() ||
       found->second->ratios.total < kMinimumOutputs) {
     return std::nullopt;
   }
--- a/Libraries/LibRouting/work_estimator.h
+++ b/Libraries/LibRouting/work_estimator.h
@@ -1,6 +1,6 @@
 // Expected length of a sample's output: from the sample's hint, from the
-// lengths of earlier outputs of its route, and from the events received so far.
-// Pure.
+// lengths of earlier outputs of its service, and from the events received so
+// far. Pure.
 
 #pragma once
 
@@ -27,23 +27,23 @@
 
 class WorkEstimator {
  public:
-  // A sample of the route was completed with `events` events.
+  // A sample of the service was completed with `events` events.
   // `hint_tokens`: its expected output in tokens; 0 without a hint.
-  void OnCompleted(std::string_view route,
+  void OnCompleted(std::string_view service,
                    std::int64_t hint_tokens,
                    std::size_t events);
 
   // Expectation for a sample that has received `received` events, which raise
   // it when they exceed the estimate. Nothing before kMinimumOutputs outputs of
-  // the route were completed here.
-  std::optional<ExpectedEvents> Remaining(std::string_view route,
+  // the service were completed here.
+  std::optional<ExpectedEvents> Remaining(std::string_view service,
                                           std::int64_t hint_tokens,
                                           std::size_t received) const;
 
   // Fewer outputs would show only the shortest ones, which complete first.
   static constexpr double kMinimumOutputs = 24;
-  // Of routes; the state of all is cleared beyond.
-  static constexpr std::size_t kMaxRoutes = 64;
+  // Of services; the state of all is cleared beyond.
+  static constexpr std::size_t kMaxServices = 64;
 
  private:
   // Buckets of a quarter of an octave.
@@ -55,7 +55,7 @@
 
     void Add(std::size_t bucket);
   };
-  struct Route {
+  struct Lengths {
     // Ratios of events to hinted tokens.
     Histogram ratios;
     // Events, by the octave of the hint: short hints may be off in other ways
@@ -63,10 +63,10 @@
     std::array<Histogram, kHintOctaves> events;
   };
 
-  static std::string KeyOf(std::string_view route, std::int64_t hint_tokens);
+  static std::string KeyOf(std::string_view service, std::int64_t hint_tokens);
 
-  // By route, with and without hint.
-  std::map<std::string, std::unique_ptr<Route>, std::less<>> routes;
+  // By service, with and without hint.
+  std::map<std::string, std::unique_ptr<Lengths>, std::less<>> services;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -300,8 +300,6 @@
   void Tick();
   void AbortUnresponsiveStreams(ActiveJob& job);
   void MoveFromSlowServers(ActiveJob& job);
-  // The kind of work under which lengths of the job's samples are learned.
-  std::string WorkKindOf(const JobState& state) const;
   std::optional<ExpectedEvents> RemainingEvents(const JobState& state,
                                                 std::size_t index,
                                                 const Progress& progress) const;
--- a/Services/Gateway/job_runner_placement.cc
+++ b/Services/Gateway/job_runner_placement.cc
@@ -20,27 +20,23 @@
 
 }  // namespace
 
-// Paths differ by sample, so the route's name identifies the kind of work.
-std::string JobRunner::WorkKindOf(const JobState& state) const {
-  const HostRoute* const route = this->RouteOf(state);
-  return route == nullptr ? state.job.host : route->name;
-}
-
 std::optional<ExpectedEvents> JobRunner::RemainingEvents(
     const JobState& state,
     std::size_t index,
     const Progress& progress) const {
   const JobSample& sample = state.job.samples[index];
   return this->placement.estimator.Remaining(
-      this->WorkKindOf(state), sample.expected_output_tokens, progress.events);
+      this->ServiceOfSample(state, index), sample.expected_output_tokens,
+      progress.events);
 }
 
 void JobRunner::RecordLength(const JobState& state,
                              std::size_t index,
                              const Progress& progress) {
   const JobSample& sample = state.job.samples[index];
-  this->placement.estimator.OnCompleted(
-      this->WorkKindOf(state), sample.expected_output_tokens, progress.events);
+  this->placement.estimator.OnCompleted(this->ServiceOfSample(state, index),
+                                        sample.expected_output_tokens,
+                                        progress.events);
 }
 
 void JobRunner::EstimateLongest(ActiveJob& job, const JobState& state) {
--- a/Services/Gateway/sample_placement.cc
+++ b/Services/Gateway/sample_placement.cc
@@ -25,8 +25,11 @@
         [](const UnevenPaceDetector& detector) { return detector.IsUneven(); }},
 };
 
-const LeastRequestsPlacement kLeastRequestsPlacement;
-const ExpectedEndPlacement kExpectedEndPlacement;
+template <typename Strategy>
+const PlacementStrategy& StrategyInstance() {
+  static const Strategy strategy;
+  return strategy;
+}
 
 std::string StrategyName(bool by_expected_end) {
   return by_expected_end ? "expected_end" : "least_requests";
@@ -34,7 +37,8 @@
 
 }  // namespace
 
-SampleChoice::SampleChoice() : strategy(&kLeastRequestsPlacement) {}
+SampleChoice::SampleChoice()
+    : strategy(&StrategyInstance<LeastRequestsPlacement>()) {}
 
 void SamplePlacement::Observe(const std::string& name,
                               Service& service,
@@ -74,10 +78,9 @@
 
 const PlacementStrategy& SamplePlacement::StrategyOf(
     const std::string& service) {
-  if (this->ByExpectedEnd(service)) {
-    return kExpectedEndPlacement;
-  }
-  return kLeastRequestsPlacement;
+  return this->ByExpectedEnd(service)
+             ? StrategyInstance<ExpectedEndPlacement>()
+             : StrategyInstance<LeastRequestsPlacement>();
 }
 
 double SamplePlacement::FastEventMsOf(const std::string& service) const {
