--- a/Services/Gateway/plain_call_admission.cc
+++ b/Services/Gateway/plain_call_admission.cc
@@ -110,7 +110,8 @@
   if (streamed) {
     this->service.queue.OnStreamed(this->route, attempt_began, now);
   } else {
-    this->service.queue.OnAnswered(this->route, this->objective, attempt_began, now);
+    this->service.queue.OnAnswered(this->route, this->objective, attempt_began,
+                                   now);
   }
 }
 
--- a/Tests/Gateway/plain_call_admission_test.cc
+++ b/Tests/Gateway/plain_call_admission_test.cc
@@ -169,6 +169,34 @@
   LONGS_EQUAL(1, this->fixture.Count("too_late"));
 }
 
+TEST(PlainCallAdmission, ACallerThatComesBackGoesBeforeLaterOnes) {
+  this->fixture.FillWindow();
+  LONGS_EQUAL(503, this->fixture.Send("/app/back", 0, 20).received.status);
+  this->fixture.RunLoop();
+  this->fixture.Send("/app/later");
+  this->fixture.RunLoop();
+  this->fixture.Send("/app/back");
+  this->fixture.client.Answer(0);
+  this->fixture.RunLoop();
+  STRCMP_EQUAL("/app/back",
+               this->fixture.client.Target(AdmissionFixture::kWindow).c_str());
+}
+
+TEST(PlainCallAdmission, AnAdmittedCallThatAllServersRefuseIsNotGivenUp) {
+  const AdmissionFixture::Caller& caller = this->fixture.Send("/app/x");
+  // Three servers, in more rounds than without admission.
+  constexpr std::size_t kRefusals = 12;
+  for (std::size_t index = 0; index < kRefusals; ++index) {
+    CHECK_TRUE(this->fixture.parts.runner.RunUntil(
+        [&] { return this->fixture.client.Size() > index; }));
+    this->fixture.client.Refuse(index);
+  }
+  CHECK_TRUE(this->fixture.parts.runner.RunUntil(
+      [&] { return this->fixture.client.Size() > kRefusals; }));
+  this->fixture.client.Answer(kRefusals);
+  LONGS_EQUAL(200, caller.received.status);
+}
+
 TEST(PlainCallAdmission, AWaitingCallIsRefusedWhenItsTimeRunsOut) {
   this->fixture.FillWindow();
   const AdmissionFixture::Caller& caller =
