--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -388,11 +388,10 @@
 TEST(JobRunner, SamplesGoToFastServersOnceLengthsAndPacesAreKnown) {
   const auto seen_at = [this](char server, std::size_t from) {
     const auto& seen = this->fixture.client.seen;
-    return std::count_if(
-        seen.begin() + static_cast<std::ptrdiff_t>(from), seen.end(),
-        [server](const auto& request) {
-          return request.url[sizeof("http://") - 1] == server;
-        });
+    return std::count_if(seen.begin() + static_cast<std::ptrdiff_t>(from),
+                         seen.end(), [server](const auto& request) {
+                           return request.url[sizeof("http://") - 1] == server;
+                         });
   };
   for (const char* id : {"a", "b", "c", "d"}) {
     this->fixture.AddServer(id, "llm", 3);
