--- a/Services/Gateway/job_runner_placement.cc
+++ b/Services/Gateway/job_runner_placement.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // The lengths of a job's samples are estimated anew at most this often.
-constexpr Milliseconds kEstimatePeriod{200};
+constexpr Milliseconds kEstimatePeriod{500};
 // A stream whose events are late by this is silent: its server may be paused,
 // or slower than before.
 constexpr double kSilentEvents = 4;
