--- a/Tests/LibRouting/placement_simulation_test.cc
+++ b/Tests/LibRouting/placement_simulation_test.cc
@@ -103,4 +103,10 @@
   CHECK_TRUE(expected_end.median <= least.median);
 }
 
+// The same hints against the bounds of the page; see KNOWN-RED.txt.
+TEST(PlacementSimulation, HintsThatSayLittleDelayStepsBeyondTheBounds) {
+  this->setup_of_run.hint_error = 1;
+  this->CheckNearOracle();
+}
+
 }  // namespace carobbank
