--- a/Tests/Platform/workspaces_test.cc
+++ b/Tests/Platform/workspaces_test.cc
@@ -107,7 +107,7 @@
       R"({"version":7,"routes":[],"services":[
       {"name":"s1","scale":{"min":2,"max":2}},
       {"name":"s2","scale":{"min":3,"max":2}}]})");
-  STRCMP_CONTAINS("services.s2.scale.min", error.c_str());
+  STRCMP_CONTAINS("service s2: scale.min", error.c_str());
 }
 
 // Guards against decoding in quadratic time, which would stop a small gateway
