--- a/Libraries/LibLedger/usage_counter.h
+++ b/Libraries/LibLedger/usage_counter.h
@@ -1,5 +1,5 @@
 // Counts the requests of each workspace at one gateway, by time window, and
-// tells which counts have to be appended to the log.
+// selects the counts to append to the log.
 
 #pragma once
 
--- a/Libraries/LibLedger/usage_ledger.h
+++ b/Libraries/LibLedger/usage_ledger.h
@@ -1,6 +1,6 @@
-// The state of usage reports as the log tells it to the lease holder: the
+// The state of usage reports that the lease holder reads from the log: the
 // counts of all processes, and the decided reports. Decides which reports to
-// append next, which to send, and which records are of no more use.
+// append next, which to send, and which records to delete.
 //
 // The first decided report of a window in the log is the only valid one. Any
 // number of instances may believe that they are the holder: each appends to the
--- a/Libraries/LibScheduling/concurrency_window.h
+++ b/Libraries/LibScheduling/concurrency_window.h
@@ -1,5 +1,5 @@
 // How many requests one sender may have in flight at a service whose capacity
-// it shares with senders that it knows nothing about: additive increase,
+// it shares with an unknown number of other senders: additive increase,
 // multiplicative decrease (Chiu and Jain 1989), driven by refusals and by
 // response times relative to the uncongested ones. Pure.
 
--- a/Services/Gateway/weight_loads.cc
+++ b/Services/Gateway/weight_loads.cc
@@ -104,7 +104,7 @@
     this->environment.client.Fetch(
         MakePeerRequest(address, kPath, body, kCallTimeout),
         [](const Outcome<HttpResponse>& /*outcome*/) {
-          // Without the message the owner learns of the load from refusals.
+          // Without the message the owner's samples are refused and repeated.
         });
   }
 }
--- a/Services/Gateway/weight_loads.h
+++ b/Services/Gateway/weight_loads.h
@@ -1,7 +1,7 @@
-// Tells the owners of job partitions which engines load weights. An engine
-// refuses samples of the model while it loads, so owners send none there. Only
-// the holder of the order lease knows of a load before it begins. A message
-// that is lost costs refusals; the load ends by itself at its expected time.
+// Announces weight loads of engines to the owners of job partitions. An engine
+// refuses samples of the model while it loads, so owners send none there. The
+// holder of the order lease announces each load before it begins. A lost
+// message costs refusals; the load ends by itself at its expected time.
 
 #pragma once
 
