--- a/Libraries/LibHTTP/http_message.cc
+++ b/Libraries/LibHTTP/http_message.cc
@@ -53,6 +53,11 @@
   return decoded;
 }
 
+bool IsUnreserved(unsigned char character) {
+  return std::isalnum(character) != 0 || character == '-' || character == '.' ||
+         character == '_' || character == '~';
+}
+
 }  // namespace
 
 bool HeaderNamesEqual(std::string_view left, std::string_view right) {
@@ -106,6 +111,22 @@
   return std::nullopt;
 }
 
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (IsUnreserved(byte)) {
+      encoded.push_back(character);
+      continue;
+    }
+    encoded.push_back('%');
+    encoded.push_back(kDigits[byte >> 4]);
+    encoded.push_back(kDigits[byte & 15]);
+  }
+  return encoded;
+}
+
 HttpResponse JsonResponse(int status, const Json::Value& value) {
   return {status, {{"Content-Type", "application/json"}}, WriteJson(value)};
 }
--- a/Libraries/LibHTTP/http_message.h
+++ b/Libraries/LibHTTP/http_message.h
@@ -26,6 +26,10 @@
 // Replaces every header of that name, or appends it.
 void SetHeader(HttpHeaders& headers, std::string_view name, std::string value);
 
+// Encodes all bytes but the unreserved characters (RFC 3986, section 2.3), for
+// a path segment, or a name or value of a query.
+std::string PercentEncode(std::string_view text);
+
 struct HttpRequest {
   std::string method;
   // Path and query as sent, starting with '/'.
--- a/Libraries/LibPlatform/platform_call.cc
+++ b/Libraries/LibPlatform/platform_call.cc
@@ -2,8 +2,6 @@
 
 #include "LibPlatform/platform_call.h"
 
-#include <cctype>
-
 namespace carobbank {
 
 namespace {
@@ -26,11 +24,6 @@
   return status >= 400 && status < 500 && status != kRequestTimeout;
 }
 
-bool IsUnreserved(unsigned char character) {
-  return std::isalnum(character) != 0 || character == '-' || character == '.' ||
-         character == '_' || character == '~';
-}
-
 }  // namespace
 
 HttpClientRequest BuildPlatformRequest(const PlatformEndpoint& endpoint,
@@ -51,22 +44,6 @@
   return request;
 }
 
-std::string PercentEncode(std::string_view text) {
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char character : text) {
-    const auto byte = static_cast<unsigned char>(character);
-    if (IsUnreserved(byte)) {
-      encoded.push_back(character);
-      continue;
-    }
-    encoded.push_back('%');
-    encoded.push_back(kDigits[byte >> 4]);
-    encoded.push_back(kDigits[byte & 15]);
-  }
-  return encoded;
-}
-
 Error QueryErrorFromResponse(const HttpResponse& response,
                              std::string_view subject) {
   std::string message = Describe(subject, response);
--- a/Libraries/LibPlatform/platform_call.h
+++ b/Libraries/LibPlatform/platform_call.h
@@ -29,9 +29,6 @@
                                        std::string body = "",
                                        Milliseconds long_poll_wait = {});
 
-// Encodes all but the unreserved characters (RFC 3986, section 2.1).
-std::string PercentEncode(std::string_view text);
-
 // The error of a read-only call whose response has another status than 200:
 // kNotFound, kExpired, kOverloaded or kUnavailable. `subject` names the service
 // or the operation in the message, here and below.
