--- a/Libraries/LibPlatform/partitioned_log.h
+++ b/Libraries/LibPlatform/partitioned_log.h
@@ -60,8 +60,14 @@
 // The newest record of each key, in order of offset.
 struct KeyedSnapshot {
   std::vector<KeyedLogRecord> records;
-  // Every record before `end` is in `records` or was replaced by a newer one.
+  // Every record before `end` is in `records` or was replaced by a newer one,
+  // unless it is missing or unreadable.
   std::uint64_t end = 0;
+  // Number of records whose key or value could not be decoded.
+  std::size_t unreadable_records = 0;
+  // Why records of other keys are missing, or empty when none are. The log is
+  // then read on from its oldest retained record: `end` is the offset of that.
+  std::string missing;
 };
 
 struct GroupMembership {
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -107,6 +107,13 @@
   return peers;
 }
 
+// Whether `known` has a newer record of the same key.
+bool IsOlder(const KeyedLogRecord& record,
+             const std::map<std::string, KeyedLogRecord, std::less<>>& known) {
+  const auto found = known.find(record.record.key);
+  return found != known.end() && found->second.offset > record.offset;
+}
+
 Random MakeRandom(std::int64_t seed) {
   return Random(seed == 0 ? SeedFromSystem()
                           : static_cast<std::uint64_t>(seed));
@@ -184,15 +191,16 @@
                         this->clock,
                         *this->log,
                         dialect.OperatorPartition(),
-                        {.wait = kLogWait},
+                        {.wait = kLogWait, .accept_incomplete_snapshot = true},
                         this->OperatorHandlers()),
-      servers_follower(
-          this->loop,
-          this->clock,
-          *this->log,
-          dialect.ServersPartition(),
-          {.wait = kLogWait, .pause_after_records = kServersReadPause},
-          this->ServersHandlers()),
+      servers_follower(this->loop,
+                       this->clock,
+                       *this->log,
+                       dialect.ServersPartition(),
+                       {.wait = kLogWait,
+                        .pause_after_records = kServersReadPause,
+                        .accept_incomplete_snapshot = true},
+                       this->ServersHandlers()),
       authentication(
           this->environment,
           [this] {
@@ -309,6 +317,9 @@
     this->ApplyConfigurationRecord(record);
     return;
   }
+  if (IsOlder(record, this->operator_records)) {
+    return;
+  }
   this->operator_records[keyed.key] = record;
   if (keyed.value.empty()) {
     return;
@@ -381,6 +392,9 @@
 
 void Gateway::ApplyServerRecord(const KeyedLogRecord& record) {
   const KeyedRecord& keyed = record.record;
+  if (IsOlder(record, this->server_records)) {
+    return;
+  }
   if (keyed.value.empty()) {
     this->server_records.erase(keyed.key);
     this->fleet.OnEntryRemoved(keyed.key, this->clock.BootNow());
--- a/Services/Gateway/log_follower.cc
+++ b/Services/Gateway/log_follower.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibProcess/process.h"
+
 namespace carobbank {
 
 namespace {
@@ -21,6 +23,10 @@
 // While this instance reads records that it missed, other instances may do so
 // too and slow the log down.
 constexpr Milliseconds kCatchUpReadTimeout{5'000};
+// Delays before an incomplete snapshot is read again. Each one costs as many
+// calls as the snapshot has pages.
+constexpr Milliseconds kInitialSnapshotRetryDelay{2'000};
+constexpr Milliseconds kMaximumSnapshotRetryDelay{60'000};
 
 }  // namespace
 
@@ -54,12 +60,22 @@
   this->timer = this->loop.CallAfter(delay, [this] {
     if (this->needs_snapshot) {
       this->RequestSnapshot();
+    } else if (this->clock.BootNow() >= this->snapshot_retry_at) {
+      this->ScheduleSnapshotRetry();
+      this->RequestSnapshot();
     } else {
       this->Read();
     }
   });
 }
 
+void LogFollower::ScheduleSnapshotRetry() {
+  this->snapshot_retry_delay =
+      std::clamp(this->snapshot_retry_delay * 2, kInitialSnapshotRetryDelay,
+                 kMaximumSnapshotRetryDelay);
+  this->snapshot_retry_at = this->clock.BootNow() + this->snapshot_retry_delay;
+}
+
 void LogFollower::RequestSnapshot() {
   const MonotonicTime began = this->clock.BootNow();
   this->log.ReadSnapshot(this->partition,
@@ -79,6 +95,13 @@
   const bool missing = !outcome.Ok();
   const KeyedSnapshot snapshot =
       missing ? KeyedSnapshot() : std::move(outcome.Value());
+  if (!snapshot.missing.empty()) {
+    this->OnIncompleteSnapshot(snapshot, began);
+    return;
+  }
+  this->ReportUnreadable(snapshot);
+  this->snapshot_retry_at = MonotonicTime::max();
+  this->snapshot_retry_delay = Milliseconds(0);
   this->synced = true;
   this->needs_snapshot = false;
   this->next = snapshot.end;
@@ -88,6 +111,42 @@
   this->ReadAfter(missing ? kMissingTopicDelay : Milliseconds(0));
 }
 
+void LogFollower::OnIncompleteSnapshot(const KeyedSnapshot& snapshot,
+                                       MonotonicTime began) {
+  if (!this->options.accept_incomplete_snapshot) {
+    this->OnReadFailed({ErrorKind::kCorrupt, snapshot.missing,
+                        "remove the records that can't be read"});
+    return;
+  }
+  this->ReportUnreadable(snapshot);
+  if (this->snapshot_retry_at == MonotonicTime::max()) {
+    this->ScheduleSnapshotRetry();
+  }
+  if (this->needs_snapshot) {
+    this->needs_snapshot = false;
+    this->synced = false;
+    this->next = snapshot.end;
+  }
+  for (const KeyedLogRecord& record : snapshot.records) {
+    this->handlers.on_record(record);
+  }
+  this->RecordSuccessfulRead(began);
+  this->EndBatch();
+  this->ReadAfter(Milliseconds(0));
+}
+
+void LogFollower::ReportUnreadable(const KeyedSnapshot& snapshot) const {
+  if (snapshot.unreadable_records == 0 && snapshot.missing.empty()) {
+    return;
+  }
+  WriteLog(LogLevel::kWarning,
+           "records of a snapshot can't be read and are left out",
+           {{"topic", this->partition.topic},
+            {"partition", std::to_string(this->partition.partition)},
+            {"unreadable", std::to_string(snapshot.unreadable_records)},
+            {"missing", snapshot.missing}});
+}
+
 void LogFollower::Read() {
   const MonotonicTime began = this->clock.BootNow();
   const Milliseconds wait = this->synced ? this->options.wait : Milliseconds(0);
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -25,6 +25,11 @@
   // Starts with the retained records, which are cheaper to read than a
   // snapshot; for handlers that accept old values before new ones.
   bool from_beginning = false;
+  // For partitions with other writers: a snapshot of which records are missing
+  // is delivered to `on_record`, followed by all retained records, and is read
+  // again later. The handler ignores a record that is older than the last one
+  // of its key. Otherwise such a snapshot is a failed read.
+  bool accept_incomplete_snapshot = false;
 };
 
 // All handlers but on_record may be empty.
@@ -89,6 +94,9 @@
   void Read();
   void RequestSnapshot();
   void OnSnapshot(Outcome<KeyedSnapshot> outcome, MonotonicTime began);
+  void OnIncompleteSnapshot(const KeyedSnapshot& snapshot, MonotonicTime began);
+  void ScheduleSnapshotRetry();
+  void ReportUnreadable(const KeyedSnapshot& snapshot) const;
   void OnRead(Outcome<KeyedLogPage> outcome, MonotonicTime began);
   void StartRefresh();
   void OnRefreshRead(Outcome<KeyedLogPage> outcome, MonotonicTime began);
@@ -112,6 +120,9 @@
   bool synced = false;
   // Records at `next` were deleted.
   bool needs_snapshot = false;
+  // When a snapshot is read again because records were missing in the last one.
+  MonotonicTime snapshot_retry_at = MonotonicTime::max();
+  Milliseconds snapshot_retry_delay{0};
   bool reachable = true;
   std::uint64_t next = 0;
   std::string last_error;
--- a/Tests/Support/fake_partitioned_log.h
+++ b/Tests/Support/fake_partitioned_log.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,8 @@
   std::size_t refused_appends = 0;
   // Time from the effect of a call to its response.
   Milliseconds response_time{0};
+  // Keys that snapshots lack, as if their pages could not be read.
+  std::set<std::string> missing_in_snapshots;
   // Maximum number of records in a page.
   std::size_t most_records_a_page = 1'000;
 };
@@ -101,7 +104,9 @@
     }
     KeyedSnapshot snapshot;
     for (const auto& [key, record] : newest) {
-      if (!record.record.value.empty()) {
+      if (this->faults.missing_in_snapshots.contains(key)) {
+        snapshot.missing = "a page can't be read";
+      } else if (!record.record.value.empty()) {
         snapshot.records.push_back(record);
       }
     }
@@ -109,7 +114,8 @@
               [](const auto& left, const auto& right) {
                 return left.offset < right.offset;
               });
-    snapshot.end = this->partitions[partition].size();
+    snapshot.end = snapshot.missing.empty() ? this->partitions[partition].size()
+                                            : this->expired_before[partition];
     this->Respond(std::move(callback), std::move(snapshot));
   }
 
