Platform: Reject server entries whose id or address can't be used

An entry may come from another writer. One whose id no header can carry, or whose address is no IP and port, was taken for a server: each request that chose it failed before it was sent, and text of the address became part of the URL ("a@1.2.3.4:5", "1.2.3.4:5/x?").

Such an entry names no server now.

--- a/Libraries/LibContract/contract.h
+++ b/Libraries/LibContract/contract.h
@@ -9,4 +9,5 @@
 #include "LibContract/service_document.h"
 #include "LibContract/settings.h"
 #include "LibContract/settings_file.h"
+#include "LibContract/text_rules.h"
 #include "LibContract/validation.h"
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -108,11 +108,24 @@
         R"({"service":"s","addr":"1.2.3.4:5","slots":0,"state":"ready"})",
         R"({"service":"s","addr":"1.2.3.4:5","slots":2,"state":"odd"})",
         R"({"service":7,"addr":"1.2.3.4:5","slots":2,"state":"ready"})",
-        R"({"service":"s","addr":["x"],"slots":2,"state":"ready"})"}) {
+        R"({"service":"s","addr":["x"],"slots":2,"state":"ready"})",
+        R"({"service":"s","addr":":","slots":2,"state":"ready"})",
+        R"({"service":"s","addr":"1.2.3.4:5/x?","slots":2,"state":"ready"})",
+        R"({"service":"s","addr":"a@1.2.3.4:5","slots":2,"state":"ready"})",
+        R"({"service":"s","addr":"1.2.3.4:5 ","slots":2,"state":"ready"})"}) {
     CHECK_FALSE_TEXT(this->dialect.DecodeServer("i", text).Ok(), text);
   }
 }
 
+TEST(JsonPlatformDialect, AServerWhoseIdNoHeaderCanCarryIsRejected) {
+  constexpr const char* kEntry =
+      R"({"service":"s","addr":"1.2.3.4:5","slots":2,"state":"ready"})";
+  for (const char* id : {"", "a b", "a\r\nX: y", "a\t", "\xc3\xbc"}) {
+    CHECK_FALSE_TEXT(this->dialect.DecodeServer(id, kEntry).Ok(), id);
+  }
+  CHECK_TRUE(this->dialect.DecodeServer("a&+#%41", kEntry).Ok());
+}
+
 TEST(JsonPlatformDialect, AHealthRequestNamesTheServerItIsMeantFor) {
   const HttpClientRequest request =
       this->dialect.HealthRequest("10.1.0.13:8165", "i-1", "/alive");
