LibHTTP: Send request targets as they are

A backend server ran a request with another path than the client's when the target held "#": libcurl took the rest for a fragment and removed it. Found while looking for other text that goes into a URL unescaped.

libcurl gets the URL without its target, and the target by itself. A target with a blank or a control character would end the request line, and is refused as not sent, as before.

Before: HttpClient.TargetsAreSentAsTheyAre failed ("GET /a HTTP/1.1" for "/a#b"); TargetsThatWouldEndTheRequestLineAreNotSent passed. Both pass now.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -4,6 +4,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -25,6 +26,22 @@
          std::string_view::npos;
 }
 
+// A control character or a blank would end the target in the request line.
+bool IsSafeInTarget(std::string_view target) {
+  return std::ranges::none_of(target, [](unsigned char character) {
+    return character <= ' ' || character == 0x7f;
+  });
+}
+
+// The position at which the target of the request begins.
+std::size_t TargetPosition(std::string_view url) {
+  constexpr std::string_view kSchemeEnd = "://";
+  const std::size_t scheme_end = url.find(kSchemeEnd);
+  const std::size_t authority =
+      scheme_end == std::string_view::npos ? 0 : scheme_end + kSchemeEnd.size();
+  return std::min(url.find_first_of("/?#", authority), url.size());
+}
+
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kSpace = " \t\r\n";
   const std::size_t begin = text.find_first_not_of(kSpace);
@@ -68,14 +85,15 @@
   if (std::optional<Error> error = this->AddRequestHeaders()) {
     return error;
   }
+  if (std::optional<Error> error = this->SetUrl()) {
+    return error;
+  }
   CURL* const handle = this->easy;
-  curl_easy_setopt(handle, CURLOPT_URL, this->request.url.c_str());
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   // An empty string also disables proxies set in the environment.
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(handle, CURLOPT_ERRORBUFFER, this->error_text.data());
   curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
@@ -95,6 +113,25 @@
   return std::nullopt;
 }
 
+// libcurl parses the URL without its target, which it would change: a fragment
+// is removed, and some characters are escaped.
+std::optional<Error> ClientTransfer::SetUrl() {
+  const std::size_t position = TargetPosition(this->request.url);
+  std::string target = this->request.url.substr(position);
+  if (!IsSafeInTarget(target)) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "a request target contains a blank or a control character",
+                 "percent-encode the character"};
+  }
+  if (!target.starts_with('/')) {
+    target.insert(target.begin(), '/');
+  }
+  curl_easy_setopt(this->easy, CURLOPT_URL,
+                   this->request.url.substr(0, position).c_str());
+  curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET, target.c_str());
+  return std::nullopt;
+}
+
 std::optional<Error> ClientTransfer::AddRequestHeaders() {
   const auto append = [this](const std::string& line) {
     this->request_headers =
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -68,6 +68,7 @@
                              int remote_port,
                              int local_port);
 
+  std::optional<Error> SetUrl();
   std::optional<Error> AddRequestHeaders();
   void SetMethodAndBody();
   void UnpauseInNextTurn();
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -32,6 +32,13 @@
   // Requests read on all connections.
   std::size_t Requests() const { return this->requests; }
 
+  // The first line that the newest connection has received.
+  std::string RequestLine() {
+    const std::string& received =
+        this->connections.back().connection.Received();
+    return received.substr(0, received.find("\r\n"));
+  }
+
   // Accepts and serves without blocking. Call repeatedly from the test's loop.
   void Serve() {
     const int accepted = this->listener.Accept();
@@ -258,6 +265,34 @@
   CHECK_EQUAL(0U, server.Requests());
 }
 
+TEST(HttpClient, TargetsAreSentAsTheyAre) {
+  for (const std::string target :
+       {"/a#b", "/a?b=#c", "/a?b?c", "/a/../b//c", "/%zz", "/a|\"\\^`{}",
+        "/\xc3\xbc", "/", "/?a"}) {
+    ScriptedServer server({{kCompleteResponse, true}});
+    HttpClientRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(server.Port()) + target;
+    Observed observed;
+    CHECK_TRUE(this->Exchange(server, std::move(request), observed));
+    CHECK_EQUAL_TEXT(1, observed.done, target.c_str());
+    STRCMP_EQUAL(("GET " + target + " HTTP/1.1").c_str(),
+                 server.RequestLine().c_str());
+  }
+}
+
+TEST(HttpClient, TargetsThatWouldEndTheRequestLineAreNotSent) {
+  for (const std::string target :
+       {"/a b", "/a\tb", "/a HTTP/1.1\r\nX: y", "/a\nb", "/a\x7f"}) {
+    ScriptedServer server({{kCompleteResponse, true}});
+    HttpClientRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(server.Port()) + target;
+    Observed observed;
+    CHECK_TRUE(this->Exchange(server, std::move(request), observed));
+    CHECK_TRUE_TEXT(observed.EndedWith(SendState::kNotSent), target.c_str());
+    CHECK_EQUAL(0U, server.Requests());
+  }
+}
+
 TEST(HttpClient, PauseAppliesBackpressureToTheServer) {
   constexpr std::size_t kChunkBytes = 64 * 1024;
   constexpr std::size_t kChunks = 1'000;
