Platform: Refuse samples that can't be sent

A sample whose path holds a blank, or whose headers or reward call hold a line break, fails before it is sent. It was accepted all the same, and then tried without end.

LibHTTP says what can be sent as a target, a header's name and its value.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -21,18 +21,6 @@
 // libcurl reads at most this much at once.
 constexpr std::size_t kMaxGatheredBytes = 16 * 1024;
 
-bool IsSafeInHeader(std::string_view text) {
-  return text.find_first_of(std::string_view("\r\n\0", 3)) ==
-         std::string_view::npos;
-}
-
-// A control character or a blank would end the target in the request line.
-bool IsSafeInTarget(std::string_view target) {
-  return std::ranges::none_of(target, [](unsigned char character) {
-    return character <= ' ' || character == 0x7f;
-  });
-}
-
 // The position at which the target of the request begins.
 std::size_t TargetPosition(std::string_view url) {
   constexpr std::string_view kSchemeEnd = "://";
@@ -118,14 +106,14 @@
 std::optional<Error> ClientTransfer::SetUrl() {
   const std::size_t position = TargetPosition(this->request.url);
   std::string target = this->request.url.substr(position);
-  if (!IsSafeInTarget(target)) {
+  if (!target.starts_with('/')) {
+    target.insert(target.begin(), '/');
+  }
+  if (!IsRequestTarget(target)) {
     return Error{ErrorKind::kInvalidArgument,
                  "a request target contains a blank or a control character",
                  "percent-encode the character"};
   }
-  if (!target.starts_with('/')) {
-    target.insert(target.begin(), '/');
-  }
   curl_easy_setopt(this->easy, CURLOPT_URL,
                    this->request.url.substr(0, position).c_str());
   curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET, target.c_str());
@@ -138,7 +126,7 @@
         curl_slist_append(this->request_headers, line.c_str());
   };
   for (const HttpHeader& header : this->request.headers) {
-    if (!IsSafeInHeader(header.name) || !IsSafeInHeader(header.value)) {
+    if (!IsFieldValue(header.name) || !IsFieldValue(header.value)) {
       return Error{ErrorKind::kInvalidArgument,
                    "a request header contains a line break or a zero byte",
                    "remove the line break or zero byte from the header"};
--- a/Libraries/LibHTTP/http_message.cc
+++ b/Libraries/LibHTTP/http_message.cc
@@ -127,6 +127,28 @@
   return encoded;
 }
 
+bool IsRequestTarget(std::string_view text) {
+  return !text.empty() &&
+         std::ranges::none_of(text, [](unsigned char character) {
+           return character <= ' ' || character == 0x7f;
+         });
+}
+
+bool IsFieldName(std::string_view text) {
+  static constexpr std::string_view kOtherCharacters = "!#$%&'*+-.^_`|~";
+  return !text.empty() &&
+         std::ranges::all_of(text, [](unsigned char character) {
+           return std::isalnum(character) != 0 ||
+                  kOtherCharacters.find(static_cast<char>(character)) !=
+                      std::string_view::npos;
+         });
+}
+
+bool IsFieldValue(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) ==
+         std::string_view::npos;
+}
+
 HttpResponse JsonResponse(int status, const Json::Value& value) {
   return {status, {{"Content-Type", "application/json"}}, WriteJson(value)};
 }
--- a/Libraries/LibHTTP/http_message.h
+++ b/Libraries/LibHTTP/http_message.h
@@ -30,6 +30,14 @@
 // a path segment, or a name or value of a query.
 std::string PercentEncode(std::string_view text);
 
+// Whether text from elsewhere can be sent as a request target: it has neither
+// blanks nor control characters (RFC 9112, section 3.2).
+bool IsRequestTarget(std::string_view text);
+// Whether it can be sent as the name of a header (RFC 9110, section 5.6.2), or
+// as the value of one: no line breaks or zero bytes (section 5.5).
+bool IsFieldName(std::string_view text);
+bool IsFieldValue(std::string_view text);
+
 struct HttpRequest {
   std::string method;
   // Path and query as sent, starting with '/'.
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -179,7 +179,16 @@
         R"({"items":[{"id":"a"}]})", R"({"items":[{"id":"a/b","path":"/x"}]})",
         R"({"items":[{"id":"a","path":"x"}]})",
         R"({"items":[{"id":"a","path":"/x","headers":{"h":[1]}}]})",
-        R"({"items":[{"id":"a","path":"/x","headers":{"h":{}}}]})"}) {
+        R"({"items":[{"id":"a","path":"/x","headers":{"h":{}}}]})",
+        R"({"items":[{"id":"a","path":"/x y"}]})",
+        R"({"items":[{"id":"a","path":"/x\u0000"}]})",
+        R"({"items":[{"id":"a","path":"/x","headers":{"h":"a\r\nb:c"}}]})",
+        R"({"items":[{"id":"a","path":"/x","headers":{"h:i":"a"}}]})",
+        R"({"items":[{"id":"a","path":"/x","headers":{"":"a"}}]})",
+        R"({"items":[{"id":"a","path":"/x","scorer":{"id":"s\r\nX:y",
+           "host":"h","path":"/x"}}]})",
+        R"({"items":[{"id":"a","path":"/x","scorer":{"id":"s","host":"h",
+           "path":"/x y"}}]})"}) {
     request.body = body;
     CHECK_FALSE_TEXT(this->dialect.DecodeSubmission(request).Ok(), body);
   }
