LibHTTP: End exchanges whose response has no valid status line

Callers got a response with status 600 or 999 as an answer. A header line "HTTP/1.1 500 Second: line" replaced the status. A response 101 to a request that asked for no upgrade passed its body on before any status, and ended only with the connection; with "HTTP/1.1 200" the exchange was done without a status.

The first line of each interim and of the final response now has to be "HTTP/1.", a digit, a blank, and three digits from 100 to 599 other than 101; a further line that begins with "HTTP/" is refused too. Such an exchange fails as one whose bytes are no HTTP does: the server may have run the request, and the connection is closed.

Tests that failed before: HttpClient.AStatusThatIsNoneReachesTheCaller (12 of 33 status lines, each with and without an end of the connection, were delivered), HttpClient.AConnectionIsUsedAgainAfterAStatusThatIsNone (one connection instead of two). HttpClient.AStatusWithinTheRangeIsRefused passed before and after.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -4,16 +4,19 @@
 
 #include <asio/post.hpp>
 
-#include <charconv>
+#include <cctype>
 #include <utility>
 
 namespace carobbank {
 
 namespace {
 
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kLastStatus = 599;
 // A read returns up to 16 KB; a header line or the size of a chunk arrives in a
 // few reads, whatever its sender.
 constexpr std::size_t kMaxEmptyReads = 128;
@@ -34,14 +37,27 @@
   return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
 }
 
-// Returns 200 for "HTTP/1.1 200 OK", and 0 when `line` has no status code.
-int ParseStatusCode(std::string_view line) {
-  const std::size_t space = line.find(' ');
-  int status = 0;
-  if (space != std::string_view::npos) {
-    std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
+// The status code of "HTTP/1.1 200 OK". Without a value when the line is no
+// status line of HTTP/1.x (RFC 9112, section 4), its code is not from 100 to
+// 599 (RFC 9110, section 15), or it switches to a protocol that was not
+// requested.
+std::optional<int> ParseStatusLine(std::string_view line) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kCodeBegin = kVersion.size() + 2;
+  constexpr std::size_t kCodeEnd = kCodeBegin + 3;
+  const bool well_formed =
+      line.size() >= kCodeEnd && line.starts_with(kVersion) &&
+      std::isdigit(static_cast<unsigned char>(line[kVersion.size()])) != 0 &&
+      line[kCodeBegin - 1] == ' ' &&
+      (line.size() == kCodeEnd || line[kCodeEnd] == ' ');
+  if (!well_formed) {
+    return std::nullopt;
   }
-  return status;
+  const auto status =
+      ParseInteger<int>(line.substr(kCodeBegin, kCodeEnd - kCodeBegin));
+  const bool valid = status && *status >= kFirstStatus &&
+                     *status <= kLastStatus && *status != kSwitchingProtocols;
+  return valid ? status : std::nullopt;
 }
 
 }  // namespace
@@ -202,7 +218,7 @@
     return 0;
   }
   transfer->ProcessHeaderLine(std::string_view(bytes, length));
-  return transfer->cancelled ? 0 : length;
+  return transfer->cancelled || transfer->invalid_status_line ? 0 : length;
 }
 
 bool ClientTransfer::CountBytes(std::size_t& counter,
@@ -243,14 +259,18 @@
   if (this->headers_complete) {
     return;
   }
+  if (this->expects_status_line) {
+    this->ProcessStatusLine(line);
+    return;
+  }
   const std::string_view text = Trim(line);
   if (text.empty()) {
     this->OnHeadersComplete();
     return;
   }
-  if (text.starts_with("HTTP/")) {
-    this->status = ParseStatusCode(text);
-    this->response_headers.clear();
+  // A second status line, which libcurl takes for a header if it has a colon.
+  if (line.starts_with("HTTP/")) {
+    this->invalid_status_line = true;
     return;
   }
   const std::size_t colon = text.find(':');
@@ -261,9 +281,20 @@
   }
 }
 
+// libcurl accepts other versions, codes above 599 and letters after the code.
+void ClientTransfer::ProcessStatusLine(std::string_view line) {
+  const std::optional<int> parsed =
+      ParseStatusLine(line.substr(0, line.find_first_of("\r\n")));
+  this->invalid_status_line = !parsed;
+  this->status = parsed.value_or(0);
+  this->response_headers.clear();
+  this->expects_status_line = false;
+}
+
 void ClientTransfer::OnHeadersComplete() {
   // Interim (1xx) responses are skipped (RFC 9110, section 15.2).
   if (this->status < kFirstFinalStatus) {
+    this->expects_status_line = true;
     return;
   }
   this->headers_complete = true;
@@ -372,6 +403,8 @@
   } else if (this->idle_expired) {
     reason = "no byte was received for " +
              std::to_string(this->request.idle_timeout.count()) + " ms";
+  } else if (this->invalid_status_line) {
+    reason = "the response has no valid status line";
   } else if (this->resend_refused) {
     reason = "the pooled connection closed before a response";
   } else if (reason.empty()) {
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -72,6 +72,7 @@
   void SetMethodAndBody();
   void UnpauseInNextTurn();
   void ProcessHeaderLine(std::string_view line);
+  void ProcessStatusLine(std::string_view line);
   // Counts received bytes. False when a limit is exceeded.
   bool CountBytes(std::size_t& counter,
                   std::size_t bytes,
@@ -95,6 +96,9 @@
   std::array<char, CURL_ERROR_SIZE> error_text{};
 
   int status = 0;
+  // Each interim response and the final one begin with a status line.
+  bool expects_status_line = true;
+  bool invalid_status_line = false;
   HttpHeaders response_headers;
   bool headers_complete = false;
   bool cancelled = false;
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -133,6 +133,98 @@
   }
 }
 
+TEST(HttpClient, AStatusThatIsNoneReachesTheCaller) {
+  const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+  const std::vector<const char*> status_lines = {
+      "HTTP/1.1 000 None",
+      "HTTP/1.1 042 Answer",
+      "HTTP/1.1 099 Below",
+      "HTTP/1.1 42 Short",
+      "HTTP/1.1 600 Above",
+      "HTTP/1.1 999 Above",
+      "HTTP/1.1 2000 Long",
+      "HTTP/1.1 20x Letter",
+      "HTTP/1.1 200abc",
+      "HTTP/1.1 -5 Negative",
+      "HTTP/1.1 -50 Negative",
+      "HTTP/1.1 +20 Sign",
+      "HTTP/1.1  200 Blanks",
+      "HTTP/1.1 200.5 Fraction",
+      "HTTP/1.1 0x1 Hexadecimal",
+      "HTTP/1.1 ",
+      "HTTP/1.1",
+      "HTTP/1.10 200 OK",
+      "HTTP/1 200 OK",
+      "HTTP/0.9 200 OK",
+      "HTTP/2 200 OK",
+      "HTTP/2.0 200 OK",
+      "HTTP 200 OK",
+      "HTTP/ 200 OK",
+      "http/1.1 200 OK",
+      " HTTP/1.1 200 OK",
+      "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Second",
+      "HTTP/1.1 200 OK\r\nHTTP/1.1 600 Second",
+      "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Second: line",
+      "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 600 Above",
+      "HTTP/1.1 103 Early Hints\r\n\r\nHTTP 200 OK",
+      "HTTP/1.1 101 Switching Protocols",
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade",
+  };
+  std::string accepted;
+  for (const char* const status_line : status_lines) {
+    for (const bool close : {true, false}) {
+      ScriptedServer server({{status_line + rest, close}});
+      HttpClientRequest request = this->RequestTo(server, "POST");
+      request.accept_close_delimited_response = true;
+      Observed observed;
+      const bool ended = this->Exchange(server, std::move(request), observed);
+      if (!observed.EndedWith(SendState::kMayHaveBeenSent) ||
+          observed.status != 0 || !observed.body.empty()) {
+        accepted += std::string(status_line) + " -> " +
+                    std::to_string(observed.status) + " " + observed.body +
+                    (ended ? "" : " without an end") + "\n";
+      }
+    }
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
+TEST(HttpClient, AStatusWithinTheRangeIsRefused) {
+  const std::vector<std::pair<const char*, int>> status_lines = {
+      {"HTTP/1.1 200 OK", 200},
+      {"HTTP/1.0 200 OK", 200},
+      {"HTTP/1.1 200", 200},
+      {"HTTP/1.1 200 ", 200},
+      {"HTTP/1.1 200 600 and more", 200},
+      {"HTTP/1.1 299 Own", 299},
+      {"HTTP/1.1 599 Own", 599},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Own\r\n\r\n"
+       "HTTP/1.1 500 Error",
+       500},
+  };
+  for (const auto& [status_line, status] : status_lines) {
+    ScriptedServer server(
+        {{std::string(status_line) + "\r\nContent-Length: 2\r\n\r\nok", true}});
+    Observed observed;
+    CHECK_TRUE(this->Exchange(server, this->RequestTo(server), observed));
+    CHECK_EQUAL_TEXT(1, observed.done, status_line);
+    CHECK_EQUAL_TEXT(status, observed.status, status_line);
+    STRCMP_EQUAL_TEXT("ok", observed.body.c_str(), status_line);
+  }
+}
+
+TEST(HttpClient, AConnectionIsUsedAgainAfterAStatusThatIsNone) {
+  ScriptedServer server(
+      {{"HTTP/1.1 600 Above\r\nContent-Length: 2\r\n\r\nok", false},
+       {kCompleteResponse, false}});
+  Observed first;
+  CHECK_TRUE(this->Exchange(server, this->RequestTo(server), first));
+  Observed second;
+  CHECK_TRUE(this->Exchange(server, this->RequestTo(server), second));
+  CHECK_EQUAL(1, second.done);
+  CHECK_EQUAL(2U, server.Connections());
+}
+
 TEST(HttpClient, RequestIsNeverSentTwice) {
   for (const char* const method : {"POST", "GET", "DELETE"}) {
     for (const bool fresh : {false, true}) {
