Soak: Send responses without a valid status line

Servers in trouble answer with such a line ("HTTP/1.1 600", "HTTP/1.1 200abc", "HTTP/2 200", ...) before headers and a body that are valid. A new check finds answers to callers, outputs and streams that were made of them.

The list of modes of "grey" is longer, so the plays of its seeds change.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -8,6 +8,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from servers import NO_ANSWER
+
 MAX_OVERSPREAD_CALLS = 3
 DEADLINE_SLACK_S = 0.5
 MAX_LATE_DEADLINES = 20
@@ -68,6 +70,8 @@
     lost_on_kept: list = field(default_factory=list)
     # See servers.LimitSpan.
     limit_spans: list = field(default_factory=list)
+    # Status and body of each answer to a client attempt, by request id.
+    answers: dict = field(default_factory=dict)
     # Output of each completed sample, by its id.
     outputs: dict = field(default_factory=dict)
     # Answers of all tries of each client's stream, by its name.
@@ -217,6 +221,18 @@
             and history.in_touch(run.gateway, run.ended_at)]
 
 
+def answers_without_status(history):
+    """Responses without a valid status line that gateways took for answers."""
+    found = [f"request {request_id} was answered with status {status}"
+             for request_id, (status, body) in history.answers.items()
+             if not 100 <= status <= 599 or NO_ANSWER.encode() in body]
+    found += [f"sample {sample_id} was made of a response without a status line"
+              for sample_id, output in history.outputs.items() if NO_ANSWER in output]
+    return found + [f"stream {name} was made of a response without a status line"
+                    for name, answers in history.streams.items()
+                    if any(NO_ANSWER in data for answer in answers for _, data in answer.events)]
+
+
 def slow_stops(history):
     return history.slow_stops
 
@@ -338,6 +354,7 @@
     "samples that fail at each run": failing_samples_run_again,
     "kept connections": lost_on_kept_connections,
     "responses without end": endless_responses_read_on,
+    "answers without a status": answers_without_status,
     "gateways that stop late": slow_stops,
     "servers that leave": leaving_servers_used,
     "limits that servers name": limits_exceeded,
--- a/Benchmarks/Soak/checks_test.py
+++ b/Benchmarks/Soak/checks_test.py
@@ -143,6 +143,26 @@
         self.assertEqual([], self.found(6.9))
 
 
+class AnswersWithoutAStatus(unittest.TestCase):
+    def found(self, status, body=b"body", output="output", data="data"):
+        played = history([])
+        played.answers["r1"] = (status, body)
+        played.outputs["s1"] = output
+        played.streams["c1"] = [streams.StreamAnswer(200, [("1", data)])]
+        return checks.answers_without_status(played)
+
+    def test_statuses_out_of_range_and_data_behind_them_are_found(self):
+        for status in (0, 99, 600):
+            self.assertEqual(1, len(self.found(status)))
+        self.assertEqual(1, len(self.found(200, body=b"id: 1\ndata: no answer\n\n")))
+        self.assertEqual(1, len(self.found(200, output="no answer")))
+        self.assertEqual(1, len(self.found(200, data="no answer")))
+
+    def test_other_answers_are_allowed(self):
+        for status in (200, 502, 599):
+            self.assertEqual([], self.found(status))
+
+
 class FailingSamples(unittest.TestCase):
     def found(self, count, outcome, last="500"):
         runs = [run(at, f"s{at}", outcome, "train", "sample") for at in range(count - 1)]
--- a/Benchmarks/Soak/servers.py
+++ b/Benchmarks/Soak/servers.py
@@ -17,6 +17,11 @@
 ENDLESS_LIMIT_S = 15.0
 ENDLESS_LIMIT_BYTES = 64 * 1024 * 1024
 SLOW_GAP_S = 0.1
+# First lines of responses that are no status lines of HTTP/1.x, and the data that follows them.
+FALSE_STATUS_LINES = ["HTTP/1.1 000 None", "HTTP/1.1 099 Below", "HTTP/1.1 600 Above",
+                      "HTTP/1.1 999 Above", "HTTP/1.1 200abc", "HTTP/1.1 503abc", "HTTP/2 200 OK",
+                      "HTTP/1.1 101 Switching Protocols"]
+NO_ANSWER = "no answer"
 
 
 @dataclass(eq=False)
@@ -32,7 +37,7 @@
     path: str
     body: str
     deadline_ms: int | None
-    outcome: str = "running"  # not_run, 200, 422, 500, crashed, cut, endless
+    outcome: str = "running"  # not_run, 200, 422, 500, crashed, cut, endless, no_answer
     ended_at: float = 0.0
     task: asyncio.Task | None = None
 
@@ -292,6 +297,8 @@
             await asyncio.sleep(3600)
         if self._is_grey("endless"):
             return await self._write_without_end(request, run)
+        if self._is_grey("status"):
+            return await self._write_false_status(request, run)
         if run.route == "train":
             return await self._stream(request, run, run.request_id, EVENTS)
         if run.route == "chat":
@@ -342,6 +349,18 @@
             pass
         raise ConnectionAborted
 
+    async def _write_false_status(self, request, run):
+        """Writes a response that is valid except for its status line."""
+        run.outcome = "no_answer"
+        body = f"id: 1\ndata: {NO_ANSWER}\n\n"
+        request.writer.write(
+            (f"{self.fleet.random.choice(FALSE_STATUS_LINES)}\r\n"
+             f"X-Request-Id: {run.request_id}\r\nX-Server-Stamp: s.{self.id}\r\n"
+             f"X-Weight-Versions: {self.version}\r\nContent-Length: {len(body)}\r\n\r\n"
+             f"{body}").encode())
+        await request.writer.drain()
+        return Response(200, {}, None)
+
     async def _stream(self, request, run, name, events):
         leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
         limit = "".join(f"{name}: {value}\r\n"
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -237,6 +237,8 @@
                  "X-Deadline-Ms": str(int(CALL_DEADLINE_S * 1000))},
                 body.encode(), timeout_s=CALL_DEADLINE_S + 0.5)
             status = response.status if response is not None else 0
+            if response is not None:
+                self.history.answers[request_id] = (status, response.body)
             if response is not None and "server-leaving" in response.headers:
                 server_id = response.headers["x-server-stamp"].removeprefix("s.")
                 self.history.leaving_told.append(
@@ -558,7 +560,7 @@
         service = rng.choice(["app", "llm"])
         servers = self.fleet.of(service)
         chosen = rng.sample(servers, rng.randrange(1, len(servers) + 1))
-        mode = rng.choice(["errors", "shed", "reset", "hang", "endless"])
+        mode = rng.choice(["errors", "shed", "reset", "hang", "endless", "status"])
         share = rng.uniform(0.1, 0.8)
         for server in chosen:
             server.grey_mode, server.grey = mode, share
