LibHTTP: End exchanges whose response has no valid length

Callers got a body cut short, or one with a part of what followed.

The client now reads Content-Length itself. Decimal lengths that agree are accepted, repeated or in a list; everything else fails the exchange before its status is passed on, and closes the connection (RFC 9112, section 6.3).

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 
 #include <cctype>
+#include <limits>
 #include <utility>
 
 namespace carobbank {
@@ -17,6 +18,8 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kLastStatus = 599;
+constexpr std::string_view kInvalidStatusLine =
+    "the response has no valid status line";
 // A read returns up to 16 KB; a header line or the size of a chunk arrives in a
 // few reads, whatever its sender.
 constexpr std::size_t kMaxEmptyReads = 128;
@@ -218,7 +221,7 @@
     return 0;
   }
   transfer->ProcessHeaderLine(std::string_view(bytes, length));
-  return transfer->cancelled || transfer->invalid_status_line ? 0 : length;
+  return transfer->cancelled || !transfer->malformation.empty() ? 0 : length;
 }
 
 bool ClientTransfer::CountBytes(std::size_t& counter,
@@ -270,14 +273,35 @@
   }
   // A second status line, which libcurl takes for a header if it has a colon.
   if (line.starts_with("HTTP/")) {
-    this->invalid_status_line = true;
+    this->malformation = kInvalidStatusLine;
     return;
   }
   const std::size_t colon = text.find(':');
   if (colon != std::string_view::npos) {
-    this->response_headers.push_back(
-        {std::string(text.substr(0, colon)),
-         std::string(Trim(text.substr(colon + 1)))});
+    const HttpHeader header{std::string(text.substr(0, colon)),
+                            std::string(Trim(text.substr(colon + 1)))};
+    if (HeaderNamesEqual(header.name, "content-length") &&
+        !this->AddContentLength(header.value)) {
+      this->malformation = "the response has no valid length";
+    }
+    this->response_headers.push_back(header);
+  }
+}
+
+bool ClientTransfer::AddContentLength(std::string_view list) {
+  for (;;) {
+    const std::size_t comma = list.find(',');
+    const auto length =
+        ParseInteger<std::uint64_t>(Trim(list.substr(0, comma)));
+    if (!length || this->content_length.value_or(*length) != *length ||
+        *length > std::numeric_limits<std::int64_t>::max()) {
+      return false;
+    }
+    this->content_length = length;
+    if (comma == std::string_view::npos) {
+      return true;
+    }
+    list.remove_prefix(comma + 1);
   }
 }
 
@@ -285,9 +309,12 @@
 void ClientTransfer::ProcessStatusLine(std::string_view line) {
   const std::optional<int> parsed =
       ParseStatusLine(line.substr(0, line.find_first_of("\r\n")));
-  this->invalid_status_line = !parsed;
+  if (!parsed) {
+    this->malformation = kInvalidStatusLine;
+  }
   this->status = parsed.value_or(0);
   this->response_headers.clear();
+  this->content_length.reset();
   this->expects_status_line = false;
 }
 
@@ -403,8 +430,8 @@
   } else if (this->idle_expired) {
     reason = "no byte was received for " +
              std::to_string(this->request.idle_timeout.count()) + " ms";
-  } else if (this->invalid_status_line) {
-    reason = "the response has no valid status line";
+  } else if (!this->malformation.empty()) {
+    reason = this->malformation;
   } else if (this->resend_refused) {
     reason = "the pooled connection closed before a response";
   } else if (reason.empty()) {
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -6,10 +6,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "LibHTTP/curl_multi.h"
 #include "LibHTTP/http_client.h"
@@ -73,6 +75,9 @@
   void UnpauseInNextTurn();
   void ProcessHeaderLine(std::string_view line);
   void ProcessStatusLine(std::string_view line);
+  // `list` is the value of Content-Length. False when it is malformed, or has
+  // different lengths, also from one before (RFC 9112, section 6.3).
+  bool AddContentLength(std::string_view list);
   // Counts received bytes. False when a limit is exceeded.
   bool CountBytes(std::size_t& counter,
                   std::size_t bytes,
@@ -98,8 +103,10 @@
   int status = 0;
   // Each interim response and the final one begin with a status line.
   bool expects_status_line = true;
-  bool invalid_status_line = false;
+  // Why the head of the response is no HTTP; empty when it is.
+  std::string_view malformation;
   HttpHeaders response_headers;
+  std::optional<std::uint64_t> content_length;
   bool headers_complete = false;
   bool cancelled = false;
   bool paused = false;
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -189,6 +189,38 @@
   STRCMP_EQUAL("", accepted.c_str());
 }
 
+TEST(HttpClient, AResponseOfInvalidLengthIsComplete) {
+  const std::vector<std::pair<const char*, bool>> lengths = {
+      {"Content-Length: 2\r\nContent-Length: 2", true},
+      {"Content-Length: 2, 2", true},
+      {"Content-Length: 2\r\nContent-Length: 3", false},
+      {"Content-Length: 3\r\nContent-Length: 2", false},
+      {"Content-Length: 2, 3", false},
+      {"Content-Length: 2,", false},
+      {"Content-Length: 2x", false},
+      {"Content-Length: 2 3", false},
+      {"Content-Length: +2", false},
+      {"Content-Length: -2", false},
+      {"Content-Length: ", false},
+      {"Content-Length: 99999999999999999999", false},
+  };
+  std::string wrong;
+  for (const auto& [length, valid] : lengths) {
+    ScriptedServer server(
+        {{std::string("HTTP/1.1 200 OK\r\n") + length + "\r\n\r\nokay", true}});
+    HttpClientRequest request = this->RequestTo(server);
+    request.accept_close_delimited_response = true;
+    Observed observed;
+    CHECK_TRUE(this->Exchange(server, std::move(request), observed));
+    if ((observed.done == 1) != valid || (observed.status == 200) != valid ||
+        observed.body != (valid ? "ok" : "")) {
+      wrong += std::string(length) + " -> " + std::to_string(observed.status) +
+               " " + observed.body + "\n";
+    }
+  }
+  STRCMP_EQUAL("", wrong.c_str());
+}
+
 TEST(HttpClient, AStatusWithinTheRangeIsRefused) {
   const std::vector<std::pair<const char*, int>> status_lines = {
       {"HTTP/1.1 200 OK", 200},
