LibHTTP: Keep nothing for each chunk of a request

A client that sent a body in chunks of one byte made the gateway hold many times the body: RESTinio keeps 16 bytes for each chunk, in a vector that doubles, and limits only the sum of the chunks.

The parser's callback for chunk headers is replaced through the settings of a type of our own; nothing reads what it kept.

--- a/Libraries/LibHTTP/http_server.cc
+++ b/Libraries/LibHTTP/http_server.cc
@@ -20,6 +20,33 @@
 
 namespace {
 
+// Selects the parser settings below.
+class HttpMethods : public restinio::default_http_methods_t {};
+
+}  // namespace
+
+}  // namespace carobbank
+
+namespace restinio::impl {
+
+// RESTinio 0.6.16 keeps 16 bytes for each chunk of a request's body, which are
+// not limited and not used here.
+template <>
+// NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name.
+inline http_parser_settings
+create_parser_settings<carobbank::HttpMethods>() noexcept {
+  http_parser_settings settings =
+      create_parser_settings<default_http_methods_t>();
+  settings.on_chunk_header = [](http_parser* /*parser*/) { return 0; };
+  return settings;
+}
+
+}  // namespace restinio::impl
+
+namespace carobbank {
+
+namespace {
+
 constexpr std::size_t kReadBufferBytes = 8 * 1024;
 constexpr std::size_t kMaximumHeaderFields = 200;
 // The server doesn't read while a request is handled; otherwise RESTinio 0.6.16
@@ -59,6 +86,7 @@
                                 restinio::noop_strand_t,
                                 ServerSocket> {
   using connection_state_listener_t = ConnectionRegistry;
+  using http_methods_mapper_t = HttpMethods;
   // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name.
   static constexpr bool use_connection_count_limiter = true;
 };
--- a/Tests/LibHTTP/http_server_test.cc
+++ b/Tests/LibHTTP/http_server_test.cc
@@ -4,8 +4,10 @@
 
 #include "LibHTTP/http.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <limits>
 #include <vector>
 
@@ -21,6 +23,11 @@
 
 constexpr std::string_view kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+std::size_t AllocatedBytes() {
+  const struct mallinfo2 allocated = ::mallinfo2();
+  return allocated.uordblks + allocated.hblkhd;
+}
+
 }  // namespace
 
 TEST_GROUP(HttpServer) {
@@ -396,4 +403,35 @@
   }
 }
 
+// Guards against requests whose chunks take more memory than their body.
+TEST(HttpServer, EachChunkOfARequestTakesMemory) {
+  constexpr std::size_t kChunks = 4 * 1024 * 1024;
+  constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
+  CHECK_TRUE(this->fixture.Serve(HttpServerOptions(), this->RespondOk()));
+  RawConnection connection = this->fixture.Connect();
+  CHECK_TRUE(connection.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"));
+  constexpr std::string_view kChunk = "1\r\na\r\n";
+  std::string piece;
+  while (piece.size() < 10'000 * kChunk.size()) {
+    piece += kChunk;
+  }
+  const std::size_t before = AllocatedBytes();
+  std::size_t most = before;
+  std::size_t sent = 0;
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+    sent += connection.SendSome(
+        std::string_view(piece).substr(sent % kChunk.size()));
+    most = std::max(most, AllocatedBytes());
+    return sent >= kChunks * kChunk.size() || connection.Ended();
+  }));
+  CHECK_FALSE(connection.Ended());
+  CHECK_TRUE_TEXT(most - before <= kMostBytes,
+                  std::to_string(most - before).c_str());
+  std::string rest(kChunk.substr(sent % kChunk.size()));
+  rest += "0\r\n\r\n";
+  CHECK_TRUE(connection.Send(rest));
+  CHECK_TRUE(this->Receives(connection, "ok"));
+}
+
 }  // namespace carobbank
