LibHTTP: Allow for the framing of TLS records in the limit of framing bytes

A body sent in pieces of one byte, each in a TLS record of its own, has 27 bytes of framing for each (by RFC 8446, not measured); the limit of 16 per byte would end it after 64 KiB.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -20,9 +20,9 @@
 // few reads, whatever its sender.
 constexpr std::size_t kMaxEmptyReads = 128;
 // Bytes of a response that reach no callback: chunk sizes and extensions. A
-// chunk of one byte has five of them.
+// chunk of one byte has five of them, and 27 in a TLS record of its own.
 constexpr std::int64_t kMaxFramingBytes = 64 * 1024;
-constexpr std::int64_t kMaxFramingPerByte = 16;
+constexpr std::int64_t kMaxFramingPerByte = 32;
 constexpr std::size_t kPassesBetweenCounts = 16;
 // libcurl reads at most this much at once.
 constexpr std::size_t kMaxGatheredBytes = 16 * 1024;
