LibHTTP: Count framing bytes of chunked responses only, after empty passes

The count of framing bytes asked the kernel about four times for each exchange, because libcurl passes over a transfer also without a read. Other bodies have no framing, and a delivery is followed by such passes.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -24,6 +24,8 @@
 constexpr std::int64_t kMaxFramingBytes = 64 * 1024;
 constexpr std::int64_t kMaxFramingPerByte = 32;
 constexpr std::size_t kPassesBetweenCounts = 16;
+// A delivery is followed by passes without a read.
+constexpr std::size_t kEmptyPassesBeforeCount = 3;
 // libcurl reads at most this much at once.
 constexpr std::size_t kMaxGatheredBytes = 16 * 1024;
 
@@ -235,11 +237,14 @@
                            curl_off_t /*upload_total*/,
                            curl_off_t /*uploaded*/) {
   auto* const transfer = static_cast<ClientTransfer*>(self);
-  if (!transfer->headers_complete || transfer->cancelled) {
+  if (!transfer->chunked || transfer->cancelled) {
     return 0;
   }
   const bool empty = !std::exchange(transfer->delivered_in_pass, false);
-  if (!empty && ++transfer->uncounted_passes < kPassesBetweenCounts) {
+  transfer->empty_passes = empty ? transfer->empty_passes + 1 : 0;
+  ++transfer->uncounted_passes;
+  if (transfer->empty_passes < kEmptyPassesBeforeCount &&
+      transfer->uncounted_passes < kPassesBetweenCounts) {
     return 0;
   }
   transfer->uncounted_passes = 0;
@@ -319,6 +324,8 @@
     return;
   }
   this->headers_complete = true;
+  this->chunked =
+      FindHeader(this->response_headers, "transfer-encoding").has_value();
   if (this->handlers.on_headers) {
     this->handlers.on_headers(this->status, this->response_headers);
   }
--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -106,6 +106,8 @@
   int status = 0;
   HttpHeaders response_headers;
   bool headers_complete = false;
+  // Other bodies have no framing bytes.
+  bool chunked = false;
   bool cancelled = false;
   bool paused = false;
   // libcurl buffers bytes that the write callback refused while paused.
@@ -120,6 +122,7 @@
   std::size_t empty_reads = 0;
   // Since the previous pass of libcurl over this transfer.
   bool delivered_in_pass = false;
+  std::size_t empty_passes = 0;
   std::size_t uncounted_passes = 0;
   // Bytes read from the connection, and bytes of this response delivered.
   struct ByteCount {
