--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -117,6 +117,8 @@
   HttpHeaders response_headers;
   std::optional<std::uint64_t> content_length;
   bool headers_complete = false;
+  // Other bodies have no framing bytes.
+  bool chunked = false;
   bool cancelled = false;
   bool paused = false;
   // libcurl buffers bytes that the write callback refused while paused.
@@ -131,6 +133,7 @@
   std::size_t empty_reads = 0;
   // Since the previous pass of libcurl over this transfer.
   bool delivered_in_pass = false;
+  std::size_t empty_passes = 0;
   std::size_t uncounted_passes = 0;
   // Bytes read from the connection, and bytes of this response delivered.
   struct ByteCount {
