LibHTTP: End exchanges whose response has a malformed header line

"Transfer-Encoding : chunked" is no header of the connection for libcurl or for a filter that compares names, but may be for who reads a response that was passed on (RFC 9112, sections 5.1, 5.2, 11.1).

A header line now has to be a token, a colon, and a value without CR and NUL; otherwise the exchange fails before its status is passed on, and the connection is closed. A blank before the colon is refused rather than removed, because libcurl has framed the body by the name with it. Second status lines are refused by the same rule.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -4,6 +4,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <cctype>
 #include <limits>
 #include <utility>
@@ -31,6 +32,19 @@
          std::string_view::npos;
 }
 
+bool IsTokenCharacter(unsigned char character) {
+  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+  return std::isalnum(character) != 0 ||
+         kPunctuation.find(static_cast<char>(character)) !=
+             std::string_view::npos;
+}
+
+// RFC 9110, section 5.6.2.
+bool IsToken(std::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), &IsTokenCharacter);
+}
+
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kSpace = " \t\r\n";
   const std::size_t begin = text.find_first_not_of(kSpace);
@@ -266,26 +280,25 @@
     this->ProcessStatusLine(line);
     return;
   }
-  const std::string_view text = Trim(line);
-  if (text.empty()) {
+  if (line.starts_with('\r') || line.starts_with('\n')) {
     this->OnHeadersComplete();
     return;
   }
-  // A second status line, which libcurl takes for a header if it has a colon.
-  if (line.starts_with("HTTP/")) {
-    this->malformation = kInvalidStatusLine;
+  const std::size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  // Of a folded line, the continuation begins with a blank.
+  if (colon == std::string_view::npos || !IsToken(name) ||
+      !IsSafeInHeader(Trim(line))) {
+    this->malformation = "the response has a malformed header line";
     return;
   }
-  const std::size_t colon = text.find(':');
-  if (colon != std::string_view::npos) {
-    const HttpHeader header{std::string(text.substr(0, colon)),
-                            std::string(Trim(text.substr(colon + 1)))};
-    if (HeaderNamesEqual(header.name, "content-length") &&
-        !this->AddContentLength(header.value)) {
-      this->malformation = "the response has no valid length";
-    }
-    this->response_headers.push_back(header);
+  const HttpHeader header{std::string(name),
+                          std::string(Trim(line.substr(colon + 1)))};
+  if (HeaderNamesEqual(name, "content-length") &&
+      !this->AddContentLength(header.value)) {
+    this->malformation = "the response has no valid length";
   }
+  this->response_headers.push_back(header);
 }
 
 bool ClientTransfer::AddContentLength(std::string_view list) {
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -221,6 +221,39 @@
   STRCMP_EQUAL("", wrong.c_str());
 }
 
+TEST(HttpClient, AMalformedHeaderLineIsPassedOn) {
+  using namespace std::string_literals;
+  const std::vector<std::pair<std::string, bool>> lines = {
+      {"X-Name:value", true},
+      {"x-!#$%&'*+.^_`|~09: \t value \t", true},
+      {"X-Empty:", true},
+      {"X-Latin: \xe9", true},
+      {"X-Blank : 1", false},
+      {"Transfer-Encoding : chunked", false},
+      {"X Y: 1", false},
+      {": 1", false},
+      {"X(Y): 1", false},
+      {"X-Name: 1\r\n X-Folded: 2", false},
+      {"X-Name: 1\r\n\tfolded", false},
+      {"X-Name: 1\r\n ", false},
+      {"X-Name: 1\rX-Other: 2", false},
+      {"X-Name: 1\0"s, false},
+      {"X-No-Colon", false},
+  };
+  std::string wrong;
+  for (const auto& [line, valid] : lines) {
+    ScriptedServer server(
+        {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok",
+          true}});
+    Observed observed;
+    CHECK_TRUE(this->Exchange(server, this->RequestTo(server), observed));
+    if ((observed.done == 1) != valid || (observed.status == 200) != valid) {
+      wrong += line + " -> " + std::to_string(observed.status) + "\n";
+    }
+  }
+  STRCMP_EQUAL("", wrong.c_str());
+}
+
 TEST(HttpClient, AStatusWithinTheRangeIsRefused) {
   const std::vector<std::pair<const char*, int>> status_lines = {
       {"HTTP/1.1 200 OK", 200},
