Gateway: Begin no request that a planned stop would cut

Callers saw that in a planned stop, requests that came late in the grace period were sent to a server and then cut without a response when the process exited, half a second before the end of the grace. Unsafe ones among them can't be repeated.

The gateway began every request until its exit, whatever time was left. ShutdownWindow now decides, from the time left and the latest 128 response times of the route, whether a request that no server has received may be sent: in the first 2.5 s by the median, later by the longest one and a quarter of it, and without response times by the request's time limit. A refused request gets 503 `draining` with a Retry-After of 50 ms. The check is made before the first attempt, so it also holds after waits for admission, permits or trials, and for streams. Requests about batch jobs are refused when 5.5 s, the relay's longest time, no longer fit. Half a second before the end, calls that remain get a response (503 if not run, else 502 `may_have_run`); the process exits at most 0.2 s before the end, so that the responses can be written.

With the check switched off, two of the new ForwardedCall tests fail: AShutdownRefusesWhatItWouldCutAndStillServesWhatFits (no 503 on the late connection) and AStreamThatAShutdownWouldCutIsNotBegun (200, not 503).

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -10,6 +10,7 @@
 #include "refusals.h"
 #include "request_quarantine.h"
 #include "retry_budgets.h"
+#include "shutdown_window.h"
 
 namespace carobbank {
 
@@ -140,6 +141,21 @@
          this->possible_runs < this->route.max_attempts;
 }
 
+bool ForwardedCall::MayBegin() const {
+  const ShutdownWindow* const shutdown = this->environment.shutdown;
+  return this->possible_runs > 0 || shutdown == nullptr ||
+         shutdown->MayBegin(this->route.name, this->TimeLeft(),
+                            this->environment.clock.Now());
+}
+
+void ForwardedCall::RecordResponseTime() {
+  if (this->environment.shutdown != nullptr) {
+    this->environment.shutdown->OnEnded(
+        this->route.name, std::chrono::duration_cast<Milliseconds>(
+                              this->environment.clock.Now() - this->began));
+  }
+}
+
 const FleetServer* ForwardedCall::ChooseServer(bool allow_backoff) {
   std::vector<const FleetServer*> servers =
       this->environment.fleet.Eligible(this->service);
@@ -175,6 +191,10 @@
     return;
   }
   const bool first = this->calls.empty();
+  if (!this->MayBegin()) {
+    this->Finish(ShutdownRefusal());
+    return;
+  }
   const Milliseconds refused_for =
       this->environment.quarantine.RefusedFor(this->request.digest);
   if (refused_for.count() > 0) {
@@ -330,6 +350,9 @@
     this->usage.OnNotRun(server_id);
   }
   this->ReportAttempt(*finished_call, result);
+  if (result.outcome == BackendCallOutcome::kAnswered) {
+    this->RecordResponseTime();
+  }
   if (this->stream_begun && result.outcome != BackendCallOutcome::kNotRun) {
     this->OnStreamEnd(result);
     return;
@@ -456,11 +479,27 @@
         this->RefusalRetryAfter(kRetryAfter)));
     return;
   }
+  this->RecordResponseTime();
   this->Finish(MayHaveRunResponse(
       kGatewayTimeout, "deadline",
       "no response arrived before the deadline of the request"));
 }
 
+void ForwardedCall::EndForShutdown() {
+  if (!this->responder || this->stream_complete) {
+    return;
+  }
+  if (this->stream_begun) {
+    this->AbortStream("the instance shuts down");
+    return;
+  }
+  this->Finish(this->possible_runs == 0
+                   ? ShutdownRefusal()
+                   : MayHaveRunResponse(
+                         kBadGateway, "draining",
+                         "the instance shut down before a server responded"));
+}
+
 void ForwardedCall::Finish(HttpResponse response) {
   if (!this->responder) {
     return;
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -31,6 +31,9 @@
       std::string workspace = {});
 
   bool Ended() const { return !this->ended; }
+  // Responds with what is known of the request, because the process is about to
+  // exit. Does not change a response that is being written.
+  void EndForShutdown();
 
  private:
   ForwardedCall(GatewayEnvironment& environment,
@@ -61,6 +64,9 @@
   // For a route without streams, of which no origins are recorded.
   void TakeUpPlain();
   bool MayRunAgain() const;
+  // The response can still be delivered if the request is sent to a server now.
+  bool MayBegin() const;
+  void RecordResponseTime();
   void StartAttempt();
   void SendTo(const FleetServer& server);
   // Sends the quarantined request once, if this gateway may.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -35,13 +35,10 @@
 // their records are read at a time.
 constexpr Milliseconds kServersReadPause{200};
 constexpr Milliseconds kLogWait{1'000};
-// The load balancer notices a failing readiness check within two checks, one
-// per second; it opens new connections until then.
-constexpr Milliseconds kBalancerRemovalTime{3'200};
 constexpr Milliseconds kDrainPoll{50};
-// Reserved at the end of the shutdown grace for closing the remaining
-// connections.
-constexpr Milliseconds kShutdownMargin{500};
+// Longest time until a request about batch jobs has its response: the relay
+// looks for an owner, and the owner responds.
+constexpr Milliseconds kMaxJobCallTime{5'500};
 constexpr Milliseconds kRetryAfter{500};
 // An operator may expect a new key to be accepted this long after the log has
 // acknowledged the configuration. A gateway whose last read of the log is older
@@ -129,11 +126,13 @@
           ClientOptions(kLogWait * 30, this->settings, this->metrics))),
       log(make_log(*this->log_client)),
       retries(this->metrics, this->random),
-      environment{
-          this->settings, dialect,       this->clock,         this->random,
-          this->loop,     *this->client, *this->log,          this->metrics,
-          this->fleet,    this->loads,   this->quarantine,    this->retries,
-          this->limits,   this->permits, this->configuration, this->admission},
+      shutdown(std::chrono::seconds(this->settings.shutdown_grace_s)),
+      environment{this->settings,  dialect,          this->clock,
+                  this->random,    this->loop,       *this->client,
+                  *this->log,      this->metrics,    this->fleet,
+                  this->loads,     this->quarantine, this->retries,
+                  this->limits,    this->permits,    this->configuration,
+                  this->admission, nullptr,          &this->shutdown},
       quarantine(this->environment,
                  {std::string(kCrashesTopic), 0},
                  OtherPeers(this->settings)),
@@ -564,7 +563,7 @@
 bool Gateway::IsReady() const {
   const bool has_servers =
       this->servers_follower.Synced() || this->fleet.Size() > 0;
-  return !this->draining && this->configuration && has_servers &&
+  return !this->shutdown.Begun() && this->configuration && has_servers &&
          !this->peer_poller.CutOff();
 }
 
@@ -685,12 +684,18 @@
         "no_configuration", "no configuration has been read yet", kRetryAfter));
     return;
   }
+  const bool may_begin_job_call =
+      this->shutdown.MayBegin(kJobsTopic, kMaxJobCallTime, this->clock.Now());
   if (std::optional<JobCall> call = this->dialect.RecognizeJobCall(request)) {
     Authentication caller = this->authentication.ForJobCall(request.headers);
     if (caller.refusal) {
       responder->Send(std::move(*caller.refusal));
       return;
     }
+    if (!may_begin_job_call) {
+      responder->Send(ShutdownRefusal());
+      return;
+    }
     call->caller = std::move(caller.caller);
     this->job_relay.Handle(std::move(request), std::move(*call),
                            std::move(responder));
@@ -712,6 +717,10 @@
     return;
   }
   if (route->use == RouteUse::kBatchJobs) {
+    if (!may_begin_job_call) {
+      responder->Send(ShutdownRefusal());
+      return;
+    }
     this->job_relay.Submit(std::move(request), std::move(responder),
                            std::move(caller.caller));
     return;
@@ -799,11 +808,10 @@
 }
 
 void Gateway::BeginDrain() {
-  if (this->draining) {
+  if (this->shutdown.Begun()) {
     return;
   }
-  this->draining = true;
-  this->drain_started_at = this->clock.Now();
+  this->shutdown.Begin(this->clock.Now());
   WriteLog(
       LogLevel::kInfo, "draining",
       {{"requests", std::to_string(this->forwarded_calls.size())},
@@ -816,23 +824,22 @@
 }
 
 // Serves until the load balancer sends no new requests, then until every
-// request has its response or the grace period ends.
+// request has its response. Near the end of the grace period the remaining
+// requests get a response that says what is known of them.
 void Gateway::ContinueDrain() {
-  const auto elapsed = std::chrono::duration_cast<Milliseconds>(
-      this->clock.Now() - this->drain_started_at);
-  const Milliseconds limit =
-      std::chrono::seconds(this->settings.shutdown_grace_s) - kShutdownMargin;
-  const bool out_of_rotation =
-      elapsed >= std::min(kBalancerRemovalTime, limit / 2);
+  const MonotonicTime now = this->clock.Now();
+  const bool out_of_rotation = this->shutdown.OutOfRotation(now);
   if (out_of_rotation) {
     this->job_calls.RespondToWaitingReads();
   }
-  const bool idle =
-      this->server->RequestsInProgress() == 0 &&
-      (!this->peer_server || this->peer_server->RequestsInProgress() == 0);
-  if ((out_of_rotation && idle && this->output_transfer.Idle() &&
-       this->duties.Idle()) ||
-      elapsed >= limit) {
+  const bool responses_due = this->shutdown.ResponsesDue(now);
+  if (responses_due) {
+    const auto unanswered = this->forwarded_calls;
+    for (const std::shared_ptr<ForwardedCall>& call : unanswered) {
+      call->EndForShutdown();
+    }
+  }
+  if ((out_of_rotation && this->DrainIdle()) || this->shutdown.Over(now)) {
     this->loop.Stop();
     return;
   }
@@ -840,4 +847,10 @@
       this->loop.CallAfter(kDrainPoll, [this] { this->ContinueDrain(); });
 }
 
+bool Gateway::DrainIdle() const {
+  return this->server->RequestsInProgress() == 0 &&
+         (!this->peer_server || this->peer_server->RequestsInProgress() == 0) &&
+         this->output_transfer.Idle() && this->duties.Idle();
+}
+
 }  // namespace carobbank
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "retry_budgets.h"
 #include "send_permits.h"
 #include "server_limits.h"
+#include "shutdown_window.h"
 #include "weight_loads.h"
 
 namespace carobbank {
@@ -96,6 +97,8 @@
 
   void BeginDrain();
   void ContinueDrain();
+  // Nothing of a request or response remains.
+  bool DrainIdle() const;
 
   // Construction order is dependency order.
   GatewaySettings settings;
@@ -113,6 +116,7 @@
   BackendLoads loads;
   RetryBudgets retries;
   std::shared_ptr<const TrafficConfiguration> configuration;
+  ShutdownWindow shutdown;
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
   ServerLimits limits;
@@ -149,8 +153,6 @@
   std::unique_ptr<HttpServer> peer_server;
 
   std::unique_ptr<Timer> housekeeping;
-  bool draining = false;
-  MonotonicTime drain_started_at{};
   std::unique_ptr<Timer> drain_timer;
 };
 
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -18,6 +18,7 @@
 class RetryBudgets;
 class SendPermits;
 class ServerLimits;
+class ShutdownWindow;
 class UsageRecorder;
 
 struct GatewayEnvironment {
@@ -40,6 +41,8 @@
   PlainCallAdmission& admission;
   // Null when usage is not reported.
   UsageRecorder* usage = nullptr;
+  // Null for a gateway that is never shut down.
+  ShutdownWindow* shutdown = nullptr;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/refusals.cc
+++ b/Services/Gateway/refusals.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kServiceUnavailable = 503;
+constexpr Milliseconds kOtherInstanceRetryAfter{50};
 
 std::string FractionalSeconds(Milliseconds delay) {
   constexpr double kMillisecondsPerSecond = 1'000;
@@ -37,6 +38,12 @@
   return response;
 }
 
+HttpResponse ShutdownRefusal() {
+  return NotRunResponse("draining",
+                        "the instance shuts down; others can run the request",
+                        kOtherInstanceRetryAfter);
+}
+
 HttpResponse MayHaveRunResponse(int status,
                                 std::string_view code,
                                 std::string_view detail) {
--- a/Services/Gateway/refusals.h
+++ b/Services/Gateway/refusals.h
@@ -14,6 +14,8 @@
 HttpResponse NotRunResponse(std::string_view code,
                             std::string_view detail,
                             Milliseconds retry_after);
+// 503 of an instance that shuts down: another one can run the request at once.
+HttpResponse ShutdownRefusal();
 // 502 or 504: the request may have run.
 HttpResponse MayHaveRunResponse(int status,
                                 std::string_view code,
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -3,6 +3,7 @@
 // response, or none.
 
 #include "Services/Gateway/forwarded_call.h"
+#include "Support/raw_socket.h"
 #include "gateway_fixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -383,4 +384,81 @@
   CHECK_FALSE(this->caller.complete);
 }
 
+// A real client on open connections to a gateway in its last seconds.
+TEST(ForwardedCall, AShutdownRefusesWhatItWouldCutAndStillServesWhatFits) {
+  HttpServerOptions options;
+  auto created = Capture([&] {
+    return HttpServer::Create(
+        this->fixture.runner.loop, options,
+        [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+          const HostRoute* const route =
+              this->fixture.configuration->routes.Find("app.example",
+                                                       request.Path());
+          this->call = ForwardedCall::Start(
+              this->fixture.environment, *route, std::move(request),
+              std::move(responder),
+              [](const std::shared_ptr<ForwardedCall>&) {});
+        });
+  });
+  CHECK_TRUE(created.Ok());
+  HttpServer& server = *created.Value();
+  this->RespondFirst(0, nullptr);
+  this->fixture.shutdown.OnEnded("", Milliseconds(1'500));
+  RawConnection early = RawConnection::ConnectTo(server.Port());
+  RawConnection late = RawConnection::ConnectTo(server.Port());
+  const std::string request =
+      "POST /once/x HTTP/1.1\r\nHost: app.example\r\nId: r1\r\n"
+      "Content-Length: 1\r\n\r\nx";
+  const MonotonicTime now = this->fixture.clock.Now();
+
+  server.DisableKeepAlive();
+  this->fixture.shutdown.Begin(now - Milliseconds(3'000));
+  CHECK_TRUE(early.Send(request));
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] { return early.Ended(); }));
+  CHECK_TRUE(early.Contains("HTTP/1.1 200"));
+  LONGS_EQUAL(1, this->fixture.client.seen.size());
+
+  this->fixture.shutdown.Begin(now - Milliseconds(6'000));
+  CHECK_TRUE(late.Send(request));
+  CHECK_TRUE(this->fixture.runner.RunUntil([&] { return late.Ended(); }));
+  CHECK_TRUE(late.Contains("HTTP/1.1 503"));
+  CHECK_TRUE(late.Contains("Retry-After: 0.050"));
+  CHECK_TRUE(late.Contains("Connection: close"));
+  LONGS_EQUAL(1, this->fixture.client.seen.size());
+}
+
+TEST(ForwardedCall, AStreamThatAShutdownWouldCutIsNotBegun) {
+  this->RespondFirst(9, Events({1, 2}, Ending::kComplete));
+  this->fixture.shutdown.OnEnded("", Milliseconds(4'000));
+  this->fixture.shutdown.Begin(this->fixture.clock.Now() - Milliseconds(5'000));
+  this->Finish("/stream/x");
+  LONGS_EQUAL(503, this->caller.status);
+  LONGS_EQUAL(0, this->fixture.client.seen.size());
+}
+
+TEST(ForwardedCall, ResponseTimesOfCallsDecideWhatAShutdownBegins) {
+  this->RespondFirst(0, nullptr);
+  this->Finish("/once/x");
+  this->fixture.shutdown.Begin(this->fixture.clock.Now() - Milliseconds(4'000));
+  this->Finish("/once/x");
+  LONGS_EQUAL(200, this->caller.status);
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+}
+
+TEST(ForwardedCall, ACallThatRunsAtTheEndOfAShutdownIsNotCutWithoutAResponse) {
+  this->fixture.client.answer = [](const HttpClientRequest& request) {
+    ScriptedResponse response = GatewayFixture::Respond(request, 200, "");
+    response.ending = Ending::kNotSent;
+    response.late_body = "late";
+    return response;
+  };
+  this->Start("/once/x");
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return !this->fixture.client.seen.empty(); }));
+  this->call->EndForShutdown();
+  CHECK_TRUE(this->call->Ended());
+  LONGS_EQUAL(502, this->caller.status);
+  CHECK_TRUE(this->caller.body.find("may_have_run") != std::string::npos);
+}
+
 }  // namespace carobbank
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -13,6 +13,7 @@
 #include "Services/Gateway/retry_budgets.h"
 #include "Services/Gateway/send_permits.h"
 #include "Services/Gateway/server_limits.h"
+#include "Services/Gateway/shutdown_window.h"
 #include "Support/fake_http.h"
 #include "Support/fake_partitioned_log.h"
 #include "Support/loop_runner.h"
@@ -248,10 +249,11 @@
   BackendLoads loads;
   std::shared_ptr<const TrafficConfiguration> configuration;
   RetryBudgets retries{metrics, random};
+  ShutdownWindow shutdown{Milliseconds(8'000)};
   GatewayEnvironment environment{
-      settings, dialect, clock,         random,   runner.loop, client,
-      log,      metrics, fleet,         loads,    quarantine,  retries,
-      limits,   permits, configuration, admission};
+      settings, dialect, clock,         random,    runner.loop, client,
+      log,      metrics, fleet,         loads,     quarantine,  retries,
+      limits,   permits, configuration, admission, nullptr,     &shutdown};
   // Not started: shares nothing until a test starts it.
   RequestQuarantine quarantine{environment, CrashesPartition(), {}};
   ServerLimits limits{environment};
