Soak: Check that planned stops cut no calls

For each SIGTERM the soak opens 40 connections and sends an unsafe call of 1.5 s on one of them every 0.2 s until the end of the grace. The new check reports those that reached a server and got no response, in stops without other disruptions; it leaves out work that lasted into the last sixth of the grace for a call sent in the first 3 s.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -24,6 +24,9 @@
 SPACING_S = 1.0
 SPACING_SLACK_S = 0.1
 MAX_LOST_ON_KEPT = 3
+STOP_SPAN_SLACK_S = 0.05
+# A call that was sent later after a SIGTERM must have its response before the end of the grace.
+SENT_SOON_AFTER_SIGTERM_S = 3.0
 # Of the requests that a server's limit allows in a window.
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
@@ -47,6 +50,17 @@
     gateway: str = ""
 
 
+@dataclass
+class PlannedStop:
+    """A gateway that got SIGTERM, and the calls that were sent to it from then on."""
+
+    gateway: str
+    at: float
+    grace_s: float
+    # (time sent, request id) of each call that got no complete response.
+    unanswered: list = field(default_factory=list)
+
+
 @dataclass
 class History:
     """What one run of the soak observed. Times are of the monotonic clock, in seconds."""
@@ -74,6 +88,8 @@
     streams: dict = field(default_factory=dict)
     # Gateways that did not end within their grace after SIGTERM.
     slow_stops: list = field(default_factory=list)
+    # See PlannedStop.
+    planned_stops: list = field(default_factory=list)
     # Errors of the stand-ins and callers themselves.
     errors: list = field(default_factory=list)
     # Sound samples of all jobs, and those that were completed.
@@ -90,6 +106,14 @@
         spans = self.gateway_disruptions[gateway] + self.store_disruptions
         return not any(begin <= at and end >= at - self.touch_s for begin, end in spans)
 
+    def in_touch_but_for(self, stop):
+        """Whether neither the gateway nor the store was disrupted around the stop otherwise."""
+        spans = self.gateway_disruptions[stop.gateway] + self.store_disruptions
+        return not any(begin <= stop.at + stop.grace_s and end >= stop.at - self.touch_s
+                       for begin, end in spans
+                       # The span of the stop itself begins just before its SIGTERM.
+                       if not stop.at - STOP_SPAN_SLACK_S <= begin <= stop.at)
+
 
 def had_run(run):
     return run.outcome != "not_run"
@@ -221,6 +245,26 @@
     return history.slow_stops
 
 
+def calls_cut_by_planned_stops(history):
+    """Calls that reached a server through a gateway in a planned stop and got no response."""
+    last_sixth = 5 / 6
+    runs = by_request(history.runs)
+    found = []
+    for stop in history.planned_stops:
+        if not history.in_touch_but_for(stop):
+            continue
+        for sent_at, request_id in stop.unanswered:
+            ran = [run for run in runs.get(request_id, []) if had_run(run)]
+            broke_off = any(run.outcome == "crashed" for run in ran)
+            worked_late = any(run.ended_at >= stop.at + last_sixth * stop.grace_s for run in ran)
+            excused = broke_off or (
+                worked_late and sent_at <= stop.at + SENT_SOON_AFTER_SIGTERM_S)
+            if ran and not excused:
+                found.append(f"{request_id} sent {sent_at - stop.at:.1f} s after SIGTERM of "
+                             f"{stop.gateway}")
+    return found
+
+
 def failing_samples_run_again(history):
     """Samples that failed at each run and reached a server again after the limit."""
     found = []
@@ -339,6 +383,7 @@
     "kept connections": lost_on_kept_connections,
     "responses without end": endless_responses_read_on,
     "gateways that stop late": slow_stops,
+    "calls cut by planned stops": calls_cut_by_planned_stops,
     "servers that leave": leaving_servers_used,
     "limits that servers name": limits_exceeded,
     "software versions of outputs": outputs_of_two_versions,
--- a/Benchmarks/Soak/checks_test.py
+++ b/Benchmarks/Soak/checks_test.py
@@ -256,5 +256,32 @@
         self.assertEqual(b"id: 2\nda", rest)
 
 
+class PlannedStops(unittest.TestCase):
+    def found(self, sent_at, ended_at, outcome="cut", disrupted=()):
+        ran = run(sent_at, outcome=outcome)
+        ran.ended_at = ended_at
+        played = history([ran])
+        played.planned_stops.append(checks.PlannedStop("g1", 10, 8, [(sent_at, "r1")]))
+        played.gateway_disruptions["g1"] += [(9.99, 19.0), *disrupted]
+        return checks.calls_cut_by_planned_stops(played)
+
+    def test_a_late_call_that_ran_and_got_no_response_is_found(self):
+        self.assertEqual(1, len(self.found(16.5, 17.5)))
+        self.assertEqual(1, len(self.found(13.1, 17.5)))
+
+    def test_an_early_call_that_was_cut_long_before_the_end_is_found(self):
+        self.assertEqual(1, len(self.found(12.0, 16.6)))
+
+    def test_long_work_of_early_calls_and_what_never_ran_is_allowed(self):
+        self.assertEqual([], self.found(13.0, 16.7))
+        self.assertEqual([], self.found(16.5, 17.5, "not_run"))
+        self.assertEqual([], self.found(16.5, 17.5, "crashed"))
+
+    def test_other_disruptions_excuse_the_stop(self):
+        self.assertEqual([], self.found(16.5, 17.5, disrupted=[(12.0, 12.5)]))
+        self.assertEqual([], self.found(16.5, 17.5, disrupted=[(6.0, 7.5)]))
+        self.assertEqual(1, len(self.found(16.5, 17.5, disrupted=[(5.0, 6.5)])))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/Benchmarks/Soak/servers.py
+++ b/Benchmarks/Soak/servers.py
@@ -9,6 +9,8 @@
 from http_io import ConnectionAborted, Listener, Response
 
 BEAT_S = 1.2
+# Of each call of the route "long".
+LONG_WORK_S = 1.5
 QUEUE_PER_SLOT = 1.0
 EVENTS = 6
 EVENT_GAP_S = 0.02
@@ -279,6 +281,9 @@
             await asyncio.sleep(0.005)
             self.crash(self.fleet.random.uniform(0.5, 4.0))
             raise ConnectionAborted
+        if run.route == "long":
+            await asyncio.sleep(LONG_WORK_S)
+            return self._answer(run, 200)
         await asyncio.sleep(self.work_s * self.fleet.random.uniform(0.5, 1.5))
         for word, status in (("fails", 500), ("unprocessable", 422), ("missing", 404)):
             if run.body.startswith(word):
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -24,7 +24,7 @@
 
 import checks
 import streams
-from http_io import RunningTasks, fetch, read_body, read_headers, write_request
+from http_io import RunningTasks, fetch, read_body, read_headers, status_of, write_request
 from servers import Fleet
 from store import Store
 
@@ -46,6 +46,9 @@
 SHARE_OF_GROUPS = 0.9
 KEPT_CONNECTIONS = 4
 STOP_GRACE_S = 8
+# Of unsafe calls that are sent to a gateway after its SIGTERM, on connections opened before.
+LONG_CALL_GAP_S = 0.2
+LONG_CALL_DEADLINE_S = 9
 START_TIMEOUT_S = 20.0
 
 ROUTES = [
@@ -58,6 +61,8 @@
     {"name": "train", "path_prefix": "/train/", "route_kind": "rollout", "timeout_ms": 5000,
      "sla_ms": 1000, "due_ms": DUE_S * 1000, "retention_s": ABANDON_AFTER_S, "service": "llm",
      "max_attempts": MAX_SAMPLE_ATTEMPTS},
+    {"name": "long", "path_prefix": "/long/", "route_kind": "unsafe", "timeout_ms": 10000,
+     "sla_ms": 2000, "service": "app", "max_attempts": MAX_CALL_ATTEMPTS},
     {"name": "chat", "path_prefix": "/chat/", "route_kind": "streaming", "resumable": True,
      "timeout_ms": 5000, "sla_ms": 500, "service": "chat", "max_attempts": MAX_CALL_ATTEMPTS},
 ]
@@ -134,6 +139,7 @@
         self.injected = collections.Counter()
         self.version = 1
         self.calls = collections.Counter()
+        self.long_calls = collections.Counter()
         self.samples = collections.Counter()
         self.sample_states = {}
         self.ids = itertools.count(1)
@@ -440,12 +446,48 @@
             spans.remove(span)
             spans.append((begin, time.monotonic()))
 
+    async def open_connections_for_stop(self, gateway):
+        """Opens connections on which unsafe calls are sent until the end of the grace."""
+        connections = []
+        try:
+            for _ in range(int(STOP_GRACE_S / LONG_CALL_GAP_S)):
+                connections.append(await asyncio.open_connection("127.0.0.1", gateway.port))
+        except OSError:  # The gateway has been killed, or has not started yet.
+            pass
+        stop = checks.PlannedStop(gateway.name, time.monotonic(), STOP_GRACE_S)
+        self.history.planned_stops.append(stop)
+        for number, connection in enumerate(connections):
+            self.spawn(self.call_beside_stop(stop, number * LONG_CALL_GAP_S, *connection))
+
+    async def call_beside_stop(self, stop, delay_s, reader, writer):
+        request_id = f"l{next(self.ids)}"
+        sent_at = stop.at + delay_s
+        try:
+            await asyncio.sleep(sent_at - time.monotonic())
+            await write_request(
+                writer, "POST", "/long/x",
+                {"Host": HOST, "X-Request-Id": request_id,
+                 "X-Deadline-Ms": LONG_CALL_DEADLINE_S * 1000}, f"sound {request_id}".encode())
+            head = await asyncio.wait_for(read_headers(reader), LONG_CALL_DEADLINE_S + 1)
+            if head is None:
+                raise ConnectionError
+            body = await read_body(reader, head[1])
+            code = json.loads(body)["code"] if body.startswith(b"{") else ""
+            self.long_calls[f"status {status_of(head)} {code}".strip()] += 1
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            stop.unanswered.append((sent_at, request_id))
+            self.long_calls["no response"] += 1
+        finally:
+            writer.close()
+
     async def restart(self, gateway, number, pause_s):
         if gateway.stopping or self.stopped:
             return
         gateway.stopping = True
         freezes = gateway.freezes
         gateway.signal(signal.SIGCONT)
+        if number == signal.SIGTERM:
+            await self.open_connections_for_stop(gateway)
         gateway.signal(number)
         if not await gateway.wait_end(STOP_GRACE_S + 2):
             if number == signal.SIGTERM and gateway.freezes == freezes:
@@ -613,6 +655,7 @@
               f"{self.store.calls} calls to the store")
         print("  injected:", dict(sorted(self.injected.items())))
         print("  sound calls:", dict(self.calls))
+        print("  calls beside planned stops:", dict(self.long_calls))
         print("  samples:", dict(sorted(self.samples.items())))
         print("  streams:", streams.summary(self.history.streams))
         violated = False
