Tests: Play a gateway out of step during a release

One of three gateways is cut off from its peers, from the log, from both, or stopped, while servers of a further version join; the others begin streams and are lost, and the streams are taken up at the gateway that missed the release, three times. GatedLog cuts or holds one gateway's connection to the log, as SIGSTOP does: responses wait in its sockets.

No play joined two versions.

--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -13,6 +13,7 @@
 #include "Services/Gateway/plain_call_admission.h"
 #include "Services/Gateway/server_restarts.h"
 #include "Support/fake_servers.h"
+#include "Support/gated_log.h"
 #include "gateway_fixture.h"
 
 namespace carobbank {
@@ -59,10 +60,11 @@
       : settings(SettingsOf(fixture, name)),
         servers(servers),
         client(servers.Client(name)),
+        log(fixture.runner.loop, fixture.log),
         retries(fixture.metrics, fixture.random),
         environment{this->settings, fixture.dialect,     fixture.clock,
                     fixture.random, fixture.runner.loop, *this->client,
-                    fixture.log,    fixture.metrics,     this->fleet,
+                    this->log,      fixture.metrics,     this->fleet,
                     this->loads,    this->quarantine,    this->retries,
                     this->limits,   this->permits,       fixture.configuration,
                     this->admission},
@@ -70,7 +72,7 @@
         peer_poller(this->environment, OtherPeers(name), this->PeerHandlers()),
         operator_follower(fixture.runner.loop,
                           fixture.clock,
-                          fixture.log,
+                          this->log,
                           fixture.dialect.OperatorPartition(),
                           {},
                           this->OperatorHandlers()) {
@@ -179,6 +181,8 @@
   ServerFleet fleet;
   BackendLoads loads;
   std::unique_ptr<HttpClient> client;
+  // This gateway's connection to the log that all share.
+  GatedLog log;
   RetryBudgets retries;
   GatewayEnvironment environment;
   RequestQuarantine quarantine;
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -150,6 +151,8 @@
            std::function<HttpResponse(const HttpClientRequest&)>,
            std::less<>>
       peers;
+  // Names of the clients whose requests to `peers` fail.
+  std::set<std::string, std::less<>> cut_off_from_peers;
 
   // The client of one gateway.
   std::unique_ptr<HttpClient> Client(std::string name) {
@@ -243,6 +246,11 @@
     const std::string_view rest =
         std::string_view(run->request.url).substr(sizeof("http://") - 1);
     const auto peer = this->peers.find(rest.substr(0, rest.find('/')));
+    if (peer != this->peers.end() &&
+        this->cut_off_from_peers.contains(run->client)) {
+      this->Fail(run, SendState::kNotSent, "connection refused");
+      return;
+    }
     if (peer != this->peers.end()) {
       Deliver(peer->second(run->request), run->handlers);
       return;
