Gateway: Record streams whose ids are no keys of the log

Callers saw: while a service had two software versions, a stream whose X-Request-Id was longer than 128 bytes was refused with 503 (unknown_software_version) at every gateway. Shorter ids became part of a key as they were, with any byte.

Cause: ids are chosen by clients; longer ones were not recorded.

Evidence: StreamVersions.IsUnknownAtOtherGatewaysBecauseItsIdIsNoKeyOfTheLog failed on the old code: 503 instead of 200 for an id of 129 bytes, and, with its checks of keys first, the key "s/a&from=0#%41 b/". A corrupt key was not possible: an id of 128 bytes gives a key of 130.

Now records name an id of other bytes, or a longer one, by its hash. Records of an earlier release are still read and their removal is too. IsUnknownThoughAnEarlierReleaseRecordedItUnderItsId guards that; it passed before as well.

--- a/Services/Gateway/stream_versions.cc
+++ b/Services/Gateway/stream_versions.cc
@@ -2,6 +2,8 @@
 
 #include "stream_versions.h"
 
+#include <algorithm>
+
 #include "request_record_log.h"
 
 namespace carobbank {
@@ -9,6 +11,25 @@
 namespace {
 
 constexpr std::string_view kPrefix = "s/";
+constexpr std::string_view kHashPrefix = "sha256:";
+constexpr std::size_t kMaxIdBytes = 128;
+
+bool IsPlain(char c) {
+  constexpr std::string_view kMarks = "-._~";
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || kMarks.find(c) != std::string_view::npos;
+}
+
+// Keys in the log of an earlier release of this program may hold any id.
+bool IsIdInLog(std::string_view id) {
+  constexpr std::size_t kHashBytes = 64;
+  if (id.starts_with(kHashPrefix)) {
+    id.remove_prefix(kHashPrefix.size());
+    return id.size() == kHashBytes &&
+           std::all_of(id.begin(), id.end(), IsPlain);
+  }
+  return id.size() <= kMaxIdBytes && std::all_of(id.begin(), id.end(), IsPlain);
+}
 
 bool Differs(const StreamOrigin& known,
              std::string_view service,
@@ -20,6 +41,14 @@
 
 }  // namespace
 
+std::string StreamIdInLog(std::string_view request_id) {
+  if (request_id.size() <= kMaxIdBytes &&
+      std::all_of(request_id.begin(), request_id.end(), IsPlain)) {
+    return std::string(request_id);
+  }
+  return std::string(kHashPrefix) + Sha256Hex(request_id);
+}
+
 KeyedRecord EncodeStreamVersion(const StreamVersion& stream) {
   Json::Value value;
   if (!stream.service.empty()) {
@@ -43,6 +72,9 @@
   }
   StreamVersion stream;
   stream.request_id = record.key.substr(kPrefix.size());
+  if (!IsIdInLog(stream.request_id)) {
+    stream.request_id = StreamIdInLog(stream.request_id);
+  }
   if (record.value.empty()) {
     return stream;
   }
@@ -59,11 +91,11 @@
 
 void StreamVersions::OnBegun(std::string_view request_id,
                              const StreamOrigin& origin) {
-  if (request_id.empty() || request_id.size() > kMaxIdBytes) {
+  if (request_id.empty()) {
     return;
   }
   const auto [found, is_new] = this->streams.try_emplace(
-      std::string(request_id),
+      StreamIdInLog(request_id),
       Stream{origin, this->environment.clock.WallNow()});
   Stream& stream = found->second;
   if (Differs(stream.origin, origin.service, origin.software_version)) {
@@ -116,7 +148,7 @@
 
 std::optional<StreamVersion> StreamVersions::Find(
     std::string_view request_id) const {
-  const auto found = this->streams.find(request_id);
+  const auto found = this->streams.find(StreamIdInLog(request_id));
   if (found == this->streams.end()) {
     return std::nullopt;
   }
--- a/Services/Gateway/stream_versions.h
+++ b/Services/Gateway/stream_versions.h
@@ -18,7 +18,8 @@
 namespace carobbank {
 
 struct StreamVersion {
-  // Id of the client attempt that brought the stream's first event.
+  // Id of the client attempt that brought the stream's first event, as
+  // StreamIdInLog() gives it.
   std::string request_id;
   // Empty if a record of an earlier release of this program doesn't say.
   std::string service;
@@ -28,6 +29,10 @@
   WallMilliseconds at = 0;
 };
 
+// The id under which records name a client attempt: a short one of letters,
+// digits and "-._~" as it is, any other as "sha256:" and its hash. Clients
+// choose ids, and a key of the log has at most 255 bytes.
+std::string StreamIdInLog(std::string_view request_id);
 KeyedRecord EncodeStreamVersion(const StreamVersion& stream);
 bool IsStreamVersionKey(std::string_view key);
 // Nothing if the record is malformed. The record of a removed stream has an
@@ -61,8 +66,6 @@
   void RemoveOld(bool remove_records);
 
   static constexpr Milliseconds kRetention{120'000};
-  // Longer ids are not shared.
-  static constexpr std::size_t kMaxIdBytes = 128;
 
  private:
   struct Stream {
--- a/Tests/GatewayStreams/stream_versions_test.cc
+++ b/Tests/GatewayStreams/stream_versions_test.cc
@@ -384,4 +384,62 @@
   LONGS_EQUAL(2, sources.size());
 }
 
+TEST(StreamVersions, IsUnknownAtOtherGatewaysBecauseItsIdIsNoKeyOfTheLog) {
+  this->ShowAll(HalfV2);
+  this->fleet.RunFor(kTimeToShare);
+  constexpr std::size_t kMaxKeyBytes = 255;
+  const std::string same(252, 'x');
+  const std::vector<std::string> ids = {std::string(128, 'a'),
+                                        std::string(129, 'b'),
+                                        same + "1",
+                                        same + "2",
+                                        same + "23",
+                                        std::string(9'000, 'c'),
+                                        "a&from=0#%41 b/",
+                                        "\xff\xfe",
+                                        "sha256:" + same};
+  for (std::size_t number = 0; number < ids.size(); ++number) {
+    const std::string stream = "s" + std::to_string(number);
+    LONGS_EQUAL(200, this->Send(*this->fleet.gateways[2], stream,
+                                this->Call(stream, ids[number]))
+                         .status);
+  }
+  this->fleet.RunFor(kTimeToShare);
+  this->fleet.gateways.pop_back();
+  for (std::size_t number = 0; number < ids.size(); ++number) {
+    const std::string stream = "s" + std::to_string(number);
+    LONGS_EQUAL(200, this->TakeUp(*this->fleet.gateways[0], stream, ids[number],
+                                  "again-" + stream));
+    LONGS_EQUAL(1, this->Sources(stream).size());
+  }
+  for (const KeyedLogRecord& record :
+       this->fleet.fixture.log.Records(CrashesPartition())) {
+    const std::string& key = record.record.key;
+    CHECK_TEXT(key.size() <= kMaxKeyBytes, key.c_str());
+    CHECK_TEXT(std::all_of(key.begin(), key.end(),
+                           [](char c) { return c > ' ' && c <= '~'; }),
+               key.c_str());
+    CHECK_TEXT(key.find_first_of("&#%") == std::string::npos, key.c_str());
+  }
+}
+
+TEST(StreamVersions, IsUnknownThoughAnEarlierReleaseRecordedItUnderItsId) {
+  this->ShowAll(HalfV2);
+  this->fleet.RunFor(kTimeToShare);
+  this->fleet.fixture.log.Put(
+      CrashesPartition(),
+      {{"s/old&id", R"({"service":"app","software":"v2","at":)" +
+                        std::to_string(this->fleet.fixture.clock.WallNow()) +
+                        "}"}});
+  this->fleet.RunFor(kTimeToShare);
+  LONGS_EQUAL(200,
+              this->TakeUp(*this->fleet.gateways[0], "s0", "old&id", "again"));
+  CHECK_TRUE(this->Sources("s0") == std::set<std::string>{"app v2"});
+  // Its record can still be deleted.
+  this->fleet.fixture.log.Put(CrashesPartition(), {{"s/old&id", ""}});
+  this->fleet.RunFor(kTimeToShare);
+  LONGS_EQUAL(503,
+              this->TakeUp(*this->fleet.gateways[1], "s0", "old&id", "third"));
+}
+
 }  // namespace carobbank
