--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -369,7 +369,7 @@
   const std::string_view name = line.substr(0, colon);
   // Of a folded line, the continuation begins with a blank.
   if (colon == std::string_view::npos || !IsToken(name) ||
-      !IsSafeInHeader(Trim(line))) {
+      !IsFieldValue(Trim(line))) {
     this->malformation = "the response has a malformed header line";
     return;
   }
