--- a/Benchmarks/Soak/http_io.py
+++ b/Benchmarks/Soak/http_io.py
@@ -60,6 +60,15 @@
     return lines[0], headers
 
 
+def split_request_line(line):
+    """Returns method and target, or a target of None for a line that is no HTTP/1.1 request."""
+    words = line.split(" ")
+    if len(words) != 3 or not words[2].startswith("HTTP/1.") or not all(
+            "!" <= character <= "~" for character in words[1]):
+        return words[0], None
+    return words[0], words[1]
+
+
 async def read_chunks(reader):
     """Yields the chunks of a chunked body as they arrive."""
     while True:
@@ -127,7 +136,11 @@
         head = await read_headers(reader)
         if head is None:
             return False
-        method, target, _ = head[0].split(" ", 2)
+        method, target = split_request_line(head[0])
+        if target is None:
+            writer.write(encode_response(Response(400)))
+            await writer.drain()
+            return False
         url = urlsplit(target)
         request = Request(method, url.path, dict(parse_qsl(url.query)), head[1],
                           await read_body(reader, head[1]), writer)
--- a/Benchmarks/Soak/store.py
+++ b/Benchmarks/Soak/store.py
@@ -19,20 +19,30 @@
 
 
 class Partition:
-    """Records of one partition, and the newest one of each key."""
+    """Records of one partition from the first retained offset on, and the newest one of each key."""
 
-    def __init__(self):
+    def __init__(self, first=0):
+        self.first = first
         self.records = []
         self.newest = {}
         self.changed = asyncio.Event()
 
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
     def append(self, records):
         for key, value in records:
+            self.newest[key] = (self.end, value)
             self.records.append((key, value))
-            self.newest[key] = (len(self.records) - 1, value)
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def trim(self):
+        """Deletes all records; the newest one of each key stays readable."""
+        self.first = self.end
+        self.records = []
+
 
 class Group:
     """Members of a consumer group and the partitions that they own."""
@@ -104,6 +114,10 @@
         for listener in self.listeners.values():
             listener.close()
 
+    def begin_at(self, topic, offset):
+        """Makes an empty topic look like one whose records before the offset were deleted."""
+        self.topics[(topic, 0)] = Partition(offset)
+
     def put(self, topic, key, value):
         """Writes as the operator or a backend server. A value may be a function of the gateway."""
         self.topics[(topic, 0)].append([(key, value)])
@@ -135,28 +149,33 @@
             return Response(403)
         partition = self.topics[(topic, int(request.query["part"]))]
         at = request.query.get("at")
-        if at is not None and int(at) != len(partition.records):
-            return json_response({"end": len(partition.records)}, 412)
-        offset = len(partition.records)
+        if at is not None and int(at) != partition.end:
+            return json_response({"end": partition.end}, 412)
+        offset = partition.end
         partition.append(decode_records(request.body))
-        return json_response({"offset": offset, "end": len(partition.records)})
+        return json_response({"offset": offset, "end": partition.end})
 
     async def _read(self, gateway, request):
         partition = self._partition(request.query)
         if partition is None:
             return Response(404)
         first = int(request.query["from"])
+        if first < partition.first:
+            return json_response({"first": partition.first}, 410)
         deadline = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
-        while len(partition.records) <= first and time.monotonic() < deadline:
+        while partition.end <= first and time.monotonic() < deadline:
             try:
                 await asyncio.wait_for(partition.changed.wait(), deadline - time.monotonic())
             except asyncio.TimeoutError:
                 break
             if self.faults[gateway].mode != "up":
                 raise ConnectionAborted
-        body = struct.pack(">QQ", len(partition.records), 0)
-        for key, value in partition.records[first:]:
-            content = bytes([len(key)]) + key.encode() + rendered(value, gateway)
+        if first < partition.first:
+            return json_response({"first": partition.first}, 410)
+        body = struct.pack(">QQ", partition.end, partition.first)
+        for key, value in partition.records[first - partition.first:]:
+            name = key.encode()
+            content = bytes([len(name)]) + name + rendered(value, gateway)
             body += struct.pack(">I", len(content)) + content
             if len(body) > MAX_READ_BYTES:
                 break
@@ -178,7 +197,7 @@
             items.append({"key": key, "value": text, "offset": offset})
             size += len(text)
         return json_response({"items": items, "has_more": len(items) < len(keys),
-                              "end": len(partition.records)})
+                              "end": partition.end})
 
     async def _join(self, _gateway, request):
         body = json.loads(request.body)
