Gateway: Log why the log is unreachable

When all gateways of a deployment came back and served nothing, their logs held one line, "log unreachable; retrying", though the store answered: it could as well be down as have sent a page that can't be used. The line now has the error of the failed read.

--- a/Benchmarks/Soak/recovery.py
+++ b/Benchmarks/Soak/recovery.py
@@ -227,12 +227,25 @@
         served = [call[1] for call in sent if first <= call[0] < end]
         return sum(s is True for s in served) / len(served) if served else None
 
+    def check_logs(self):
+        self.played += 1
+        unreachable = [line for gateway in self.gateways
+                       for line in gateway.log_path.read_text().splitlines()
+                       if "log unreachable; retrying" in line]
+        without_reason = [line for line in unreachable
+                          if 'reason="' not in line or 'reason=""' in line]
+        print(f"lines on an unreachable log: {len(unreachable)}, without a reason: "
+              f"{len(without_reason)}")
+        if without_reason:
+            self.failures.append(f"no reason is given in: {without_reason[0]}")
+
     async def run(self):
         try:
             await self.start()
             for what, prepare in self.cases():
                 if self.only in what:
                     await self.play(what, prepare)
+            self.check_logs()
         finally:
             await self.stop()
             if self.silent is not None:
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -274,7 +274,8 @@
     this->ApplyOperatorRecord(record);
   };
   handlers.on_reachable = [this](bool reachable) {
-    this->OnReachabilityChanged("operator", reachable);
+    this->OnReachabilityChanged("operator", reachable,
+                                this->operator_follower.LastError());
     this->peer_poller.SetLogUnreachable(!reachable);
   };
   return handlers;
@@ -290,17 +291,19 @@
   };
   handlers.on_batch = [this] { this->OnServersChanged(); };
   handlers.on_reachable = [this](bool reachable) {
-    this->OnReachabilityChanged("servers", reachable);
+    this->OnReachabilityChanged("servers", reachable,
+                                this->servers_follower.LastError());
   };
   return handlers;
 }
 
 void Gateway::OnReachabilityChanged(std::string_view partition,
-                                    bool reachable) {
+                                    bool reachable,
+                                    const std::string& reason) {
   this->fleet.RecordOutage(this->clock.BootNow());
   WriteLog(reachable ? LogLevel::kInfo : LogLevel::kWarning,
            reachable ? "log reachable again" : "log unreachable; retrying",
-           {{"partition", std::string(partition)}});
+           {{"partition", std::string(partition)}, {"reason", reason}});
 }
 
 void Gateway::ApplyOperatorRecord(const KeyedLogRecord& record) {
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -63,7 +63,9 @@
   // Reports a server whose entry announces for the first time that it leaves.
   void ReportDraining(const FleetServer& server);
   void ReplaceServers(std::span<const KeyedLogRecord> records);
-  void OnReachabilityChanged(std::string_view partition, bool reachable);
+  void OnReachabilityChanged(std::string_view partition,
+                             bool reachable,
+                             const std::string& reason);
   void OnServersChanged();
 
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
