--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -45,19 +45,6 @@
   return std::min(url.find_first_of("/?#", authority), url.size());
 }
 
-bool IsTokenCharacter(unsigned char character) {
-  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-  return std::isalnum(character) != 0 ||
-         kPunctuation.find(static_cast<char>(character)) !=
-             std::string_view::npos;
-}
-
-// RFC 9110, section 5.6.2.
-bool IsToken(std::string_view text) {
-  return !text.empty() &&
-         std::all_of(text.begin(), text.end(), &IsTokenCharacter);
-}
-
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kSpace = " \t\r\n";
   const std::size_t begin = text.find_first_not_of(kSpace);
@@ -368,7 +355,7 @@
   const std::size_t colon = line.find(':');
   const std::string_view name = line.substr(0, colon);
   // Of a folded line, the continuation begins with a blank.
-  if (colon == std::string_view::npos || !IsToken(name) ||
+  if (colon == std::string_view::npos || !IsFieldName(name) ||
       !IsFieldValue(Trim(line))) {
     this->malformation = "the response has a malformed header line";
     return;
