Gateway: Count refused calls by their code

While gateways refused all calls after a loss of all of them, no metric said so or why: only quarantined requests were in carobbank_refusals_total. Every response that a call gets from the gateway itself is counted there now, at the two places that send one.

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -164,10 +164,11 @@
   constexpr std::string_view kCode = "quarantined";
   constexpr std::string_view kDetail =
       "backend servers crashed while they ran this request";
-  const bool may_have_run = this->possible_runs > 0;
-  this->environment.quarantine.CountRefusal(this->service, may_have_run);
-  this->Finish(may_have_run ? MayHaveRunResponse(kBadGateway, kCode, kDetail)
-                            : NotRunResponse(kCode, kDetail, refused_for));
+  if (this->possible_runs > 0) {
+    this->Fail(kBadGateway, kCode, kDetail);
+    return;
+  }
+  this->Refuse(kCode, kDetail, refused_for);
 }
 
 void ForwardedCall::StartAttempt() {
@@ -364,10 +365,11 @@
     return;
   }
   if (!this->MayRunAgain() || !this->TryRepeat()) {
-    this->Finish(
-        result.outcome == BackendCallOutcome::kAnswered
-            ? std::move(result.response)
-            : MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
+    if (result.outcome == BackendCallOutcome::kAnswered) {
+      this->Finish(std::move(result.response));
+    } else {
+      this->Fail(kBadGateway, "no_answer", this->last_failure);
+    }
     return;
   }
   if (this->environment.quarantine.IsSuspect(this->request.digest)) {
@@ -384,7 +386,7 @@
       this->Finish(std::move(result.response));
       return;
     case BackendCallOutcome::kMayHaveRun:
-      this->Finish(MayHaveRunResponse(kBadGateway, "no_answer", result.reason));
+      this->Fail(kBadGateway, "no_answer", result.reason);
       return;
     case BackendCallOutcome::kNotRun:
       --this->possible_runs;
@@ -434,12 +436,11 @@
   if (no_servers || this->refused_rounds > rounds ||
       this->TimeLeft() <= 2 * kRefusalBackoff || !this->TryRepeat()) {
     if (this->possible_runs == 0) {
-      this->Finish(NotRunResponse(
+      this->Refuse(
           "no_server", this->last_failure,
-          no_servers ? kRetryAfter : this->RefusalRetryAfter(kRetryAfter)));
+          no_servers ? kRetryAfter : this->RefusalRetryAfter(kRetryAfter));
     } else {
-      this->Finish(
-          MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
+      this->Fail(kBadGateway, "no_answer", this->last_failure);
     }
     return;
   }
@@ -451,14 +452,39 @@
 
 void ForwardedCall::OnDeadline() {
   if (this->possible_runs == 0) {
-    this->Finish(NotRunResponse(
-        "deadline", "no server accepted the request before its deadline",
-        this->RefusalRetryAfter(kRetryAfter)));
+    this->Refuse("deadline",
+                 "no server accepted the request before its deadline",
+                 this->RefusalRetryAfter(kRetryAfter));
+    return;
+  }
+  this->Fail(kGatewayTimeout, "deadline",
+             "no response arrived before the deadline of the request");
+}
+
+void ForwardedCall::Refuse(std::string_view code,
+                           std::string_view detail,
+                           Milliseconds retry_after) {
+  this->CountRefusal(code, "not_run");
+  this->Finish(NotRunResponse(code, detail, retry_after));
+}
+
+void ForwardedCall::Fail(int status,
+                         std::string_view code,
+                         std::string_view detail) {
+  this->CountRefusal(code, "may_have_run");
+  this->Finish(MayHaveRunResponse(status, code, detail));
+}
+
+void ForwardedCall::CountRefusal(std::string_view code,
+                                 std::string_view execution) const {
+  if (!this->responder || this->stream_begun) {
     return;
   }
-  this->Finish(MayHaveRunResponse(
-      kGatewayTimeout, "deadline",
-      "no response arrived before the deadline of the request"));
+  this->environment.metrics
+      .GetCounter(metrics::kRefusals, {{"service", this->service},
+                                       {"code", std::string(code)},
+                                       {"execution", std::string(execution)}})
+      .Add();
 }
 
 void ForwardedCall::Finish(HttpResponse response) {
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -87,6 +87,12 @@
   void OnDeadline();
   // Ends a stream that has begun without its end.
   void Finish(HttpResponse response);
+  // Finish the call with a response of this gateway and count it.
+  void Refuse(std::string_view code,
+              std::string_view detail,
+              Milliseconds retry_after);
+  void Fail(int status, std::string_view code, std::string_view detail);
+  void CountRefusal(std::string_view code, std::string_view execution) const;
   std::unique_ptr<BackendCall> StartBackendCall(const FleetServer& server);
   // The server may run the request: its software version is that of the stream.
   bool MayRun(const FleetServer& server) const;
--- a/Services/Gateway/forwarded_call_admission.cc
+++ b/Services/Gateway/forwarded_call_admission.cc
@@ -56,9 +56,9 @@
     return;
   }
   // Nothing has been sent.
-  this->Finish(NotRunResponse(
-      "overloaded", "the backend servers can't serve the request in time",
-      this->pass->Refuse()));
+  this->Refuse("overloaded",
+               "the backend servers can't serve the request in time",
+               this->pass->Refuse());
 }
 
 void ForwardedCall::ReportAttempt(const BackendCall& call,
--- a/Services/Gateway/forwarded_call_permits.cc
+++ b/Services/Gateway/forwarded_call_permits.cc
@@ -83,13 +83,13 @@
             {"service", this->service},
             {"possible_runs", std::to_string(this->possible_runs)},
             {"retry_after_ms", std::to_string(outcome.retry_after.count())}});
-  this->Finish(
-      this->possible_runs == 0
-          ? NotRunResponse("limited",
-                           "the backend servers are at the request limits that "
-                           "they named",
-                           outcome.retry_after)
-          : MayHaveRunResponse(kBadGateway, "no_answer", this->last_failure));
+  if (this->possible_runs > 0) {
+    this->Fail(kBadGateway, "no_answer", this->last_failure);
+    return;
+  }
+  this->Refuse("limited",
+               "the backend servers are at the request limits that they named",
+               outcome.retry_after);
 }
 
 }  // namespace carobbank
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -96,10 +96,10 @@
     this->service = begun.service;
   }
   if (!this->HasServer()) {
-    this->Finish(NotRunResponse(
+    this->Refuse(
         "no_server",
         "no server of the software version that began the stream is registered",
-        kRetryAfter));
+        kRetryAfter);
     return;
   }
   this->environment.retries.OnFirstAttempt(this->service);
@@ -112,9 +112,9 @@
            {{"request", this->request.request_id},
             {"stream", this->stream_id},
             {"service", this->service}});
-  this->Finish(NotRunResponse(
-      "unknown_software_version",
-      "the software version that began the stream is unknown", kRetryAfter));
+  this->Refuse("unknown_software_version",
+               "the software version that began the stream is unknown",
+               kRetryAfter);
 }
 
 bool ForwardedCall::MayRun(const FleetServer& server) const {
--- a/Services/Gateway/request_quarantine.cc
+++ b/Services/Gateway/request_quarantine.cc
@@ -446,16 +446,6 @@
   return choose(query);
 }
 
-void RequestQuarantine::CountRefusal(std::string_view service,
-                                     bool may_have_run) {
-  this->environment.metrics
-      .GetCounter(metrics::kRefusals,
-                  {{"service", std::string(service)},
-                   {"code", "quarantined"},
-                   {"execution", may_have_run ? "may_have_run" : "not_run"}})
-      .Add();
-}
-
 void RequestQuarantine::RecordFailure(const SampleKey& key,
                                       SampleFailureKind kind) {
   const SampleFailure failure{key, kind, this->environment.settings.instance,
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -90,9 +90,6 @@
   const FleetServer* Choose(const BackendQuery& query,
                             std::string_view digest) const;
 
-  // Counts a refusal, which the caller sends.
-  void CountRefusal(std::string_view service, bool may_have_run);
-
   // Counts a failure of a sample or of its reward call, for all gateways.
   void RecordFailure(const SampleKey& key, SampleFailureKind kind);
   const SampleFailures& Failures() const { return this->failures; }
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -229,6 +229,19 @@
   LONGS_EQUAL(0, this->fixture.client.seen.size());
 }
 
+TEST(ForwardedCall, RefusalsAreCountedByTheirCode) {
+  this->RespondFirst(100, &GatewayFixture::NotRun);
+  this->Finish("/once/");
+  this->fixture.fleet = ServerFleet();
+  this->Finish("/app/");
+  this->Finish("/app/");
+  const std::string text = this->fixture.metrics.PrometheusText();
+  const std::string counter =
+      "carobbank_refusals_total{service=\"app\",code=\"no_server\","
+      "execution=\"not_run\"} 3";
+  CHECK_TRUE_TEXT(text.find(counter) != std::string::npos, text.c_str());
+}
+
 TEST(ForwardedCall, ACallerThatDisconnectsCancelsTheAttempts) {
   this->RespondFirst(0, nullptr);
   this->Start("/app/");
