Gateway: Drop an output that its next server can't continue

A result held the events of a server that sent without end, followed by the whole output of another server (MIXED). An event without an id leaves no id to resume after, so the next server starts anew, while what had arrived was kept.

The output is dropped when its sample is sent without a last event id.

--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -375,6 +375,10 @@
   job.last_start = this->AgeOf(state);
   progress.attempt_counted = false;
   progress.waits_for_software_since.reset();
+  // The server can't be told after which event to go on, and starts anew.
+  if (progress.last_event_id.empty()) {
+    ResetOutput(progress);
+  }
   if (progress.events == 0) {
     progress.software_version = server->software_version;
   } else {
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -162,6 +162,24 @@
   CHECK_FALSE(second.url == this->fixture.client.seen[0].url);
 }
 
+TEST(JobRunner, AnOutputWithoutEventIdsIsKeptThoughItsSampleStartsAnew) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.AddServer("b", "llm", 3);
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    ScriptedResponse response = Stream(request);
+    if (this->fixture.client.seen.size() == 1) {
+      response.body = "data: x\n\ndata: y\n\n";
+      response.ending = ScriptedResponse::Ending::kTruncated;
+    }
+    return response;
+  };
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  STRCMP_EQUAL("e1\ne2", this->State()->results[0].output.c_str());
+  CHECK_FALSE(FindHeader(this->fixture.client.seen[1].headers, "After-Event")
+                  .has_value());
+}
+
 TEST(JobRunner, HeadersOfASampleChangeWhereItsRequestEnds) {
   this->fixture.AddServer("a", "llm", 3);
   this->fixture.client.answer = &Stream;
