--- a/Services/Gateway/log_follower.cc
+++ b/Services/Gateway/log_follower.cc
@@ -126,10 +126,15 @@
     this->needs_snapshot = false;
     this->synced = false;
     this->next = snapshot.end;
+    this->new_records_after = MonotonicTime::min();
   }
+  // When these records were written is not known.
+  const MonotonicTime new_after =
+      std::exchange(this->new_records_after, MonotonicTime::min());
   for (const KeyedLogRecord& record : snapshot.records) {
     this->handlers.on_record(record);
   }
+  this->new_records_after = new_after;
   this->RecordSuccessfulRead(began);
   this->EndBatch();
   this->ReadAfter(Milliseconds(0));
--- a/Tests/Gateway/log_follower_test.cc
+++ b/Tests/Gateway/log_follower_test.cc
@@ -70,6 +70,31 @@
   CHECK_TRUE(this->Delivers("b", "2"));
 }
 
+TEST(LogFollower, DatesARecordOfASnapshotAsIfItWereNew) {
+  std::vector<MonotonicTime> written_after;
+  LogFollowerHandlers handlers;
+  handlers.on_record = [this, &written_after](const KeyedLogRecord& record) {
+    if (record.record.key == "a") {
+      written_after.push_back(this->follower->NewRecordsAfter());
+    }
+  };
+  this->fixture.log.Put(this->partition, {{"a", "1"}, {"b", "1"}});
+  this->fixture.log.Expire(this->partition, 1);
+  this->fixture.log.faults.missing_in_snapshots = {"b"};
+  this->follower = std::make_unique<LogFollower>(
+      this->fixture.runner.loop, this->clock, this->fixture.log,
+      this->partition, LogFollowerOptions{.accept_incomplete_snapshot = true},
+      std::move(handlers));
+  this->follower->Start();
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->follower->Synced(); }));
+  this->clock.Advance(Milliseconds(10'000));
+  this->fixture.log.Put(this->partition, {{"b", "2"}});
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [&written_after] { return written_after.size() > 1; }));
+  CHECK_TRUE(written_after[1] == MonotonicTime::min());
+}
+
 TEST(LogFollower, RetriesAnIncompleteSnapshotThatItMayNotDeliver) {
   this->fixture.log.Put(this->partition, {{"a", "1"}, {"b", "1"}});
   this->fixture.log.faults.missing_in_snapshots = {"b"};
