--- a/review/rig3.py
+++ b/review/rig3.py
@@ -26,6 +26,7 @@
 
 BEAT_S = 1.2
 GRACE_S = 8
+LEASE_MS = 3000
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -75,6 +76,51 @@
         return response
 
 
+class Link:
+    """A link between one machine and the store; while it is cut, it passes no bytes either way."""
+
+    def __init__(self, store_port):
+        self.store_port = store_port
+        self.port, = free_ports(1)
+        self.open = asyncio.Event()
+        self.open.set()
+        self.server = None
+        self.tasks = set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    def close(self):
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            await self.open.wait()
+            store_reader, store_writer = await asyncio.open_connection(
+                "127.0.0.1", self.store_port)
+            await asyncio.gather(self._pass(reader, store_writer),
+                                 self._pass(store_reader, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _pass(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+            await self.open.wait()
+        finally:
+            writer.close()
+
+
 class Gateway:
     """One process of the role `gateway`, started with the command of the deploy file."""
 
@@ -98,7 +144,7 @@
                          "record_bytes": 262144, "call_bytes": 2097152},
             "seeds": seeds,
             "limits": {"cpu_share": 0.5, "link_mbps": 1000.0, "memory_mb": 270},
-            "bounds": {"status_s": 120, "lease_ms": 3000, "grace_s": GRACE_S}}
+            "bounds": {"status_s": 120, "lease_ms": LEASE_MS, "grace_s": GRACE_S}}
         template = (ROOT / "deploy" / "gateway.yaml").read_text()
         self.settings.write_text(render(template, fields))
 
@@ -188,9 +234,7 @@
         if request.path == "/health":
             return Response(503 if self.draining else 200, {"X-Instance-Id": self.id})
         if request.path == "/v1/report":
-            return json_response({"stage": "both", "models": self._models(), "busy": False,
-                                  "seq": self.orders, "queued": 0, "active": self.active,
-                                  "kv_used": 0, "kv_total": 90000, "handles": 0})
+            return json_response(self.report())
         if request.path == "/v1/order":
             return self._order(json.loads(request.body))
         if "x-request-id" not in request.headers:
@@ -206,6 +250,10 @@
             if started == self.starts:
                 self.active -= 1
 
+    def report(self):
+        return {"stage": "both", "models": self._models(), "busy": False, "seq": self.orders,
+                "queued": 0, "active": self.active, "kv_used": 0, "kv_total": 90000, "handles": 0}
+
     def _order(self, order):
         if order["fence"] < self.fence:
             return Response(412)
@@ -246,6 +294,21 @@
     return Response(200, {}, None)
 
 
+async def read_whole_chunks(reader):
+    """Yields the chunks of a body; raises IncompleteReadError if it ends before its last chunk."""
+    while True:
+        line = await reader.readline()
+        if not line.endswith(b"\r\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
+        chunk = await reader.readexactly(size)
+        if await reader.readexactly(2) != b"\r\n":
+            raise ValueError("a chunk does not end with a line break")
+        if size == 0:
+            return
+        yield chunk
+
+
 class Case:
     """One run of a script. A subclass has configuration(), servers() and play()."""
 
@@ -259,6 +322,7 @@
         self.random = random.Random(seed or None)
         self.store = QuietStore(random.Random(1))
         self.gateways = []
+        self.links = {}
         self.all_servers = []
         self.began = time.monotonic()
         self.lines = []
@@ -279,7 +343,10 @@
             name = f"front-{index}"
             store_port, = free_ports(1)
             await self.store.listen(name, store_port)
-            self.gateways.append(Gateway(self, name, f"zone-{'ab'[index % 2]}", store_port))
+            self.links[name] = Link(store_port)
+            await self.links[name].listen()
+            self.gateways.append(Gateway(self, name, f"zone-{'ab'[index % 2]}",
+                                         self.links[name].port))
         seeds = [f"127.0.0.1:{gateway.control_port}" for gateway in self.gateways[:3]]
         for gateway in self.gateways:
             gateway.write_settings(seeds)
@@ -303,6 +370,8 @@
             if server.up:
                 server.beat_task.cancel()
                 server.listener.close()
+        for link in self.links.values():
+            link.close()
         self.store.close()
 
     async def _main(self):
