--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,132 +1,157 @@
-"""The holder of the right to orders is killed, starts again, and loses its link to the store."""
+"""Streams that are sent on kept connections 3.4 s after the SIGTERM of a gateway, and last for 6 s."""
 
 import asyncio
-import json
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import rig3  # noqa: E402
-from http_io import Response  # noqa: E402
+from http_io import read_headers, status_of, write_request  # noqa: E402
 
-import signal  # noqa: E402
+GAP_S = 0.05
+SHORT_EVENTS = 20
+LONG_EVENTS = 120
+# Of streams of another route, which are open when SIGTERM comes and end well within the grace.
+REPORT_EVENTS = 100
+KEPT = 6
+ROUNDS = 4
+# Requests sent up to 3 s after the SIGTERM are excused if their servers still work near the end.
+SENT_AFTER_S = 3.4
 
-MODELS = ["daka510000", "rada7437b5", "ravo486f6a"]
-ENGINES = 30
-LOAD_S = 0.9
-# A step's training takes this long: each model gets a new version so often.
-NAMED_EVERY_S = 4.0
-DOWN_S = 2.6
-UP_BEFORE_CUT_S = 0.2
-CUT_S = 3.0
-ROUNDS = 10
-
-
-class Engine(rig3.Server):
-    """Carries out an order in LOAD_S and doesn't check its fencing token."""
-
-    busy = False
-
-    def _order(self, order):
-        self.case.note(f"server {self.id}: order of {order['holder']}, fence {order['fence']}, "
-                       f"{order['model']} version {order['version']}")
-        self.case.on_order(self, order)
-        if self.busy or order.get("precondition", self.orders) != self.orders:
-            return Response(409)
-        if self.models.get(order["model"], 0) >= order["version"]:
-            return Response(200)
-        self.orders += 1
-        self.busy = True
-        asyncio.get_running_loop().call_later(LOAD_S, self._loaded, order)
-        return Response(202)
-
-    def _loaded(self, order):
-        self.busy = False
-        self.models[order["model"]] = order["version"]
-        self.register()
-
-    def report(self):
-        return super().report() | {"busy": self.busy}
-
-
-class TwoHolders(rig3.Case):
-    GATEWAYS = 3
 
+class StreamsAtShutdown(rig3.Case):
     def configuration(self):
         return {"version": 1,
-                "routes": [{"name": "r-1", "host": self.HOST, "path_prefix": "/train/",
-                            "route_kind": "rollout", "timeout_ms": 10000, "sla_ms": 500,
-                            "priority": 1, "due_ms": 7500, "retention_s": 40, "service": "llm",
-                            "max_attempts": 3}],
-                "services": [{"name": "llm", "health_path": "/health", "max_conns": 180,
-                              "engine": {"slots": 8, "kv_capacity": 90000,
-                                         "models": [{"name": name} for name in MODELS]}}],
-                "limits": {}}
+                "routes": [{"name": f"r-{name}", "host": self.HOST, "path_prefix": f"/{name}/",
+                            "route_kind": "streaming", "timeout_ms": 10000, "sla_ms": 500,
+                            "priority": 1, "service": "chat", "max_attempts": 1}
+                           for name in ("chat", "report")],
+                "services": [{"name": "chat", "health_path": "/health", "max_conns": 180}],
+                "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432,
+                           "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
     def servers(self):
-        self.highest = {}
-        self.broken = 0
-        return [Engine(self, "llm", f"llm{index}", f"zone-{'ab'[index % 2]}", 8, MODELS)
-                for index in range(ENGINES)]
-
-    def on_order(self, server, order):
-        seen = self.highest.get(server.id)
-        if seen is not None and order["fence"] < seen[0] and order["holder"] != seen[1]:
-            self.broken += 1
-            self.note(f"server {server.id}: fence {order['fence']} of {order['holder']} after "
-                      f"fence {seen[0]} of {seen[1]}, {time.monotonic() - seen[2]:.3f} s later: "
-                      "RULE BROKEN")
-        elif seen is None or order["fence"] >= seen[0]:
-            self.highest[server.id] = (order["fence"], order["holder"], time.monotonic())
-
-    async def name_versions(self, index):
-        await asyncio.sleep(index * NAMED_EVERY_S / len(MODELS))
-        version = 1
+        servers = [rig3.Server(self, "chat", f"chat{index}", f"zone-{'ab'[index % 2]}", 12)
+                   for index in range(4)]
+        for server in servers:
+            server.run = self.run_request
+        return servers
+
+    async def run_request(self, server, request):
+        name = request.path.rsplit("/", 1)[-1]
+        request_id = request.headers["x-request-id"]
+        events = {"l": LONG_EVENTS, "r": REPORT_EVENTS}.get(name[0], SHORT_EVENTS)
+        self.note(f"server {server.id}: request {request_id} ({name}): runs")
+        try:
+            response = await rig3.stream(server, request, events, GAP_S, name)
+        except (OSError, rig3.ConnectionAborted):
+            self.note(f"server {server.id}: request {request_id}: its connection was closed")
+            raise
+        self.note(f"server {server.id}: request {request_id}: all {events} events sent")
+        return response
+
+    async def exchange(self, reader, writer, name, route="chat"):
+        """One request on an open connection: its status and events, and whether it is complete."""
+        self.sent += 1
+        request_id = f"{self.sent:016x}"
+        await write_request(writer, "POST", f"/{route}/{name}",
+                            {"Host": self.HOST, "X-Request-Id": request_id,
+                             "X-Deadline-Ms": 10000})
+        text, status = b"", 0
+        try:
+            head = await read_headers(reader)
+            if head is None:
+                return request_id, 0, 0, False
+            status = status_of(head)
+            if status == 200:
+                async for chunk in rig3.read_whole_chunks(reader):
+                    text += chunk
+            else:
+                await reader.readexactly(int(head[1].get("content-length", 0)))
+            complete = True
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            complete = False
+        return request_id, status, text.count(b"data: "), complete
+
+    async def kept_client(self, gateway, number, send_long):
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        try:
+            await self.exchange(reader, writer, f"short{number}")
+            await send_long.wait()
+            sent_at = time.monotonic() - self.terminated_at
+            request_id, status, events, complete = await self.exchange(
+                reader, writer, f"long{number}")
+            end = "complete" if complete else "cut off"
+            when = f"sent {sent_at:.2f} s after the SIGTERM, " if rig3.TROUBLE else ""
+            self.note(f"client: {request_id} on a kept connection to {gateway.name}, {when}"
+                      f"status {status}, {events} of {LONG_EVENTS} events, {end}")
+            if status == 200 and not complete:
+                self.lost += 1
+                self.note(f"{request_id}: read, passed on to a server, and ended without a "
+                          "complete answer: RULE BROKEN")
+        finally:
+            writer.close()
+
+    async def round(self, number):
+        gateway = self.gateways[number % len(self.gateways)]
+        send_long = asyncio.Event()
+        self.terminated_at = time.monotonic()
+        kept = [asyncio.create_task(self.kept_client(gateway, number * KEPT + index, send_long))
+                for index in range(KEPT)]
+        await asyncio.sleep(SHORT_EVENTS * GAP_S + 1)
+        reports = [asyncio.create_task(self.report_client(gateway, index)) for index in range(2)]
+        await asyncio.sleep(0.2)
+        self.terminated_at = time.monotonic()
+        if rig3.TROUBLE:
+            self.note(f"planned: SIGTERM to {gateway.name}")
+            gateway.signal(signal.SIGTERM)
+        await asyncio.sleep(SENT_AFTER_S)
+        send_long.set()
+        await asyncio.wait(kept + reports, timeout=12)
+        if rig3.TROUBLE:
+            while gateway.process.poll() is None:
+                if time.monotonic() - self.terminated_at > rig3.GRACE_S:
+                    gateway.signal(signal.SIGKILL)
+                await asyncio.sleep(0.05)
+            self.note(f"{gateway.name} ended {time.monotonic() - self.terminated_at:.2f} s after "
+                      f"the SIGTERM with status {gateway.process.poll()}, and starts again")
+            gateway.start()
+            while not await gateway.ready():
+                await asyncio.sleep(0.1)
+
+    async def report_client(self, gateway, number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        request_id, status, events, complete = await self.exchange(
+            reader, writer, f"report{number}", "report")
+        self.note(f"client: {request_id}, open since before the SIGTERM: status {status}, "
+                  f"{events} of {REPORT_EVENTS} events, {'complete' if complete else 'cut off'}")
+        writer.close()
+
+    async def usual_client(self, gateway, number):
         while True:
-            version += 1
-            self.store.put("keyed.op", f"version/{MODELS[index]}", json.dumps(
-                {"model": MODELS[index], "version": version}).encode())
-            await asyncio.sleep(NAMED_EVERY_S)
-
-    def last_claim(self):
-        return self.store.topics[("keyed.carobbank-orders", 0)].newest["holder"]
-
-    async def next_claim(self):
-        """Waits until the holder writes to the store; returns the holder."""
-        offset, _ = self.last_claim()
-        while self.last_claim()[0] == offset:
-            await asyncio.sleep(0.01)
-        name = self.last_claim()[1].decode()
-        return next(gateway for gateway in self.gateways if gateway.name == name)
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+                await self.exchange(reader, writer, f"short-usual{number}")
+                writer.close()
+            except OSError:
+                pass
+            await asyncio.sleep(0.5)
 
     async def play(self):
-        naming = [asyncio.create_task(self.name_versions(index)) for index in range(len(MODELS))]
-        await asyncio.sleep(6)
-        for _ in range(ROUNDS):
-            holder = await self.next_claim()
-            if rig3.TROUBLE:
-                self.note(f"disruption: {holder.name}, which has just written to the store, is "
-                          f"killed; it starts again {DOWN_S} s later")
-                holder.signal(signal.SIGKILL)
-                holder.process.wait()
-            await asyncio.sleep(DOWN_S)
-            if rig3.TROUBLE:
-                holder.start()
-            await asyncio.sleep(UP_BEFORE_CUT_S)
-            if rig3.TROUBLE:
-                self.note(f"disruption: {holder.name} is cut off from the store for {CUT_S} s")
-                self.links[holder.name].open.clear()
-            await asyncio.sleep(CUT_S)
-            if rig3.TROUBLE:
-                self.note(f"the link of {holder.name} is healed")
-                self.links[holder.name].open.set()
-            await asyncio.sleep(2.5)
-        for task in naming:
+        self.sent = self.lost = 0
+        usual = [asyncio.create_task(self.usual_client(gateway, index))
+                 for gateway in self.gateways for index in range(4)]
+        await asyncio.sleep(5)
+        for number in range(ROUNDS):
+            await self.round(number)
+            await asyncio.sleep(4)
+        for task in usual:
             task.cancel()
-        self.note(f"{self.broken} orders with a lower fencing token after a higher one")
-        return rig3.BROKEN if self.broken else rig3.HELD
+        self.note(f"{self.lost} of {ROUNDS * KEPT} requests lost")
+        return rig3.BROKEN if self.lost else rig3.HELD
 
 
 if __name__ == "__main__":
-    TwoHolders(Path(__file__).resolve().parent).main()
+    StreamsAtShutdown(Path(__file__).resolve().parent).main()
