JobRunner: Give samples up only after reading the configuration

A gateway that gets a job partition before it has read the configuration that adds the job's route took the missing route for a removed one. Jobs and configurations stand in different partitions, so the order of reading them is not the order of writing. The same held for the route of a reward call.

LogFollower::CaughtUpAt() now says as of when a partition was read to its end. A missing route counts as removed only if the operator's partition was read to its end after the job had been read: whoever accepted the job had read its configuration before. Until then the sample waits.

--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -208,6 +208,10 @@
       peer_poller(this->environment,
                   OtherPeers(this->settings),
                   this->PeerHandlers()) {
+  this->environment.configuration_confirmed_at = [this] {
+    return this->configuration_refused ? MonotonicTime::min()
+                                       : this->operator_follower.CaughtUpAt();
+  };
   this->upgrader.SetLoadListener(
       [this](const WeightLoad& load) { this->weight_loads.Announce(load); });
 }
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -43,6 +44,10 @@
   UsageRecorder* usage = nullptr;
   // Null for a gateway that is never shut down.
   ShutdownWindow* shutdown = nullptr;
+  // When `configuration` was last known to be the newest one, by
+  // Clock::BootNow(); the earliest time if that is not known. Empty for a
+  // gateway whose configuration does not change.
+  std::function<MonotonicTime()> configuration_confirmed_at = {};
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/job_runner.cc
+++ b/Services/Gateway/job_runner.cc
@@ -16,6 +16,8 @@
 // Period of the checks for unresponsive streams and passed deadlines; well
 // below the shortest timeout of a stream.
 constexpr Milliseconds kTickPeriod{200};
+// Delay before a sample without a route looks for it again.
+constexpr Milliseconds kRouteCheckPeriod{100};
 // Ended and completed jobs are deleted from the log after the time for which
 // their results must be readable, plus this margin for clock differences.
 constexpr Milliseconds kRemovalMargin{30'000};
@@ -182,6 +184,7 @@
     job->partition = &partition;
     job->id = state.job.id;
     job->begun_at = this->environment.clock.Now();
+    job->read_at = this->environment.clock.BootNow();
     job->accepted_at = state.job.accepted_at;
     job->due = state.job.due;
     job->samples.resize(state.job.samples.size());
@@ -284,6 +287,31 @@
                                                       state.job.path);
 }
 
+bool JobRunner::KnowsRoutesOf(const ActiveJob& job) const {
+  const auto& confirmed_at = this->environment.configuration_confirmed_at;
+  return !confirmed_at || confirmed_at() >= job.read_at;
+}
+
+void JobRunner::FinishWithoutRoute(ActiveJob& job,
+                                   const JobState& state,
+                                   std::size_t index) {
+  Progress& progress = job.samples[index];
+  if (!this->KnowsRoutesOf(job)) {
+    progress.not_before = this->environment.clock.Now() + kRouteCheckPeriod;
+    return;
+  }
+  if (!std::exchange(job.route_removed, true)) {
+    WriteLog(LogLevel::kWarning,
+             "samples of a job are given up: their route was removed",
+             {{"job", job.id},
+              {"sample", state.job.samples[index].id},
+              {"configuration",
+               std::to_string(this->environment.configuration->version)}});
+  }
+  job.waiting_for_score -= progress.stage == Stage::kWaitingForScore ? 1 : 0;
+  this->Finish(job, state, index, false, "");
+}
+
 void JobRunner::Finish(ActiveJob& job,
                        const JobState& state,
                        std::size_t index,
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -126,8 +126,13 @@
     std::string id;
     // When this instance began to run the job.
     MonotonicTime begun_at{};
+    // The same by Clock::BootNow(). The instance that accepted the job had read
+    // its configuration from the log before.
+    MonotonicTime read_at{};
     WallMilliseconds accepted_at = 0;
     Milliseconds due{0};
+    // Samples were given up because their route was removed.
+    bool route_removed = false;
     // Per sample of the job.
     std::vector<Progress> samples;
     // Age of the job when an attempt was last started.
@@ -294,6 +299,14 @@
                            Progress& progress,
                            std::vector<const FleetServer*>& servers);
   const HostRoute* RouteOf(const JobState& state) const;
+  // The configuration in force is at least as new as the one under which the
+  // job was accepted, so a route that it lacks has been removed.
+  bool KnowsRoutesOf(const ActiveJob& job) const;
+  // Finishes a sample whose route, or whose reward call's route, was removed.
+  // One whose route may be in a newer configuration waits.
+  void FinishWithoutRoute(ActiveJob& job,
+                          const JobState& state,
+                          std::size_t index);
   Milliseconds AgeOf(const JobState& state) const;
   // Until the job's unfinished samples are abandoned; at least 1 ms.
   Milliseconds TimeLeftOf(const JobState& state) const;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -300,8 +300,7 @@
   const HostRoute* const route =
       this->environment.configuration->routes.Find(state.job.host, sample.path);
   if (route == nullptr) {
-    // The route was removed, so no server can run the sample.
-    this->Finish(job, state, index, false, "");
+    this->FinishWithoutRoute(job, state, index);
     return true;
   }
   Progress& progress = job.samples[index];
--- a/Services/Gateway/job_runner_scores.cc
+++ b/Services/Gateway/job_runner_scores.cc
@@ -76,8 +76,12 @@
   Progress& progress = job.samples[index];
   const HostRoute* const route =
       this->environment.configuration->routes.Find(reward.host, reward.path);
+  if (route == nullptr) {
+    this->FinishWithoutRoute(job, state, index);
+    return true;
+  }
   const std::optional<std::string> body = DecodeBase64(reward.body_base64);
-  if (route == nullptr || !body) {
+  if (!body) {
     --job.waiting_for_score;
     this->Finish(job, state, index, false, "");
     return true;
--- a/Services/Gateway/log_follower.cc
+++ b/Services/Gateway/log_follower.cc
@@ -105,6 +105,8 @@
   this->synced = true;
   this->needs_snapshot = false;
   this->next = snapshot.end;
+  // Each page holds what the log held when the first one was requested.
+  this->caught_up_at = std::max(this->caught_up_at, began);
   this->DeliverSnapshot(snapshot.records);
   this->RecordSuccessfulRead(began);
   this->EndBatch();
@@ -171,8 +173,8 @@
     this->DeliverPage(outcome.Value(), began);
     if (!more) {
       this->new_records_after = began;
+      this->OnCaughtUp(began);
     }
-    this->UpdateSynced(!more);
     this->ReadAfter(has_records && !more ? this->options.pause_after_records
                                          : Milliseconds(0));
     return;
@@ -180,11 +182,12 @@
   switch (outcome.GetError().kind) {
     case ErrorKind::kExpired:
       this->needs_snapshot = true;
+      this->caught_up_at = MonotonicTime::min();
       this->RequestSnapshot();
       break;
     case ErrorKind::kNotFound:
       this->RecordSuccessfulRead(began);
-      this->UpdateSynced(true);
+      this->OnCaughtUp(began);
       this->ReadAfter(kMissingTopicDelay);
       break;
     default:
@@ -192,8 +195,9 @@
   }
 }
 
-void LogFollower::UpdateSynced(bool at_end) {
-  if (at_end && !this->synced) {
+void LogFollower::OnCaughtUp(MonotonicTime began) {
+  this->caught_up_at = std::max(this->caught_up_at, began);
+  if (!this->synced) {
     this->synced = true;
     this->EndBatch();
   }
@@ -315,6 +319,7 @@
     this->StartRefresh();
     return;
   }
+  this->caught_up_at = std::max(this->caught_up_at, began);
   this->EndRefresh(true);
 }
 
--- a/Services/Gateway/log_follower.h
+++ b/Services/Gateway/log_follower.h
@@ -83,6 +83,14 @@
   // this time, because a read that began then reached the end of the partition
   // without it.
   MonotonicTime NewRecordsAfter() const { return this->new_records_after; }
+  // When the last read, or snapshot, began that reached the end of the
+  // partition: every record that the log held then was delivered. The earliest
+  // time before, and while records of a snapshot are missing.
+  MonotonicTime CaughtUpAt() const {
+    return this->snapshot_retry_at == MonotonicTime::max()
+               ? this->caught_up_at
+               : MonotonicTime::min();
+  }
   // The last successful read began at most `age` ago.
   bool LastReadWithin(Milliseconds age) const {
     return this->last_read_at >= this->clock.BootNow() - age;
@@ -101,7 +109,8 @@
   void StartRefresh();
   void OnRefreshRead(Outcome<KeyedLogPage> outcome, MonotonicTime began);
   void EndRefresh(bool fresh);
-  void UpdateSynced(bool at_end);
+  // A read that began at `began` reached the end of the partition.
+  void OnCaughtUp(MonotonicTime began);
   void DeliverPage(const KeyedLogPage& page, MonotonicTime began);
   void DeliverSnapshot(std::span<const KeyedLogRecord> snapshot);
   void EndBatch();
@@ -127,6 +136,8 @@
   std::uint64_t next = 0;
   std::string last_error;
   MonotonicTime last_read_at = MonotonicTime::min();
+  // Invariant: the earliest time while `needs_snapshot` is set.
+  MonotonicTime caught_up_at = MonotonicTime::min();
   MonotonicTime new_records_after = MonotonicTime::min();
   Milliseconds backoff{0};
   // Invariant: at most one waiting read, snapshot or timer is active.
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -114,6 +114,25 @@
       return response;
     };
   }
+  // The configuration in force has only these routes, and was confirmed to be
+  // the newest one at `confirmed_at`.
+  void UseRoutes(std::vector<HostRoute> routes, MonotonicTime confirmed_at) {
+    auto traffic =
+        std::make_shared<TrafficConfiguration>(*this->fixture.configuration);
+    traffic->routes = HostRoutes(std::move(routes));
+    this->fixture.configuration = traffic;
+    this->fixture.environment.configuration_confirmed_at = [confirmed_at] {
+      return confirmed_at;
+    };
+  }
+  HostRoute JobRoute() {
+    return *this->fixture.configuration->routes.Find("trainer.example",
+                                                     "/train/");
+  }
+  HostRoute RewardRoute() {
+    return *this->fixture.configuration->routes.Find("app.example", "/app/");
+  }
+
   bool LastRequestResumes() {
     return FindHeader(this->fixture.client.seen.back().headers, "After-Event")
         .has_value();
@@ -787,4 +806,57 @@
   }));
 }
 
+// Guards against accepted samples that are recorded as lost because this
+// gateway has not read the configuration that adds their route.
+TEST(JobRunner, SamplesAreLostBecauseTheirRouteHasNotBeenReadYet) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.client.answer = &Stream;
+  const HostRoute jobs = this->JobRoute();
+  const MonotonicTime before_the_job = this->fixture.clock.BootNow();
+  this->UseRoutes({}, before_the_job);
+  this->PutJob(this->JobOf(4));
+  this->fixture.runner.RunFor(Milliseconds(500));
+  LONGS_EQUAL(0, this->State()->results.size());
+  LONGS_EQUAL(0, this->fixture.client.seen.size());
+  this->UseRoutes({jobs}, this->fixture.clock.BootNow());
+  this->RunUntilComplete();
+  for (const JobResult& result : this->State()->results) {
+    CHECK_TRUE(result.completed);
+  }
+}
+
+// Guards against the same for the route of a sample's reward call.
+TEST(JobRunner, OutputsAreLostBecauseTheRouteOfTheirRewardHasNotBeenReadYet) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->fixture.AddServer("b", "app");
+  this->fixture.client.answer = [](const HttpClientRequest& request) {
+    return request.url.find("/app/") == std::string::npos
+               ? Stream(request)
+               : GatewayFixture::Respond(request, 200, "fine");
+  };
+  const HostRoute jobs = this->JobRoute();
+  const HostRoute rewards = this->RewardRoute();
+  const MonotonicTime before_the_job = this->fixture.clock.BootNow();
+  this->UseRoutes({jobs}, before_the_job);
+  BatchJob job = this->JobOf(1);
+  job.samples[0].reward =
+      RewardCall{"reward-1", "app.example", "/app/score", "c2NvcmU="};
+  this->PutJob(job);
+  this->fixture.runner.RunFor(Milliseconds(500));
+  LONGS_EQUAL(1, this->fixture.client.seen.size());
+  LONGS_EQUAL(0, this->State()->results.size());
+  this->UseRoutes({jobs, rewards}, this->fixture.clock.BootNow());
+  this->RunUntilComplete();
+  CHECK_TRUE(this->State()->results[0].completed);
+}
+
+TEST(JobRunner, SamplesOfARemovedRouteWaitForIt) {
+  this->fixture.AddServer("a", "llm", 3);
+  this->UseRoutes({}, MonotonicTime::max());
+  this->PutJob(this->JobOf(2));
+  this->RunUntilComplete();
+  CHECK_FALSE(this->State()->results[0].completed);
+  LONGS_EQUAL(0, this->fixture.client.seen.size());
+}
+
 }  // namespace carobbank
--- a/Tests/Gateway/log_follower_test.cc
+++ b/Tests/Gateway/log_follower_test.cc
@@ -106,4 +106,26 @@
   CHECK_TRUE(this->Delivers("b", "1"));
 }
 
+// Guards against a configuration that counts as the newest one though the
+// gateway has read only a part of what the log holds.
+TEST(LogFollower, IsCaughtUpBeforeItHasReadToTheEnd) {
+  this->fixture.log.Put(this->partition, {{"a", "1"}, {"b", "1"}});
+  this->fixture.log.faults.missing_in_snapshots = {"b"};
+  this->Start(true);
+  CHECK_TRUE(this->Delivers("a", "1"));
+  this->fixture.runner.RunFor(Milliseconds(20));
+  CHECK_TRUE(this->follower->CaughtUpAt() == MonotonicTime::min());
+  this->fixture.log.faults.missing_in_snapshots.clear();
+  this->clock.Advance(Milliseconds(3'000));
+  this->fixture.log.Put(this->partition, {{"c", "1"}});
+  CHECK_TRUE(this->fixture.runner.RunUntil([this] {
+    return this->follower->CaughtUpAt() == this->clock.BootNow();
+  }));
+  const MonotonicTime caught_up_at = this->clock.BootNow();
+  this->fixture.log.faults.outage = true;
+  this->clock.Advance(Milliseconds(1'000));
+  this->fixture.runner.RunFor(Milliseconds(100));
+  CHECK_TRUE(this->follower->CaughtUpAt() == caught_up_at);
+}
+
 }  // namespace carobbank
