Gateway: Refuse unknown paths as not run while routes may be missing

A gateway that can't read the operator's partition answered 404 on a path that a newer configuration may route. Clients never repeat after 404, though another gateway serves the path.

Such a gateway now answers 503 as not run once its last read is over 3 s old, as it does for keys that it doesn't know; 404 as before while it reads the log.

--- a/Benchmarks/Soak/keys.py
+++ b/Benchmarks/Soak/keys.py
@@ -1,8 +1,8 @@
 """Checks keys and workspaces at real gateway processes, against stand-ins of the store and servers.
 
 Guards against a key that reaches a server, a peer or a log, a request that runs without a known
-key, jobs of other workspaces that are visible, keys that take effect late or never, and 401 from a
-gateway that can't read the log. Prints each failed check; exits with 1 if there was one.
+key, jobs of other workspaces that are visible, keys that take effect late or never, and 401 or 404
+from a gateway that can't read the log. Prints each failed check; exits with 1 if there was one.
 """
 
 import argparse
@@ -175,6 +175,8 @@
         await asyncio.sleep(APPLY_S + 1)
         await self.expect(503, "unknown key without the log", 0, "POST", "/app/1", "none")
         await self.expect(200, "known key without the log", 0, "POST", "/app/1", ACME)
+        await self.expect(503, "unknown route without the log", 0, "POST", "/added/1", ACME)
+        await self.expect(404, "unknown route", 1, "POST", "/added/1", ACME)
         self.publish(4, [acme | {"api_keys": [ADDED]}, beta])
         for at in (1, 2):
             await self.until(200, "added key", APPLY_S, at, "POST", "/app/1", ADDED)
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -40,10 +40,11 @@
 // looks for an owner, and the owner responds.
 constexpr Milliseconds kMaxJobCallTime{5'500};
 constexpr Milliseconds kRetryAfter{500};
-// An operator may expect a new key to be accepted this long after the log has
-// acknowledged the configuration. A gateway whose last read of the log is older
-// does not know whether a key exists. Waiting reads begin every second, so the
-// last successful one is at most 2.5 s old while the log takes up to 0.25 s.
+// An operator may expect a new key or route to be in force this long after the
+// log has acknowledged the configuration. A gateway whose last read of the log
+// is older does not know whether a key or route exists. Waiting reads begin
+// every second, so the last successful one is at most 2.5 s old while the log
+// takes up to 0.25 s.
 constexpr Milliseconds kMaxConfigurationAge{3'000};
 // For refusals after which another instance can serve the request at once.
 constexpr Milliseconds kOtherInstanceRetryAfter{50};
@@ -200,11 +201,8 @@
                         .pause_after_records = kServersReadPause,
                         .accept_incomplete_snapshot = true},
                        this->ServersHandlers()),
-      authentication(
-          this->environment,
-          [this] {
-            return this->operator_follower.LastReadWithin(kMaxConfigurationAge);
-          }),
+      authentication(this->environment,
+                     [this] { return this->ConfigurationIsCurrent(); }),
       peer_poller(this->environment,
                   OtherPeers(this->settings),
                   this->PeerHandlers()) {
@@ -384,6 +382,10 @@
   return true;
 }
 
+bool Gateway::ConfigurationIsCurrent() const {
+  return this->operator_follower.LastReadWithin(kMaxConfigurationAge);
+}
+
 // Empty when the record describes no usable server.
 std::optional<FleetServer> Gateway::DecodeServer(const KeyedRecord& record) {
   Outcome<FleetServer> decoded =
@@ -725,6 +727,14 @@
   const std::string host(FindHeader(request.headers, "host").value_or(""));
   const HostRoute* const route =
       this->configuration->routes.Find(host, request.Path());
+  if (route == nullptr && !this->ConfigurationIsCurrent()) {
+    responder->Send(NotRunResponse(
+        "route_unverified",
+        "no route has this host and path, and this instance may lack newer "
+        "routes because it can't read the log",
+        kOtherInstanceRetryAfter));
+    return;
+  }
   if (route == nullptr) {
     responder->Send(ClientErrorResponse(
         kNotFound, "no_such_route", "no route has this host and path",
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -59,6 +59,8 @@
   // A peer's configuration, if this gateway can't read the log, or has none
   // because the newest one has errors.
   void AdoptConfiguration(const KeyedLogRecord& record);
+  // A newer configuration would have been read by now.
+  bool ConfigurationIsCurrent() const;
   std::optional<FleetServer> DecodeServer(const KeyedRecord& record);
   void ApplyServerRecord(const KeyedLogRecord& record);
   // Reports a server whose entry announces for the first time that it leaves.
