ForwardedCall: End streams only with a server's own events

OnStreamEnd took each complete response of the server that was to go on with a stream for the stream's end, also its own 500. BackendCall forwarded any response below 300 as a stream, whatever its type.

A response is now a stream only with status 200, text/event-stream, the request's id and a signature; anything else is collected and passed on as it is. A stream is complete only if events of this attempt end properly. Any other answer is a failed attempt: the next server within max_attempts, then an end without the last chunk, at once.

--- a/Libraries/LibHTTP/server_sent_events.cc
+++ b/Libraries/LibHTTP/server_sent_events.cc
@@ -19,6 +19,15 @@
 
 }  // namespace
 
+bool IsEventStream(const HttpHeaders& headers) {
+  std::string_view type = FindHeader(headers, "content-type").value_or("");
+  type = type.substr(0, type.find(';'));
+  while (type.ends_with(' ') || type.ends_with('\t')) {
+    type.remove_suffix(1);
+  }
+  return HeaderNamesEqual(type, "text/event-stream");
+}
+
 std::string WriteServerSentEvent(const ServerSentEvent& event) {
   std::string text;
   text.reserve(event.event.size() + event.data.size() + 24);
--- a/Libraries/LibHTTP/server_sent_events.h
+++ b/Libraries/LibHTTP/server_sent_events.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibCore/core.h"
+#include "LibHTTP/http_message.h"
 
 namespace carobbank {
 
@@ -26,6 +27,9 @@
   std::vector<ServerSentField> extension_fields = {};
 };
 
+// Whether Content-Type is text/event-stream, with any parameters.
+bool IsEventStream(const HttpHeaders& headers);
+
 std::string WriteServerSentEvent(const ServerSentEvent& event);
 
 // Incremental parser: accepts the stream's bytes in fragments of any size.
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 constexpr int kFirstFailureStatus = 300;
@@ -171,8 +172,8 @@
   this->response.status = status;
   this->response.headers = headers;
   this->attempt.OnHeaders(status, headers);
-  this->streaming = this->stream.on_events && status < kFirstFailureStatus &&
-                    this->IsOwnResponse();
+  this->streaming = this->stream.on_events && status == kOk &&
+                    IsEventStream(headers) && this->IsOwnResponse();
   if (this->streaming) {
     this->stream.on_head(headers);
   }
@@ -312,6 +313,7 @@
                      result.response.status});
   const Callback report = std::move(this->done);
   this->done = nullptr;
+  result.events = this->events;
   // May destroy this call.
   report(std::move(result));
 }
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -30,6 +30,8 @@
   HttpResponse response;
   // Why there is no usable response, for log lines.
   std::string reason;
+  // Number of events that were delivered to StreamHandlers::on_events.
+  std::size_t events = 0;
 };
 
 // Receives a stream of events while it arrives.
@@ -72,8 +74,9 @@
                                             const FleetServer& server,
                                             const BackendRequest& request,
                                             Callback done);
-  // The same for a stream of events: the result of a complete one has no body.
-  // Any other response is collected.
+  // The same for a response that is the server's own stream of events with
+  // status 200: the result of a complete one has no body. Any other response is
+  // collected.
   static std::unique_ptr<BackendCall> StartStream(
       GatewayEnvironment& environment,
       const FleetServer& server,
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -230,15 +230,23 @@
 
 void ForwardedCall::OnStreamEnd(const BackendCallResult& result) {
   this->paused = false;
-  if (result.outcome == BackendCallOutcome::kAnswered) {
+  const bool answered = result.outcome == BackendCallOutcome::kAnswered;
+  // Only the end of a server's own events is the end of the stream. A server
+  // that took it up may have answered with an error, or with nothing.
+  if (answered && result.events > 0) {
     this->stream_complete = true;
     this->WriteEvents();
     return;
   }
+  const std::string reason = answered
+                                 ? "the server responded with status " +
+                                       std::to_string(result.response.status) +
+                                       " in place of further events"
+                                 : result.reason;
   if (!this->route.resumable || this->software_version.empty() ||
       this->last_event_id.empty() || !this->MayRunAgain() ||
       !this->TryRepeat()) {
-    this->AbortStream(result.reason);
+    this->AbortStream(reason);
     return;
   }
   SetHeader(this->request.headers,
--- a/Services/Sidecar/work_stream.cc
+++ b/Services/Sidecar/work_stream.cc
@@ -37,11 +37,6 @@
          kFramingHeaders.end();
 }
 
-bool IsEventStream(const HttpHeaders& headers) {
-  const auto type = FindHeader(headers, "Content-Type");
-  return type && type->starts_with("text/event-stream");
-}
-
 }  // namespace
 
 WorkStream::WorkStream(Backend& backend,
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -23,10 +23,11 @@
     const std::vector<int>& ids,
     Ending ending) {
   return [ids, ending](const HttpClientRequest& request) {
-    ScriptedResponse response = GatewayFixture::Respond(request, 200, "");
+    std::string text;
     for (const int id : ids) {
-      response.body += EventText(id);
+      text += EventText(id);
     }
+    ScriptedResponse response = GatewayFixture::Respond(request, 200, text);
     response.ending = ending;
     return response;
   };
@@ -341,6 +342,90 @@
              "1");
 }
 
+// Guards against a stream that was cut off and looks complete, because the
+// server that was to go on with it answered with something else.
+TEST(ForwardedCall, AStreamEndsAsCompleteWithAnAnswerThatDoesNotContinueIt) {
+  struct Answer {
+    int status;
+    const char* content_type;
+    const char* body;
+    bool is_signed = true;
+  };
+  const std::vector<Answer> answers = {
+      {200, "text/plain", "all is well"},
+      {200, "text/event-stream", ""},
+      {204, "", ""},
+      {302, "text/plain", "elsewhere"},
+      {404, "application/json", "{}"},
+      {404, "application/json", "{}", false},
+      {429, "text/plain", "later"},
+      {500, "text/plain", "failed"},
+      {500, "text/event-stream", "id: 2\ndata: failed\n\n"},
+      {500, "text/plain", "failed", false},
+      {503, "text/plain", "full"},
+      {504, "text/plain", "late"}};
+  for (const Answer& answer : answers) {
+    this->fixture.client.seen.clear();
+    this->caller = ReceivedResponse();
+    this->fixture.client.answer = [&](const HttpClientRequest& request) {
+      if (this->fixture.client.seen.size() == 1) {
+        return Events({1}, Ending::kTruncated)(request);
+      }
+      ScriptedResponse response =
+          GatewayFixture::Respond(request, answer.status, answer.body);
+      response.headers.pop_back();
+      response.headers.push_back({"Content-Type", answer.content_type});
+      if (!answer.is_signed) {
+        response.headers = {{"Content-Type", answer.content_type}};
+      }
+      return response;
+    };
+    this->Finish("/resumable/x");
+    LONGS_EQUAL(2, this->fixture.client.seen.size());
+    LONGS_EQUAL(200, this->caller.status);
+    STRCMP_EQUAL(EventText(1).c_str(), this->caller.body.c_str());
+    CHECK_TRUE(this->caller.aborted);
+    CHECK_FALSE(this->caller.complete);
+  }
+}
+
+// Guards against a stream that ends early though one more server may go on.
+TEST(ForwardedCall, AStreamEndsWithTheFirstServerThatFailsToContinueIt) {
+  TrafficConfiguration traffic = *this->fixture.configuration;
+  HostRoute route = *traffic.routes.Find("app.example", "/resumable/");
+  route.max_attempts = 3;
+  traffic.routes = HostRoutes({route});
+  this->fixture.configuration =
+      std::make_shared<const TrafficConfiguration>(traffic);
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    switch (this->fixture.client.seen.size()) {
+      case 1:
+        return Events({1}, Ending::kTruncated)(request);
+      case 2:
+        return GatewayFixture::Respond(request, 500, "failed");
+      default:
+        return Events({2, 3}, Ending::kComplete)(request);
+    }
+  };
+  this->Finish("/resumable/x");
+  STRCMP_EQUAL((EventText(1) + EventText(2) + EventText(3)).c_str(),
+               this->caller.body.c_str());
+  CHECK_TRUE(this->caller.complete);
+  LONGS_EQUAL(3, this->fixture.client.seen.size());
+}
+
+// Guards against a body that is no stream and reaches the caller cut to the
+// lines that look like events.
+TEST(ForwardedCall, AnAnswerThatIsNoStreamIsForwardedAsOne) {
+  this->fixture.client.answer = [](const HttpClientRequest& request) {
+    return GatewayFixture::Respond(request, 200, "note: all is well");
+  };
+  this->Finish("/stream/x");
+  LONGS_EQUAL(200, this->caller.status);
+  STRCMP_EQUAL("note: all is well", this->caller.body.c_str());
+  CHECK_TRUE(this->caller.complete);
+}
+
 TEST(ForwardedCall, AResumableStreamGoesOnAtAnotherSoftwareVersion) {
   for (const WallMilliseconds started_at : {0, 7}) {
     this->fixture.client.seen.clear();
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -224,11 +224,13 @@
                                   std::string body) {
     ScriptedResponse response;
     response.status = status;
-    response.body = std::move(body);
     response.headers = {
         {"Id", std::string(FindHeader(request.headers, "Id").value_or(""))},
         {"Signed", "signature"},
-        {"Version", "3"}};
+        {"Version", "3"},
+        {"Content-Type",
+         body.starts_with("id: ") ? "text/event-stream" : "text/plain"}};
+    response.body = std::move(body);
     return response;
   }
   static ScriptedResponse NotRun(const HttpClientRequest& request) {
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -34,7 +34,8 @@
   response.headers = {
       {"Id", std::string(FindHeader(request.headers, "Id").value_or(""))},
       {"Signed", "signature"},
-      {"Version", "3"}};
+      {"Version", "3"},
+      {"Content-Type", "text/event-stream"}};
   response.body =
       request.url.find("/train/") == std::string::npos ? "fine" : Events(2);
   return response;
