ShutdownWindow: Don't begin late what must not be cut

A request began late in the grace if 1.25 times the longest of the route's last 128 response times fitted into what was left. Lengths of streams vary by more than that, and a stream, or a call that may run once, can't be repeated.

Later than 2.5 s after SIGTERM only repeatable calls rely on earlier response times; a stream, or a call that may run once, needs a time limit that fits, and is refused as not run otherwise. The same class: calls about batch jobs need their longest time, and the send of a quarantined request is checked when it is claimed.

Two tests used the route /once/ to show that short work begins late; that was this fault, so they use a repeatable route now, with the same assertions.

--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -143,8 +143,10 @@
 
 bool ForwardedCall::MayBegin() const {
   const ShutdownWindow* const shutdown = this->environment.shutdown;
+  const bool repeatable =
+      this->route.use == RouteUse::kRepeatable && !this->route.streaming;
   return this->possible_runs > 0 || shutdown == nullptr ||
-         shutdown->MayBegin(this->route.name, this->TimeLeft(),
+         shutdown->MayBegin({this->route.name, this->TimeLeft(), repeatable},
                             this->environment.clock.Now());
 }
 
@@ -258,8 +260,9 @@
 void ForwardedCall::OnTrialClaimed(std::int64_t number) {
   this->claiming_trial = false;
   RequestQuarantine& quarantine = this->environment.quarantine;
+  const bool may_begin = this->MayBegin();
   const FleetServer* const server =
-      number == 0 ? nullptr : this->ChooseServer(true);
+      number == 0 || !may_begin ? nullptr : this->ChooseServer(true);
   if (server != nullptr) {
     this->request.trial = number;
     this->SendTo(*server);
@@ -268,6 +271,10 @@
   if (number > 0) {
     quarantine.Trials().Cancel(this->request.digest, number);
   }
+  if (!may_begin) {
+    this->RefuseForShutdown();
+    return;
+  }
   this->RefuseQuarantined(
       std::max(quarantine.RefusedFor(this->request.digest), kTrialRetryAfter));
 }
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -708,7 +708,7 @@
     return;
   }
   const bool may_begin_job_call =
-      this->shutdown.MayBegin(kJobsTopic, kMaxJobCallTime, this->clock.Now());
+      this->shutdown.EndsInTime(kMaxJobCallTime, this->clock.Now());
   if (std::optional<JobCall> call = this->dialect.RecognizeJobCall(request)) {
     Authentication caller = this->authentication.ForJobCall(request.headers);
     if (caller.refusal) {
--- a/Services/Gateway/shutdown_window.cc
+++ b/Services/Gateway/shutdown_window.cc
@@ -54,17 +54,13 @@
   this->began = now;
 }
 
-bool ShutdownWindow::MayBegin(std::string_view route,
-                              Milliseconds time_left,
+bool ShutdownWindow::MayBegin(const UnsentRequest& request,
                               MonotonicTime now) const {
-  if (!this->began) {
+  if (this->EndsInTime(request.time_left, now)) {
     return true;
   }
   const Milliseconds left = this->ResponseTime() - this->Elapsed(now);
-  if (time_left <= left) {
-    return true;
-  }
-  const auto known = this->routes.find(route);
+  const auto known = this->routes.find(request.route);
   const bool early =
       this->Elapsed(now) < std::min(kUsualWorkTime, this->ResponseTime() / 3);
   if (known == this->routes.end()) {
@@ -74,7 +70,11 @@
     return known->second.Median() <= left;
   }
   const Milliseconds longest = known->second.Longest();
-  return longest + longest / kLongerPart <= left;
+  return request.repeatable && longest + longest / kLongerPart <= left;
+}
+
+bool ShutdownWindow::EndsInTime(Milliseconds longest, MonotonicTime now) const {
+  return !this->began || longest <= this->ResponseTime() - this->Elapsed(now);
 }
 
 bool ShutdownWindow::OutOfRotation(MonotonicTime now) const {
--- a/Services/Gateway/shutdown_window.h
+++ b/Services/Gateway/shutdown_window.h
@@ -36,6 +36,16 @@
   std::size_t count = 0;
 };
 
+// A request that no server has received yet.
+struct UnsentRequest {
+  std::string_view route;
+  // Until it is answered without the server's response.
+  Milliseconds time_left{0};
+  // If it is cut, its caller gets an error and may send it again. Not so for a
+  // request that may run only once, or whose response is a stream.
+  bool repeatable = false;
+};
+
 class ShutdownWindow {
  public:
   // `grace`: time from SIGTERM to SIGKILL.
@@ -48,11 +58,13 @@
   void Begin(MonotonicTime now);
   bool Begun() const { return this->began.has_value(); }
 
-  // Whether a request that no server has received yet may be sent to one.
-  // `time_left`: until it is answered without the server's response.
-  bool MayBegin(std::string_view route,
-                Milliseconds time_left,
-                MonotonicTime now) const;
+  // Whether the request may be sent to a server. Lengths of earlier responses
+  // say little about a further one, so that only a repeatable request relies on
+  // them; any other must end within its time limit. Soon after SIGTERM all
+  // requests of routes with usual response times begin.
+  bool MayBegin(const UnsentRequest& request, MonotonicTime now) const;
+  // Whether work that takes at most `longest` ends before responses are due.
+  bool EndsInTime(Milliseconds longest, MonotonicTime now) const;
   // The load balancer has noticed that the gateway isn't ready.
   bool OutOfRotation(MonotonicTime now) const;
   // Every request must get its response now.
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -505,7 +505,7 @@
   RawConnection early = RawConnection::ConnectTo(server.Port());
   RawConnection late = RawConnection::ConnectTo(server.Port());
   const std::string request =
-      "POST /once/x HTTP/1.1\r\nHost: app.example\r\nId: r1\r\n"
+      "POST /app/x HTTP/1.1\r\nHost: app.example\r\nId: r1\r\n"
       "Content-Length: 1\r\n\r\nx";
   const MonotonicTime now = this->fixture.clock.Now();
 
@@ -536,13 +536,30 @@
 
 TEST(ForwardedCall, ResponseTimesOfCallsDecideWhatAShutdownBegins) {
   this->RespondFirst(0, nullptr);
-  this->Finish("/once/x");
+  this->Finish("/app/x");
   this->fixture.shutdown.Begin(this->fixture.clock.Now() - Milliseconds(4'000));
-  this->Finish("/once/x");
+  this->Finish("/app/x");
   LONGS_EQUAL(200, this->caller.status);
   LONGS_EQUAL(2, this->fixture.client.seen.size());
 }
 
+// Guards against streams and calls that may run once, which a shutdown begins
+// because earlier ones were short, and cuts.
+TEST(ForwardedCall, AShutdownBeginsWhatItMayHaveToCut) {
+  this->RespondFirst(0, Events({1}, Ending::kComplete));
+  for (const char* target : {"/stream/x", "/resumable/x", "/once/x"}) {
+    this->caller = ReceivedResponse();
+    this->fixture.client.seen.clear();
+    this->fixture.shutdown = ShutdownWindow(Milliseconds(8'000));
+    this->fixture.shutdown.OnEnded("", Milliseconds(20));
+    this->fixture.shutdown.Begin(this->fixture.clock.Now() -
+                                 Milliseconds(3'400));
+    this->Finish(target);
+    LONGS_EQUAL(503, this->caller.status);
+    LONGS_EQUAL(0, this->fixture.client.seen.size());
+  }
+}
+
 TEST(ForwardedCall, ACallThatRunsAtTheEndOfAShutdownIsNotCutWithoutAResponse) {
   this->fixture.client.answer = [](const HttpClientRequest& request) {
     ScriptedResponse response = GatewayFixture::Respond(request, 200, "");
--- a/Tests/Gateway/shutdown_window_test.cc
+++ b/Tests/Gateway/shutdown_window_test.cc
@@ -25,7 +25,12 @@
   }
   bool MayBegin(std::string_view route, int elapsed_ms,
                 Milliseconds time_left = kTimeout) const {
-    return this->window.MayBegin(route, time_left,
+    return this->window.MayBegin({route, time_left, true},
+                                 this->start + Milliseconds(elapsed_ms));
+  }
+  bool MayBeginOnce(std::string_view route, int elapsed_ms,
+                    Milliseconds time_left = kTimeout) const {
+    return this->window.MayBegin({route, time_left, false},
                                  this->start + Milliseconds(elapsed_ms));
   }
 };
@@ -93,6 +98,30 @@
   CHECK_TRUE(this->MayBegin("work", 7'000, Milliseconds(500)));
 }
 
+// Guards against a stream, or a call that may run once, that begins because
+// earlier ones were short, and is cut.
+TEST(ShutdownWindow, WorkThatMustNotBeCutReliesOnTheLengthsOfEarlierWork) {
+  this->End("work", 20, 200);
+  this->window.Begin(this->start);
+  CHECK_TRUE(this->MayBeginOnce("work", 2'400));
+  for (const int elapsed_ms : {2'600, 3'400, 7'000}) {
+    CHECK_FALSE(this->MayBeginOnce("work", elapsed_ms));
+    CHECK_FALSE(this->MayBeginOnce("new", elapsed_ms));
+  }
+  CHECK_TRUE(this->MayBeginOnce("work", 3'400, Milliseconds(4'100)));
+  CHECK_FALSE(this->MayBeginOnce("work", 3'400, Milliseconds(4'101)));
+}
+
+// Guards against calls about batch jobs that are still in progress at the end.
+TEST(ShutdownWindow, WorkOfAKnownLengthBeginsTooLate) {
+  CHECK_TRUE(this->window.EndsInTime(Milliseconds(9'000), this->start));
+  this->window.Begin(this->start);
+  CHECK_TRUE(this->window.EndsInTime(Milliseconds(5'500),
+                                     this->start + Milliseconds(2'000)));
+  CHECK_FALSE(this->window.EndsInTime(Milliseconds(5'500),
+                                      this->start + Milliseconds(2'001)));
+}
+
 TEST(ShutdownWindow, TheResponsesComeBeforeTheExitAndTheExitBeforeSigkill) {
   this->window.Begin(this->start);
   const auto at = [this](int elapsed_ms) {
