ForwardedCall: Continue streams at servers that name their start

Streams went on only at servers whose entries name no start, because a server may be back under its id at another software version before its entry says so.

A server that continues a stream is now chosen by its entry, and its events are held back until an entry or a report that is newer than its connection names the same start, for 1.9 s at most; not one event of another start is passed on. The version that began a stream counts as known once its start is confirmed in the same way. HttpExchange::ConnectedAt() tells when the connection was established: whoever answers on it was up then. If an entry shows a start from before the first event, the stream is recorded as one that can't be taken up.

The fake clients honour Pause().

--- a/Libraries/LibHTTP/client_transfer.h
+++ b/Libraries/LibHTTP/client_transfer.h
@@ -38,6 +38,10 @@
 
   void Pause() { this->paused = true; }
   void Resume();
+  // See HttpExchange. Requires that the client exists.
+  std::optional<MonotonicTime> ConnectedAt() const {
+    return this->multi.ConnectedAt(this->easy);
+  }
   // No handler is called after Cancel(). ReleaseHandlers() destroys the
   // handlers separately, because one of them may be running.
   void Cancel();
--- a/Libraries/LibHTTP/curl_multi.cc
+++ b/Libraries/LibHTTP/curl_multi.cc
@@ -46,6 +46,9 @@
   CURL* easy = nullptr;
   bool wants_read = false;
   bool wants_write = false;
+  // When libcurl first read from the socket, which is after its connection was
+  // accepted; see Clock::BootNow().
+  std::optional<MonotonicTime> connected_at;
   // Invariant: at most one wait of each direction is outstanding.
   bool reading = false;
   bool writing = false;
@@ -126,6 +129,12 @@
   return found == this->watches.end() ? CURL_SOCKET_BAD : found->first;
 }
 
+std::optional<MonotonicTime> CurlMulti::ConnectedAt(CURL* easy) const {
+  const auto found = this->watches.find(this->SocketOf(easy));
+  return found == this->watches.end() ? std::nullopt
+                                      : found->second->connected_at;
+}
+
 void CurlMulti::RunSocketAction(curl_socket_t socket, int events) {
   int active = 0;
   this->in_libcurl_call = true;
@@ -173,6 +182,9 @@
   watch->easy = easy;
   watch->wants_read = action == CURL_POLL_IN || action == CURL_POLL_INOUT;
   watch->wants_write = action == CURL_POLL_OUT || action == CURL_POLL_INOUT;
+  if (watch->wants_read && !watch->connected_at) {
+    watch->connected_at = SystemClock().BootNow();
+  }
   multi->WaitRead(watch);
   multi->WaitWrite(watch);
   return 0;
--- a/Libraries/LibHTTP/curl_multi.h
+++ b/Libraries/LibHTTP/curl_multi.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -58,6 +59,8 @@
   // The socket from which a transfer reads, or CURL_SOCKET_BAD while it reads
   // from none.
   curl_socket_t SocketOf(CURL* easy) const;
+  // When the connection of that socket was established, by Clock::BootNow().
+  std::optional<MonotonicTime> ConnectedAt(CURL* easy) const;
   // A callback of a transfer received bytes.
   void OnDelivery() { ++this->deliveries; }
   // Counts bytes of a body. False when this pass has delivered enough: libcurl
--- a/Libraries/LibHTTP/http_client.cc
+++ b/Libraries/LibHTTP/http_client.cc
@@ -156,6 +156,9 @@
 
   void Pause() override { this->transfer->Pause(); }
   void Resume() override { this->transfer->Resume(); }
+  std::optional<MonotonicTime> ConnectedAt() const override {
+    return this->core.expired() ? std::nullopt : this->transfer->ConnectedAt();
+  }
 
  private:
   std::weak_ptr<ClientCore> core;
--- a/Libraries/LibHTTP/http_client.h
+++ b/Libraries/LibHTTP/http_client.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -94,6 +95,12 @@
   // peer.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
+  // When the connection was established that carries the response, by
+  // Clock::BootNow(): earlier than the exchange for a pooled connection.
+  // Nothing if that is not known, or no connection is in use.
+  virtual std::optional<MonotonicTime> ConnectedAt() const {
+    return std::nullopt;
+  }
 };
 
 struct HttpClientOptions {
--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -175,7 +175,8 @@
   this->streaming = this->stream.on_events && status == kOk &&
                     IsEventStream(headers) && this->IsOwnResponse();
   if (this->streaming) {
-    this->stream.on_head(headers);
+    this->stream.on_head(headers, this->exchange->ConnectedAt().value_or(
+                                      this->environment.clock.BootNow()));
   }
 }
 
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -37,7 +37,9 @@
 // Receives a stream of events while it arrives.
 struct StreamHandlers {
   // The head of the server's own response, before its first event.
-  std::function<void(const HttpHeaders& headers)> on_head;
+  // `connected_at`: when its connection was established, by Clock::BootNow().
+  std::function<void(const HttpHeaders& headers, MonotonicTime connected_at)>
+      on_head;
   // Complete events as the server sent them, and the id of the last one.
   std::function<void(std::string_view bytes, std::string_view last_event_id)>
       on_events;
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -305,14 +305,17 @@
                               std::move(done));
   }
   StreamHandlers stream;
-  stream.on_head = [weak = this->weak_from_this(),
-                    software = server.started_at == 0 ? server.software_version
-                                                      : std::string()](
-                       const HttpHeaders& headers) {
-    if (const auto self = weak.lock()) {
-      self->OnStreamHead(software, headers);
-    }
-  };
+  stream.on_head =
+      [weak = this->weak_from_this(),
+       answers =
+           StreamServer{server.id, server.started_at, server.software_version}](
+          const HttpHeaders& headers, MonotonicTime connected_at) mutable {
+        if (const auto self = weak.lock()) {
+          answers.connected_at = connected_at;
+          answers.answered_at = self->environment.clock.WallNow();
+          self->OnStreamHead(std::move(answers), headers);
+        }
+      };
   stream.on_events = [weak = this->weak_from_this()](
                          std::string_view bytes, std::string_view event_id) {
     if (const auto self = weak.lock()) {
@@ -354,6 +357,8 @@
   // Kept until the end of this function, because its callback is running.
   const std::unique_ptr<BackendCall> finished_call = std::move(*found);
   this->calls.erase(found);
+  this->held_back.reset();
+  this->start_timer.reset();
   if (result.outcome == BackendCallOutcome::kNotRun) {
     this->usage.OnNotRun(server_id);
   }
@@ -562,6 +567,7 @@
   this->timeout.reset();
   this->retry_timer.reset();
   this->hedge_timer.reset();
+  this->start_timer.reset();
   if (this->ended) {
     const auto report = std::move(this->ended);
     this->ended = nullptr;
--- a/Services/Gateway/forwarded_call.h
+++ b/Services/Gateway/forwarded_call.h
@@ -12,6 +12,7 @@
 #include "backend_call.h"
 #include "plain_call_admission.h"
 #include "send_permits.h"
+#include "stream_server.h"
 #include "stream_versions.h"
 #include "usage_recorder.h"
 
@@ -103,10 +104,17 @@
   std::unique_ptr<BackendCall> StartBackendCall(const FleetServer& server);
   // The server may run the request: its software version is that of the stream.
   bool MayRun(const FleetServer& server) const;
-  // `software_of_server`: as known when the attempt was sent; empty if another
-  // start of the server may have run it.
-  void OnStreamHead(const std::string& software_of_server,
-                    const HttpHeaders& headers);
+  void OnStreamHead(StreamServer server, const HttpHeaders& headers);
+  // Holds back the events of a server that continues the stream until it is
+  // confirmed which start of the server sends them.
+  void AwaitStart();
+  void ScheduleStartCheck();
+  void RequestStartReport(const StreamServer& server);
+  // Keeps the software version that began the stream, once it is confirmed.
+  void ConfirmOrigin();
+  std::optional<StreamOrigin> OnlyOrigin() const;
+  // The origin that this gateway took for the only one of the path still is.
+  bool OnlyOriginHolds() const;
   void RecordStream();
   void OnEvents(std::string_view bytes, std::string_view event_id);
   void WriteEvents();
@@ -151,6 +159,14 @@
   // Software version of the server that began the stream; empty if no other
   // server may continue it.
   std::string software_version;
+  // The server that began the stream here, until its start is confirmed.
+  std::optional<StreamServer> origin;
+  // The software version is that of the only origin of the path.
+  bool from_only_origin = false;
+  // The server that continues the stream, while its events are held back.
+  std::optional<StreamServer> held_back;
+  MonotonicTime hold_until{};
+  std::unique_ptr<Timer> start_timer;
   // Events that are not being written yet, and whether a write is in progress.
   std::string unwritten;
   bool writing = false;
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -10,6 +10,7 @@
 #include "refusals.h"
 #include "request_quarantine.h"
 #include "retry_budgets.h"
+#include "server_start_checks.h"
 
 namespace carobbank {
 
@@ -21,6 +22,10 @@
 // A gateway that has just started reads the records of streams first.
 constexpr Milliseconds kRecordsCheckPeriod{20};
 constexpr Milliseconds kRetryAfter{250};
+constexpr Milliseconds kStartCheckPeriod{20};
+// Clients abandon a stream after a gap of two seconds. Servers write their
+// entries about once a second.
+constexpr Milliseconds kLongestHold{1'900};
 // An origin is recorded and read within this time, also when the log is slow.
 constexpr Milliseconds kLongestWaitForOrigin{1'000};
 // From the end of a stream until its caller takes it up.
@@ -63,14 +68,13 @@
     this->TakeUp(*begun);
     return;
   }
-  std::string_view path = this->request.target;
-  path = path.substr(0, path.find('?'));
   const std::optional<StreamOrigin> only =
-      fresh ? quarantine.Origins().Only(this->route.host, path) : std::nullopt;
+      fresh ? this->OnlyOrigin() : std::nullopt;
   if (!only) {
     this->RefuseResumed();
     return;
   }
+  this->from_only_origin = true;
   this->TakeUp({this->stream_id, only->service, only->software_version, 0});
 }
 
@@ -121,8 +125,9 @@
   if (!this->stream_begun && !this->resumes) {
     return this->environment.quarantine.Origins().MayBegin(this->route, server);
   }
-  // A server with a start time may be back under its id at another version.
-  return server.started_at == 0 &&
+  // Only the events of a stream can be held back until it is confirmed which
+  // start of the server has answered.
+  return (server.started_at == 0 || this->route.streaming) &&
          server.software_version == this->software_version;
 }
 
@@ -145,28 +150,112 @@
       [this](const FleetServer* server) { return this->MayRun(*server); });
 }
 
-void ForwardedCall::OnStreamHead(const std::string& software_of_server,
+void ForwardedCall::OnStreamHead(StreamServer server,
                                  const HttpHeaders& headers) {
-  if (this->stream_begun) {
+  if (!this->stream_begun) {
+    this->stream_head = headers;
+  }
+  if (!this->stream_begun && !this->resumes) {
+    this->origin = std::move(server);
+    return;
+  }
+  this->held_back = std::move(server);
+  this->hold_until = this->environment.clock.Now() + kLongestHold;
+  if (StartOf(this->environment.fleet, *this->held_back) ==
+      StreamServerStart::kConfirmed) {
+    this->held_back.reset();
+    return;
+  }
+  this->calls.front()->Pause();
+  this->RequestStartReport(*this->held_back);
+  this->ScheduleStartCheck();
+}
+
+void ForwardedCall::ScheduleStartCheck() {
+  this->start_timer = this->environment.loop.CallAfter(
+      kStartCheckPeriod, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->held_back) {
+          self->AwaitStart();
+        }
+      });
+}
+
+void ForwardedCall::AwaitStart() {
+  const StreamServerStart start =
+      StartOf(this->environment.fleet, *this->held_back);
+  if (start == StreamServerStart::kConfirmed && this->OnlyOriginHolds()) {
+    this->held_back.reset();
+    this->paused = false;
+    this->calls.front()->Resume();
+    this->WriteEvents();
+    return;
+  }
+  if (start == StreamServerStart::kUnconfirmed &&
+      this->environment.clock.Now() < this->hold_until) {
+    this->RequestStartReport(*this->held_back);
+    this->ScheduleStartCheck();
+    return;
+  }
+  this->OnCallDone(this->held_back->id,
+                   {BackendCallOutcome::kMayHaveRun,
+                    {},
+                    "it is not confirmed which start of the server responds"});
+}
+
+void ForwardedCall::RequestStartReport(const StreamServer& server) {
+  if (this->environment.start_checks != nullptr) {
+    this->environment.start_checks->Request(server.id, server.started_at,
+                                            server.connected_at);
+  }
+}
+
+void ForwardedCall::ConfirmOrigin() {
+  if (!this->origin) {
     return;
   }
-  this->stream_head = headers;
-  if (!this->resumes) {
-    this->software_version = software_of_server;
+  if (StartOf(this->environment.fleet, *this->origin) ==
+      StreamServerStart::kConfirmed) {
+    this->software_version = this->origin->software_version;
+    this->origin.reset();
+  } else if (this->route.resumable) {
+    this->RequestStartReport(*this->origin);
+  }
+}
+
+bool ForwardedCall::OnlyOriginHolds() const {
+  if (!this->from_only_origin) {
+    return true;
   }
+  const std::optional<StreamOrigin> only = this->OnlyOrigin();
+  return only && only->software_version == this->software_version;
+}
+
+std::optional<StreamOrigin> ForwardedCall::OnlyOrigin() const {
+  std::string_view path = this->request.target;
+  path = path.substr(0, path.find('?'));
+  return this->environment.quarantine.Origins().Only(this->route.host, path);
 }
 
 void ForwardedCall::RecordStream() {
-  if (!this->route.resumable || this->software_version.empty()) {
+  if (!this->route.resumable) {
     return;
   }
-  const StreamOrigin origin{this->route.host, this->route.path_prefix,
-                            this->service, this->software_version};
   StreamVersions& streams = this->environment.quarantine.Streams();
-  streams.OnBegun(this->stream_id, origin);
+  const auto record = [this, &streams](const std::string& id) {
+    if (this->origin) {
+      const StreamOrigin begun{this->route.host, this->route.path_prefix,
+                               this->service, this->origin->software_version};
+      streams.OnBegun(id, begun, *this->origin);
+    } else if (!this->software_version.empty()) {
+      streams.OnBegun(id, {this->route.host, this->route.path_prefix,
+                           this->service, this->software_version});
+    }
+  };
+  record(this->stream_id);
   // The caller may name its last attempt instead of the first.
   if (this->stream_id != this->request.request_id) {
-    streams.OnBegun(this->request.request_id, origin);
+    record(this->request.request_id);
   }
 }
 
@@ -175,6 +264,7 @@
   if (!this->responder) {
     return;
   }
+  this->ConfirmOrigin();
   if (!std::exchange(this->stream_begun, true)) {
     this->usage.OnFirstEvent(this->environment.clock.WallNow());
     this->responder->Start(
@@ -213,6 +303,9 @@
     return;
   }
   const bool too_many = this->unwritten.size() > kMaxUnwrittenBytes;
+  if (this->held_back) {
+    return;
+  }
   if (too_many != this->paused && this->calls.size() == 1) {
     this->paused = too_many;
     too_many ? this->calls.front()->Pause() : this->calls.front()->Resume();
@@ -243,6 +336,7 @@
                                        std::to_string(result.response.status) +
                                        " in place of further events"
                                  : result.reason;
+  this->ConfirmOrigin();
   if (!this->route.resumable || this->software_version.empty() ||
       this->last_event_id.empty() || !this->MayRunAgain() ||
       !this->TryRepeat()) {
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -206,6 +206,7 @@
       peer_poller(this->environment,
                   OtherPeers(this->settings),
                   this->PeerHandlers()) {
+  this->environment.start_checks = &this->runner.StartChecks();
   this->environment.configuration_confirmed_at = [this] {
     return this->configuration_refused ? MonotonicTime::min()
                                        : this->operator_follower.CaughtUpAt();
--- a/Services/Gateway/gateway_environment.h
+++ b/Services/Gateway/gateway_environment.h
@@ -19,6 +19,7 @@
 class RetryBudgets;
 class SendPermits;
 class ServerLimits;
+class ServerStartChecks;
 class ShutdownWindow;
 class UsageRecorder;
 
@@ -48,6 +49,8 @@
   // Clock::BootNow(); the earliest time if that is not known. Empty for a
   // gateway whose configuration does not change.
   std::function<MonotonicTime()> configuration_confirmed_at = {};
+  // Null: only their entries show which start of a server is up.
+  ServerStartChecks* start_checks = nullptr;
 };
 
 }  // namespace carobbank
--- a/Services/Gateway/job_runner.h
+++ b/Services/Gateway/job_runner.h
@@ -50,6 +50,7 @@
   void ScheduleDispatch();
 
   std::size_t RunningSamples() const;
+  ServerStartChecks& StartChecks() { return this->start_checks; }
 
  private:
   // Of samples and reward calls.
--- a/Services/Gateway/request_quarantine.h
+++ b/Services/Gateway/request_quarantine.h
@@ -99,6 +99,7 @@
   // The configuration or the servers may have changed.
   void UpdateStreams() {
     this->origins.Update();
+    this->streams.ConfirmStarts();
     this->streams.ShareMixed();
   }
 
--- a/Services/Gateway/stream_versions.cc
+++ b/Services/Gateway/stream_versions.cc
@@ -3,7 +3,9 @@
 #include "stream_versions.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "LibProcess/process.h"
 #include "request_record_log.h"
 
 namespace carobbank {
@@ -107,6 +109,43 @@
   }
 }
 
+void StreamVersions::OnBegun(std::string_view request_id,
+                             const StreamOrigin& origin,
+                             const StreamServer& server) {
+  this->unconfirmed.push_back({std::string(request_id), origin, server});
+  this->ConfirmStarts();
+}
+
+void StreamVersions::ConfirmStarts() {
+  for (const Unconfirmed& stream : std::exchange(this->unconfirmed, {})) {
+    switch (StartOf(this->environment.fleet, stream.server)) {
+      case StreamServerStart::kConfirmed:
+        this->OnBegun(stream.request_id, stream.origin);
+        break;
+      case StreamServerStart::kRefuted:
+        this->OnRefuted(stream);
+        break;
+      case StreamServerStart::kUnconfirmed:
+        this->unconfirmed.push_back(stream);
+        break;
+      case StreamServerStart::kGone:
+        break;
+    }
+  }
+}
+
+void StreamVersions::OnRefuted(const Unconfirmed& stream) {
+  WriteLog(LogLevel::kWarning,
+           "stream can't be taken up: its server had restarted",
+           {{"stream", stream.request_id},
+            {"server", stream.server.id},
+            {"server_started_at", std::to_string(stream.server.started_at)}});
+  const auto [found, is_new] = this->streams.try_emplace(
+      StreamIdInLog(stream.request_id),
+      Stream{stream.origin, this->environment.clock.WallNow()});
+  this->SetAmbiguous(found->first, found->second);
+}
+
 bool StreamVersions::NeedsRecord(const StreamOrigin& origin) const {
   return !this->origins.Only(origin.host, origin.path_prefix) ||
          this->log.SharesWithPeersOnly();
@@ -199,6 +238,9 @@
 void StreamVersions::RemoveOld(bool remove_records) {
   const WallMilliseconds oldest =
       this->environment.clock.WallNow() - kRetention.count();
+  std::erase_if(this->unconfirmed, [oldest](const Unconfirmed& stream) {
+    return stream.server.answered_at < oldest;
+  });
   std::erase_if(this->streams, [&](const auto& entry) {
     const auto& [request_id, stream] = entry;
     const bool old = stream.at < oldest;
--- a/Services/Gateway/stream_versions.h
+++ b/Services/Gateway/stream_versions.h
@@ -14,6 +14,7 @@
 
 #include "gateway_environment.h"
 #include "stream_origins.h"
+#include "stream_server.h"
 
 namespace carobbank {
 
@@ -50,6 +51,15 @@
 
   // A stream began, or went on, at the origin.
   void OnBegun(std::string_view request_id, const StreamOrigin& origin);
+  // The same for an origin that is known only once it is confirmed which start
+  // of `server` has answered; see ConfirmStarts(). Until then nothing is known
+  // of the stream.
+  void OnBegun(std::string_view request_id,
+               const StreamOrigin& origin,
+               const StreamServer& server);
+  // Checks the servers of streams whose starts were not confirmed. Call when
+  // servers have changed, and regularly.
+  void ConfirmStarts();
   // Shares the streams of this gateway whose paths have several origins now.
   // Call when origins have changed.
   void ShareMixed();
@@ -78,6 +88,14 @@
     bool IsOwn() const { return !this->origin.path_prefix.empty(); }
   };
 
+  struct Unconfirmed {
+    std::string request_id;
+    StreamOrigin origin;
+    StreamServer server;
+  };
+
+  // The server of the stream may have been of another software version.
+  void OnRefuted(const Unconfirmed& stream);
   // Another gateway may need a record of the stream.
   bool NeedsRecord(const StreamOrigin& origin) const;
   // The id stands for streams of several origins.
@@ -88,6 +106,8 @@
   RequestRecordLog& log;
   const StreamOrigins& origins;
   std::map<std::string, Stream, std::less<>> streams;
+  // Of this gateway.
+  std::vector<Unconfirmed> unconfirmed;
   // Origins of the streams that are not shared, and maybe of some more.
   std::set<StreamOrigin> unshared_origins;
 };
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -14,6 +14,8 @@
 
 using Ending = ScriptedResponse::Ending;
 
+constexpr WallMilliseconds kStart = 7;
+
 std::string EventText(int id) {
   return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
          "\n\n";
@@ -59,6 +61,39 @@
     }
   }
 
+  // Each server may be back under its id; this start was its latest one.
+  void ShowStart(const std::string& id, WallMilliseconds started_at,
+                 const std::string& software = "v1") {
+    FleetServer server = *this->fixture.fleet.Find(id);
+    server.started_at = started_at;
+    server.software_version = software;
+    this->fixture.fleet.Put(server);
+  }
+  void ShowStarts() {
+    for (const char* id : {"a", "b", "c"}) {
+      this->ShowStart(id, kStart);
+    }
+  }
+  // Shows that the start is up, for as long as a test lasts.
+  void ConfirmStart(const HttpClientRequest& request) {
+    this->fixture.fleet.ConfirmAlive(
+        ServerOf(request), kStart,
+        this->fixture.clock.BootNow() + std::chrono::hours(1));
+  }
+  static std::string ServerOf(const HttpClientRequest& request) {
+    return std::string(1, request.url[sizeof("http://") - 1]);
+  }
+  // The first attempt breaks off after an event, any other one sends the rest.
+  std::function<ScriptedResponse(const HttpClientRequest&)> BreakingFirst() {
+    return [this](const HttpClientRequest& request) {
+      if (this->fixture.client.seen.size() == 1) {
+        this->ConfirmStart(request);
+        return Events({1}, Ending::kTruncated)(request);
+      }
+      return Events({2, 3}, Ending::kComplete)(request);
+    };
+  }
+
   void Start(const std::string& target) {
     const HostRoute* const route =
         this->fixture.configuration->routes.Find("app.example", target);
@@ -451,6 +486,71 @@
   }
 }
 
+// Guards against streams that end with their server wherever entries name the
+// start of a server.
+TEST(ForwardedCall, AStreamEndsThoughTheStartsOfItsServersAreConfirmed) {
+  this->ShowStarts();
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    this->ConfirmStart(request);
+    return this->BreakingFirst()(request);
+  };
+  this->Finish("/resumable/x");
+  STRCMP_EQUAL((EventText(1) + EventText(2) + EventText(3)).c_str(),
+               this->caller.body.c_str());
+  CHECK_TRUE(this->caller.complete);
+}
+
+// Guards against events of another software version in a stream that goes on at
+// a server that has restarted.
+TEST(ForwardedCall, EventsAreDeliveredBeforeTheStartOfTheirServerIsConfirmed) {
+  this->ShowStarts();
+  this->fixture.client.answer = this->BreakingFirst();
+  this->Start("/resumable/x");
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->fixture.client.seen.size() == 2; }));
+  this->fixture.runner.RunFor(Milliseconds(200));
+  STRCMP_EQUAL(EventText(1).c_str(), this->caller.body.c_str());
+  CHECK_FALSE(this->call->Ended());
+  this->ConfirmStart(this->fixture.client.seen.back());
+  CHECK_TRUE(
+      this->fixture.runner.RunUntil([this] { return this->call->Ended(); }));
+  STRCMP_EQUAL((EventText(1) + EventText(2) + EventText(3)).c_str(),
+               this->caller.body.c_str());
+  CHECK_TRUE(this->caller.complete);
+}
+
+TEST(ForwardedCall, AStreamGoesOnAtAServerThatHasRestarted) {
+  this->ShowStarts();
+  this->fixture.client.answer = this->BreakingFirst();
+  this->Start("/resumable/x");
+  CHECK_TRUE(this->fixture.runner.RunUntil(
+      [this] { return this->fixture.client.seen.size() == 2; }));
+  this->ShowStart(ServerOf(this->fixture.client.seen.back()), kStart + 1, "v2");
+  CHECK_TRUE(
+      this->fixture.runner.RunUntil([this] { return this->call->Ended(); }));
+  STRCMP_EQUAL(EventText(1).c_str(), this->caller.body.c_str());
+  CHECK_TRUE(this->caller.aborted);
+}
+
+TEST(ForwardedCall, AStreamWaitsWithoutEndForTheStartOfItsServer) {
+  this->ShowStarts();
+  this->fixture.client.answer = this->BreakingFirst();
+  this->Finish("/resumable/x");
+  STRCMP_EQUAL(EventText(1).c_str(), this->caller.body.c_str());
+  CHECK_TRUE(this->caller.aborted);
+  LONGS_EQUAL(2, this->fixture.client.seen.size());
+}
+
+TEST(ForwardedCall, AStreamOfAnUnknownStartGoesOn) {
+  this->ShowStarts();
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    return Events({1}, Ending::kTruncated)(request);
+  };
+  this->Finish("/resumable/x");
+  CHECK_TRUE(this->caller.aborted);
+  LONGS_EQUAL(1, this->fixture.client.seen.size());
+}
+
 TEST(ForwardedCall, AResumedStreamRepeatsEvents) {
   this->fixture.client.answer = Events({1, 2}, Ending::kTruncated);
   this->Finish("/resumable/x");
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -371,6 +371,42 @@
   CHECK_EQUAL(2U, server.Connections());
 }
 
+// Guards against a connection that is taken for older than it is, so that an
+// entry of a server's earlier start seems to confirm who responds on it.
+TEST(HttpClient, AConnectionIsTakenForOneOfAnotherTime) {
+  ScriptedServer server(
+      {{kCompleteResponse}, {kCompleteResponse}, {kCompleteResponse}});
+  std::optional<MonotonicTime> connected_at;
+  const auto exchange_once = [&](bool fresh) {
+    HttpClientRequest request = this->RequestTo(server);
+    request.fresh_connection = fresh;
+    Observed observed;
+    HttpClientHandlers handlers = observed.Handlers();
+    std::unique_ptr<HttpExchange> exchange;
+    handlers.on_headers = [&](int, const HttpHeaders&) {
+      connected_at = exchange->ConnectedAt();
+    };
+    exchange = this->fixture.client->Start(std::move(request), handlers);
+    CHECK_TRUE(this->fixture.runner.RunUntil([&] {
+      server.Serve();
+      return observed.Ended();
+    }));
+  };
+  const SystemClock clock;
+  const MonotonicTime before = clock.BootNow();
+  exchange_once(false);
+  CHECK_TRUE(connected_at && *connected_at >= before);
+  const MonotonicTime first = *connected_at;
+  this->fixture.runner.RunFor(Milliseconds(20));
+  exchange_once(false);
+  LONGS_EQUAL(1, server.Connections());
+  CHECK_TRUE(connected_at == first);
+  const MonotonicTime between = clock.BootNow();
+  exchange_once(true);
+  LONGS_EQUAL(2, server.Connections());
+  CHECK_TRUE(connected_at && *connected_at >= between);
+}
+
 TEST(HttpClient, SurplusResponseIsNotDeliveredToTheNextRequest) {
   const std::string surplus_response =
       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
--- a/Tests/Support/fake_http.h
+++ b/Tests/Support/fake_http.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibHTTP/http.h"
@@ -45,24 +46,37 @@
 
   std::unique_ptr<HttpExchange> Start(HttpClientRequest request,
                                       HttpClientHandlers handlers) override {
-    auto alive = std::make_shared<bool>(true);
+    auto state = std::make_shared<ExchangeState>();
     this->loop.Post([response = this->Respond(request),
                      handlers = std::move(handlers),
-                     alive = std::weak_ptr<bool>(alive)] {
-      Play(response, handlers, alive);
+                     weak = std::weak_ptr<ExchangeState>(state)] {
+      Play(response, handlers, weak);
     });
-    return std::make_unique<Exchange>(std::move(alive));
+    return std::make_unique<Exchange>(this->loop, std::move(state));
   }
 
  private:
+  struct ExchangeState {
+    bool paused = false;
+    // What is delivered after Resume(); empty for nothing.
+    std::function<void()> rest;
+  };
   class Exchange final : public HttpExchange {
    public:
-    explicit Exchange(std::shared_ptr<bool> alive) : alive(std::move(alive)) {}
-    void Pause() override {}
-    void Resume() override {}
+    Exchange(EventLoop& loop, std::shared_ptr<ExchangeState> state)
+        : loop(loop), state(std::move(state)) {}
+    void Pause() override { this->state->paused = true; }
+    void Resume() override {
+      this->state->paused = false;
+      if (this->state->rest) {
+        this->loop.Post(std::exchange(this->state->rest, nullptr));
+      }
+    }
 
    private:
-    std::shared_ptr<bool> alive;
+    EventLoop& loop;
+    // Expires with this exchange.
+    std::shared_ptr<ExchangeState> state;
   };
 
   ScriptedResponse Respond(const HttpClientRequest& request) {
@@ -88,8 +102,8 @@
 
   static void Play(const ScriptedResponse& response,
                    const HttpClientHandlers& handlers,
-                   const std::weak_ptr<bool>& alive) {
-    if (alive.expired()) {
+                   const std::weak_ptr<ExchangeState>& weak) {
+    if (weak.expired()) {
       return;
     }
     if (response.ending == ScriptedResponse::Ending::kNotSent) {
@@ -98,13 +112,25 @@
       return;
     }
     handlers.on_headers(response.status, response.headers);
-    if (!alive.expired() && !response.body.empty()) {
+    if (!weak.expired() && weak.lock()->paused) {
+      weak.lock()->rest = [response, handlers, weak] {
+        PlayBody(response, handlers, weak);
+      };
+      return;
+    }
+    PlayBody(response, handlers, weak);
+  }
+
+  static void PlayBody(const ScriptedResponse& response,
+                       const HttpClientHandlers& handlers,
+                       const std::weak_ptr<ExchangeState>& weak) {
+    if (!weak.expired() && !response.body.empty()) {
       handlers.on_body(response.body);
     }
-    if (!alive.expired() && !response.late_body.empty()) {
+    if (!weak.expired() && !response.late_body.empty()) {
       handlers.on_body(response.late_body);
     }
-    if (alive.expired()) {
+    if (weak.expired()) {
       return;
     }
     if (response.ending == ScriptedResponse::Ending::kComplete) {
--- a/Tests/Support/fake_servers.h
+++ b/Tests/Support/fake_servers.h
@@ -164,6 +164,9 @@
     HttpClientRequest request;
     HttpClientHandlers handlers;
     std::string client;
+    bool paused = false;
+    // What is delivered after Resume(); empty for nothing.
+    std::function<void()> rest{};
   };
   struct Server {
     FleetServer registered;
@@ -172,11 +175,18 @@
   };
   class Exchange final : public HttpExchange {
    public:
-    explicit Exchange(std::shared_ptr<Run> run) : run(std::move(run)) {}
-    void Pause() override {}
-    void Resume() override {}
+    Exchange(EventLoop& loop, std::shared_ptr<Run> run)
+        : loop(loop), run(std::move(run)) {}
+    void Pause() override { this->run->paused = true; }
+    void Resume() override {
+      this->run->paused = false;
+      if (this->run->rest) {
+        this->loop.Post(std::exchange(this->run->rest, nullptr));
+      }
+    }
 
    private:
+    EventLoop& loop;
     std::shared_ptr<Run> run;
   };
   class ServerClient final : public HttpClient {
@@ -193,7 +203,7 @@
               target->Begin(begun);
             }
           });
-      return std::make_unique<Exchange>(std::move(run));
+      return std::make_unique<Exchange>(this->servers.loop, std::move(run));
     }
 
    private:
@@ -252,7 +262,7 @@
       return;
     }
     if (peer != this->peers.end()) {
-      Deliver(peer->second(run->request), run->handlers);
+      Deliver(peer->second(run->request), run);
       return;
     }
     Server* const server = this->Find(rest.substr(0, rest.find(':')));
@@ -314,15 +324,26 @@
     if (!running) {
       return;
     }
-    Deliver(this->answer(run->request), run->handlers);
+    Deliver(this->answer(run->request), run);
   }
 
   // The handlers are copied because they may destroy the exchange.
   static void Deliver(const HttpResponse& response,
-                      HttpClientHandlers handlers) {
+                      const std::shared_ptr<Run>& run) {
+    const HttpClientHandlers handlers = run->handlers;
     handlers.on_headers(response.status, response.headers);
-    handlers.on_body(response.body);
-    handlers.on_done();
+    auto rest = [handlers, body = response.body,
+                 weak = std::weak_ptr<Run>(run)] {
+      if (!weak.expired()) {
+        handlers.on_body(body);
+        handlers.on_done();
+      }
+    };
+    if (run->paused) {
+      run->rest = std::move(rest);
+    } else {
+      rest();
+    }
   }
 
   void Fail(const std::shared_ptr<Run>& run,
