Soak: Check the ends of streams, and play servers that keep their ids

Its client took a connection that closed between two chunks for the end of the body.

--same-ids lets the servers of streams start again under their ids, and grey_streams lets them fail.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from servers import NO_ANSWER
+from streams import EVENTS as STREAM_EVENTS
 
 MAX_OVERSPREAD_CALLS = 3
 DEADLINE_SLACK_S = 0.5
@@ -377,6 +378,15 @@
     return found
 
 
+def streams_ended_early(history):
+    """Responses that end properly before the last event of their stream."""
+    return [f"{name} ended as if it were complete after event "
+            f"{answer.events[-1][0] if answer.events else 'none'}"
+            for name, answers in history.streams.items() for answer in answers
+            if answer.status == 200 and answer.complete
+            and (not answer.events or answer.events[-1][0] != str(STREAM_EVENTS))]
+
+
 def stand_in_errors(history):
     """Faults of the soak itself, which would hide those of the gateways."""
     return history.errors
@@ -405,6 +415,7 @@
     "limits that servers name": limits_exceeded,
     "software versions of outputs": outputs_of_two_versions,
     "software versions of streams": streams_of_two_versions,
+    "ends of streams": streams_ended_early,
     "errors of stand-ins": stand_in_errors,
     "sound samples completed": sound_samples_not_completed,
 }
--- a/Benchmarks/Soak/checks_test.py
+++ b/Benchmarks/Soak/checks_test.py
@@ -269,6 +269,24 @@
         self.assertEqual([], self.found(["1@v2"], []))
 
 
+class EndsOfStreams(unittest.TestCase):
+    def found(self, last_event, complete=True, status=200):
+        played = history([])
+        events = [] if last_event is None else [(last_event, "data")]
+        played.streams = {"s": [streams.StreamAnswer(status, events, complete)]}
+        return checks.streams_ended_early(played)
+
+    def test_an_end_before_the_last_event_is_found(self):
+        self.assertEqual(1, len(self.found("39")))
+        self.assertEqual(1, len(self.found(None)))
+
+    def test_an_end_after_the_last_event_a_break_and_an_error_are_sound(self):
+        self.assertEqual([], self.found("40"))
+        self.assertEqual([], self.found("39", complete=False))
+        self.assertEqual([], self.found(None, complete=False))
+        self.assertEqual([], self.found(None, status=503))
+
+
 class EventsOfAnswers(unittest.TestCase):
     def test_an_incomplete_event_remains(self):
         events, rest = streams.split_events(b"id: 1\ndata: a\n\n: beat\n\nid: 2\nda")
--- a/Benchmarks/Soak/http_io.py
+++ b/Benchmarks/Soak/http_io.py
@@ -70,11 +70,14 @@
 
 
 async def read_chunks(reader):
-    """Yields the chunks of a chunked body as they arrive."""
+    """Yields the chunks of a chunked body; raises IncompleteReadError without the last chunk."""
     while True:
-        size = int((await reader.readline()).split(b";")[0] or b"0", 16)
+        line = await reader.readline()
+        if not line.endswith(b"\r\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
         chunk = await reader.readexactly(size)
-        await reader.readline()
+        await reader.readexactly(2)
         if size == 0:
             return
         yield chunk
--- a/Benchmarks/Soak/keys.py
+++ b/Benchmarks/Soak/keys.py
@@ -27,7 +27,8 @@
 class KeyChecks(Soak):
     def __init__(self, program):
         super().__init__(SimpleNamespace(
-            seed=1, program=program, gateways=3, servers=2, streams_per_s=0, log_level="info"))
+            seed=1, program=program, gateways=3, servers=2, streams_per_s=0, same_ids=False,
+            log_level="info"))
         self.received = []
         self.failures = []
 
--- a/Benchmarks/Soak/recovery.py
+++ b/Benchmarks/Soak/recovery.py
@@ -53,7 +53,7 @@
     def __init__(self, options):
         super().__init__(SimpleNamespace(
             seed=options.seed, program=options.program, gateways=options.gateways, servers=SERVERS,
-            streams_per_s=0, log_level="info"))
+            streams_per_s=0, same_ids=False, log_level="info"))
         self.only = options.only
         self.topics = options.topics
         self.gone = options.gone
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -193,7 +193,7 @@
             for index in range(self.options.servers):
                 await self.fleet.add(f"{service}-{index}", service, ZONES[index % len(ZONES)],
                                      slots, {name: self.ports.next_free() for name in names},
-                                     new_ids=service == "chat")
+                                     new_ids=service == "chat" and not self.options.same_ids)
         peers = ",".join(f"127.0.0.1:{g.peer_port}" for g in self.gateways[:3])
         for gateway in self.gateways:
             gateway.write_settings(peers, self.options.log_level)
@@ -598,8 +598,11 @@
         await asyncio.gather(*[server.leave(rng.uniform(3, 6), rng.uniform(0.3, 2))
                                for server in chosen if server.up])
 
-    async def make_grey(self, rng):
-        service = rng.choice(["app", "llm"])
+    async def make_streams_grey(self, rng):
+        await self.make_grey(rng, ("chat",))
+
+    async def make_grey(self, rng, services=("app", "llm")):
+        service = rng.choice(services)
         servers = self.fleet.of(service)
         chosen = rng.sample(servers, rng.randrange(1, len(servers) + 1))
         mode = rng.choice(["errors", "shed", "reset", "hang", "endless", "status"])
@@ -687,14 +690,15 @@
     "crash": Soak.crash_servers,
     "leave": Soak.leave,
     "grey": Soak.make_grey,
+    "grey_streams": Soak.make_streams_grey,
     "slow": Soak.make_slow,
     "reset": Soak.reset_connections,
     "limit": Soak.limit,
     "software": Soak.change_software,
     "kill_all": Soak.kill_all,
 }
-# Jobs may get too few results for the checks then.
-ONLY_IF_NAMED = {"kill_all"}
+# Jobs may get too few results for the checks then, or there are no streams.
+ONLY_IF_NAMED = {"kill_all", "grey_streams"}
 
 
 class PortBlocks:
@@ -753,6 +757,8 @@
     parser.add_argument("--groups", type=int, default=20, help="of four samples, each step")
     parser.add_argument("--streams-per-s", type=float, default=0.0,
                         help="of clients; with servers that get new ids at each start")
+    parser.add_argument("--same-ids", action="store_true",
+                        help="the servers of streams start again under their ids")
     parser.add_argument("--bad-samples", type=float, default=0.02)
     parser.add_argument("--no-fatal", dest="fatal", action="store_false")
     parser.add_argument("--fault-gap-s", type=float, default=0.8)
--- a/Benchmarks/Soak/streams.py
+++ b/Benchmarks/Soak/streams.py
@@ -15,10 +15,11 @@
 
 @dataclass
 class StreamAnswer:
-    """One response: its status, 0 for none, and its events as (id, data)."""
+    """One response: its status, 0 for none, its events as (id, data), and whether it ended."""
 
     status: int = 0
     events: list = field(default_factory=list)
+    complete: bool = False
 
 
 def split_events(buffer):
@@ -47,6 +48,7 @@
         async for chunk in read_chunks(reader):
             events, rest = split_events(rest + chunk)
             answer.events += events
+        answer.complete = True
     finally:
         writer.close()
 
