Gateway: Don't join events that a server sends again

A server that ignores Last-Event-Id made events stand twice in a sample's output ("e1\ne1\ne2"), and in a stream that a client takes up. Only the gateway's own continuation of a stream compared the ids.

RepeatsEvent() now serves all three. A sample goes on at another server; a stream that a client takes up ends with 502 before any byte of the answer.

--- a/Services/Gateway/backend_call.cc
+++ b/Services/Gateway/backend_call.cc
@@ -111,6 +111,12 @@
          FindHeader(headers, names.not_run).has_value();
 }
 
+bool RepeatsEvent(std::string_view event_id, std::string_view last_event_id) {
+  const auto number = ParseInteger<std::uint64_t>(event_id);
+  const auto last = ParseInteger<std::uint64_t>(last_event_id);
+  return number && last && *number <= *last;
+}
+
 bool IsRejection(int status) {
   return status >= kFirstClientErrorStatus &&
          status < kFirstServerErrorStatus && status != kRequestTimeout &&
--- a/Services/Gateway/backend_call.h
+++ b/Services/Gateway/backend_call.h
@@ -64,6 +64,10 @@
                       const HttpHeaders& headers,
                       const WireHeaderNames& names);
 
+// Whether an event repeats one of its stream, whose ids increase. Ids that are
+// no numbers are not compared.
+bool RepeatsEvent(std::string_view event_id, std::string_view last_event_id);
+
 // True for a client error that does not ask for a repeat.
 bool IsRejection(int status);
 
--- a/Services/Gateway/forwarded_call.cc
+++ b/Services/Gateway/forwarded_call.cc
@@ -117,9 +117,10 @@
   const WireHeaderNames& names = this->environment.dialect.HeaderNames();
   const auto resumed = FindHeader(this->request.headers, names.resumes);
   this->stream_id = resumed.value_or(this->request.request_id);
-  this->resumes =
-      resumed ||
-      FindHeader(this->request.headers, names.last_event_id).has_value();
+  const auto last_event =
+      FindHeader(this->request.headers, names.last_event_id);
+  this->last_event_id = last_event.value_or("");
+  this->resumes = resumed || last_event;
   if (this->resumes) {
     this->BeginResumed();
     return;
--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr std::string_view kRepeatedEvent = "the server sent an event again";
 // Events that a caller has not read; its server is read again below that.
 constexpr std::size_t kMaxUnwrittenBytes = 64 * 1024;
 // A gateway that has just started reads the records of streams first.
@@ -264,6 +266,11 @@
   if (!this->responder) {
     return;
   }
+  const bool repeated = RepeatsEvent(event_id, this->last_event_id);
+  if (repeated && !this->stream_begun) {
+    this->Fail(kBadGateway, "no_answer", kRepeatedEvent);
+    return;
+  }
   this->ConfirmOrigin();
   if (!std::exchange(this->stream_begun, true)) {
     this->usage.OnFirstEvent(this->environment.clock.WallNow());
@@ -272,10 +279,8 @@
                              this->environment.dialect.HeaderNames()));
     this->RecordStream();
   }
-  const auto number = ParseInteger<std::uint64_t>(event_id);
-  const auto last = ParseInteger<std::uint64_t>(this->last_event_id);
-  if (number && last && *number <= *last) {
-    this->AbortStream("the server sent an event again");
+  if (repeated) {
+    this->AbortStream(kRepeatedEvent);
     return;
   }
   this->last_event_id = event_id;
--- a/Services/Gateway/job_runner_samples.cc
+++ b/Services/Gateway/job_runner_samples.cc
@@ -420,6 +420,9 @@
     return EventVerdict::kRejected;
   }
   Progress& progress = job.samples[index];
+  if (RepeatsEvent(event_id, progress.last_event_id)) {
+    return EventVerdict::kRepeated;
+  }
   if (!state->job.model.empty()) {
     this->environment.fleet.ObserveVersion(progress.stream->ServerId(),
                                            state->job.model, version);
--- a/Services/Gateway/sample_stream.cc
+++ b/Services/Gateway/sample_stream.cc
@@ -177,6 +177,10 @@
       this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
                 "the output is longer than the sample allows");
       break;
+    case EventVerdict::kRepeated:
+      this->End(SampleStreamOutcome::kBroken, SendOutcome::kFailed,
+                "the server sent an event again");
+      break;
   }
   return false;
 }
--- a/Services/Gateway/sample_stream.h
+++ b/Services/Gateway/sample_stream.h
@@ -37,6 +37,8 @@
   kRejected,
   // The output is longer than the sample allows.
   kOverrun,
+  // The output has the event already.
+  kRepeated,
 };
 
 struct SampleStreamHandlers {
--- a/Tests/Gateway/forwarded_call_test.cc
+++ b/Tests/Gateway/forwarded_call_test.cc
@@ -559,6 +559,17 @@
   CHECK_TRUE(this->caller.aborted);
 }
 
+// Guards against events that a client gets twice when it takes a stream up.
+TEST(ForwardedCall, AStreamThatItsClientTakesUpRepeatsEvents) {
+  this->fixture.client.answer = Events({1, 2}, Ending::kComplete);
+  this->Finish("/resumable/x");
+  this->caller = ReceivedResponse();
+  this->resumed = true;
+  this->Finish("/resumable/x");
+  LONGS_EQUAL(502, this->caller.status);
+  CHECK_TRUE(this->caller.body.find("id: ") == std::string::npos);
+}
+
 TEST(ForwardedCall, AStreamThatHasNotBegunIsNotSentToAnotherServer) {
   this->fixture.client.answer = [this](const HttpClientRequest& request) {
     return this->fixture.client.seen.size() == 1
--- a/Tests/Gateway/gateway_fleet.h
+++ b/Tests/Gateway/gateway_fleet.h
@@ -27,6 +27,19 @@
   return text;
 }
 
+// `count` events after the one that the request names as its last.
+inline std::string EventsAfter(const HttpClientRequest& request, int count) {
+  const int last = ParseInteger<int>(
+                       FindHeader(request.headers, "After-Event").value_or("0"))
+                       .value_or(0);
+  std::string text;
+  for (int id = last + 1; id <= last + count; ++id) {
+    text +=
+        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+  }
+  return text;
+}
+
 // A server's valid response to plain and reward calls, and to samples.
 inline HttpResponse SoundAnswer(const HttpClientRequest& request) {
   HttpResponse response;
--- a/Tests/Gateway/job_runner_test.cc
+++ b/Tests/Gateway/job_runner_test.cc
@@ -894,6 +894,28 @@
   }
 }
 
+// Guards against events that stand twice in an output, because a server sent
+// them again instead of going on.
+TEST(JobRunner, AResumedOutputRepeatsEvents) {
+  for (const char* id : {"a", "b", "c"}) {
+    this->fixture.AddServer(id, "llm", 3);
+  }
+  this->fixture.client.answer = [this](const HttpClientRequest& request) {
+    ScriptedResponse response = Stream(request);
+    if (this->fixture.client.seen.size() == 1) {
+      response.body = EventText(1);
+      response.ending = ScriptedResponse::Ending::kTruncated;
+    } else if (this->fixture.client.seen.size() == 2) {
+      response.body = EventText(1) + EventText(2);
+    }
+    return response;
+  };
+  this->PutJob(this->JobOf(1));
+  this->RunUntilComplete();
+  STRCMP_EQUAL("e1\ne2", this->State()->results[0].output.c_str());
+  LONGS_EQUAL(3, this->fixture.client.seen.size());
+}
+
 TEST(JobRunner, SamplesOfARemovedRouteWaitForIt) {
   this->fixture.AddServer("a", "llm", 3);
   this->UseRoutes({}, MonotonicTime::max());
