ClientTransfer: Fail a response that ends within its head

Another operator reports a 200 with an empty body after a server stopped in the middle of its answer's head. libcurl reports success when the connection closes there, unless the part that arrived announces a body; the client then reported a complete response with status 0 and no headers.

Calls, samples and reward calls were not harmed (no id, no signature: 502 or a repeat). By reading, two other places were: a probe that ended so counted as the answer of a server that is up, so that its crash was not counted, and the answer of a peer to a call about a batch job was passed on to the caller as it was.

Such an exchange fails now, as one that may have been sent. AResponseThatEnds- WithinItsHeadIsComplete (six heads, cut after each byte, with and without close- delimited bodies) failed at "HTTP/1.1 200 OK\r\n" before and passes now.

--- a/Libraries/LibHTTP/client_transfer.cc
+++ b/Libraries/LibHTTP/client_transfer.cc
@@ -537,6 +537,11 @@
   if (this->cancelled) {
     return;
   }
+  // libcurl reports success when the connection closes within the head.
+  if (result == CURLE_OK && !this->headers_complete) {
+    this->malformation = "the response ended within its head";
+    result = CURLE_WEIRD_SERVER_REPLY;
+  }
   if (result == CURLE_OK && !this->request.accept_close_delimited_response &&
       !this->IsSelfDelimited()) {
     this->Fail(SendState::kMayHaveBeenSent,
--- a/Tests/LibHTTP/http_client_test.cc
+++ b/Tests/LibHTTP/http_client_test.cc
@@ -140,6 +140,34 @@
   }
 }
 
+// Guards against a response whose head was cut off and which is passed on as a
+// complete one without a body.
+TEST(HttpClient, AResponseThatEndsWithinItsHeadIsComplete) {
+  const std::vector<std::string> heads = {
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\nX: 2\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n",
+      "HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n"};
+  for (const std::string& head : heads) {
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      const std::string cut = head.substr(0, length);
+      for (const bool close_delimited : {false, true}) {
+        ScriptedServer server({{cut, true}});
+        Observed observed;
+        HttpClientRequest request = this->RequestTo(server);
+        request.accept_close_delimited_response = close_delimited;
+        CHECK_TRUE(this->Exchange(server, std::move(request), observed));
+        LONGS_EQUAL_TEXT(0, observed.done, cut.c_str());
+        LONGS_EQUAL_TEXT(0, observed.status, cut.c_str());
+        CHECK_TRUE_TEXT(observed.EndedWith(SendState::kMayHaveBeenSent),
+                        cut.c_str());
+      }
+    }
+  }
+}
+
 TEST(HttpClient, AStatusThatIsNoneReachesTheCaller) {
   const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
   const std::vector<const char*> status_lines = {
