--- a/Benchmarks/Soak/recovery.py
+++ b/Benchmarks/Soak/recovery.py
@@ -46,6 +46,16 @@
     "quotes": "a/\u00fc\"\\",
     "line break and field": "a\r\nX-Field: b",
 }
+# JSON texts of the fields of an entry, and odd ones for some of them.
+ENTRY_FIELDS = {"service": '"app"', "addr": '"127.0.0.1:1"', "slots": "1", "state": '"draining"'}
+ODD_FIELDS = (
+    [("slots", number) for number in ("9" * 400, "1e999", "18446744073709551616", "-1", "0.5")] +
+    [("addr", f'"127.0.0.1{port}"') for port in (":70000", ":-1", ":0", ":", "")] +
+    [("born", '"never"'), ("born", "9" * 400), ("version", '"\\ud800"'), ("models", "[[[]]]"),
+     ("state", "{}")])
+ODD_VALUES = [b"[" * 5000 + b"]" * 5000, b'{"a":' * 5000 + b"1" + b"}" * 5000] + [
+    ("{" + ", ".join(f'"{name}": {text}' for name, text in (ENTRY_FIELDS | {field: odd}).items()) +
+     "}").encode() for field, odd in ODD_FIELDS]
 UNREADABLE_VALUES = [b"\xff\xfe{", b"{", b"[]", b"\x00", b"null", b'{"service": 7}', b"{}" * 5000]
 
 
@@ -98,6 +108,8 @@
         cases.append(("values that can't be read, on three pages",
                       lambda: self.put_foreign([f"0{index:04}" for index in range(1200)],
                                                UNREADABLE_VALUES)))
+        cases.append(("odd entries, on three pages", self.put_odd_entries))
+        cases.append(("odd entries after the return", self.put_odd_entries_later))
         return cases + [
             ("thousands of removed names", self.remove_many),
             ("log trimmed", self.trim_log),
@@ -113,6 +125,16 @@
     def nothing(self):
         pass
 
+    def put_odd_entries(self):
+        self.put_foreign([f"0{index:04}" for index in range(1200)] +
+                         [f"version/{index}" for index in range(len(ODD_VALUES))], ODD_VALUES)
+
+    def put_odd_entries_later(self):
+        async def put_later():
+            await asyncio.sleep(DOWN_S + 0.5)
+            self.put_odd_entries()
+        self.spawn(put_later())
+
     def remove_many(self):
         self.put_foreign([f"0{index:04}" for index in range(3000)])
         self.remove_foreign()
@@ -192,6 +214,9 @@
         if back_s is None:
             self.failures.append(f"{what}: less than {SERVED_SHARE} of the calls is served "
                                  f"{RECOVER_S} s after the return")
+        ended = [gateway.name for gateway in self.gateways if gateway.process.poll() is not None]
+        if ended:
+            self.failures.append(f"{what}: ended by themselves: {', '.join(ended)}")
         self.remove_foreign()
         self.frozen = []
 
--- a/Tests/Platform/dialect_test.cc
+++ b/Tests/Platform/dialect_test.cc
@@ -117,6 +117,58 @@
   }
 }
 
+// Guards against an entry of another writer that ends the process, or names a
+// server that nothing can reach.
+TEST(JsonPlatformDialect, AnOddServersEntryIsUsed) {
+  constexpr std::size_t kDepth = 60'000;
+  const std::string lists = std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string objects = "1";
+  for (std::size_t depth = 0; depth < kDepth; ++depth) {
+    objects.insert(0, "{\"a\":");
+  }
+  objects += std::string(kDepth, '}');
+  const std::string digits(400, '9');
+  const std::vector<std::string> values = {lists,
+                                           objects,
+                                           digits,
+                                           "-" + digits,
+                                           "1e999",
+                                           "18446744073709551616",
+                                           "9223372036854775808",
+                                           "-1",
+                                           "0.5",
+                                           "[]",
+                                           "{}",
+                                           "null",
+                                           "true",
+                                           "\"\\ud800\""};
+  const std::string rest =
+      R"("service":"s","addr":"1.2.3.4:5","state":"ready")";
+  for (const std::string& value : values) {
+    CHECK_FALSE_TEXT(this->dialect.DecodeServer("i", value).Ok(),
+                     value.substr(0, 40).c_str());
+    CHECK_FALSE_TEXT(
+        this->dialect
+            .DecodeServer("i", "{" + rest + ",\"slots\":" + value + "}")
+            .Ok(),
+        value.substr(0, 40).c_str());
+    for (const char* const field :
+         {"born", "version", "models", "zone", "seq"}) {
+      const Outcome<FleetServer> decoded = this->dialect.DecodeServer(
+          "i", "{" + rest + ",\"slots\":2,\"" + field + "\":" + value + "}");
+      CHECK_TRUE(!decoded.Ok() || decoded.Value().models.empty());
+    }
+  }
+  for (const char* const address :
+       {"1.2.3.4:70000", "1.2.3.4:-1", "1.2.3.4:0", "1.2.3.4:00",
+        "1.2.3.4:", "1.2.3.4", "1.2.3.4:99999999999999999999", "999.1.1.1:5"}) {
+    const std::string entry =
+        R"({"service":"s","slots":2,"state":"ready","addr":")" +
+        std::string(address) + "\"}";
+    CHECK_FALSE_TEXT(this->dialect.DecodeServer("i", entry).Ok(), address);
+  }
+}
+
 TEST(JsonPlatformDialect, AServerWhoseIdNoHeaderCanCarryIsRejected) {
   constexpr const char* kEntry =
       R"({"service":"s","addr":"1.2.3.4:5","slots":2,"state":"ready"})";
