Soak: Blame the gateway that got a call, also on kept connections

The check knew the gateway that got a call, but not for calls on kept connections, streams and calls beside stops.

These are recorded now, so that a restarted gateway is excused as the rule says and any other one is not.

--- a/Benchmarks/Soak/checks.py
+++ b/Benchmarks/Soak/checks.py
@@ -70,6 +70,8 @@
 
     touch_s: float
     attempts: dict = field(default_factory=dict)  # by request id
+    # By request id, of requests without a record in `attempts`: the gateway that got it.
+    gateways_asked: dict = field(default_factory=dict)
     # By request id of a reward call: when each job that carries its sample was first submitted.
     job_submissions: dict = field(default_factory=lambda: defaultdict(list))
     runs: list = field(default_factory=list)
@@ -104,7 +106,9 @@
     def gateway_of(self, run):
         """The gateway that sent the run; a restarted one may use the addresses of its peer."""
         attempt = self.attempts.get(run.request_id)
-        return attempt.gateway if attempt is not None and attempt.gateway else run.gateway
+        if attempt is not None and attempt.gateway:
+            return attempt.gateway
+        return self.gateways_asked.get(run.request_id, run.gateway)
 
     def in_touch(self, gateway, at):
         """Whether neither the gateway nor the store was disrupted in the time before `at`."""
--- a/Benchmarks/Soak/checks_test.py
+++ b/Benchmarks/Soak/checks_test.py
@@ -190,6 +190,13 @@
         self.assertEqual(1, len(self.found(12.1)))
         self.assertEqual(1, len(self.found(12.1, restarts=[(8, 9)])))
 
+    def test_a_restarted_gateway_that_uses_the_addresses_of_its_peer_is_allowed(self):
+        played = history([run(12.1, request_id="k2", gateway="g1")])
+        played.leaving_told = [(10.0, run(9.9))]
+        self.assertEqual(1, len(checks.leaving_servers_used(played)))
+        played.gateways_asked["k2"] = "g2"
+        self.assertEqual([], checks.leaving_servers_used(played))
+
     def test_earlier_ones_other_gateways_restarts_and_new_starts_are_allowed(self):
         self.assertEqual([], self.found(11.9))
         self.assertEqual([], self.found(12.1, gateway="g2"))
--- a/Benchmarks/Soak/soak.py
+++ b/Benchmarks/Soak/soak.py
@@ -289,7 +289,7 @@
                 while time.monotonic() < end:
                     sent_at = time.monotonic()
                     head = await asyncio.wait_for(
-                        self.exchange_on_kept(reader, writer), CALL_DEADLINE_S + 1)
+                        self.exchange_on_kept(gateway, reader, writer), CALL_DEADLINE_S + 1)
                     if head is None:
                         # A close that crosses a request is no loss.
                         if not reader.at_eof() or time.monotonic() - sent_at > 0.2:
@@ -305,8 +305,9 @@
                 writer.close()
             await asyncio.sleep(self.traffic_random.expovariate(2.0))
 
-    async def exchange_on_kept(self, reader, writer):
+    async def exchange_on_kept(self, gateway, reader, writer):
         number = next(self.ids)
+        self.history.gateways_asked[f"k{number}"] = gateway.name
         body = f"sound {number}".encode()
         await write_request(
             writer, "POST", "/app/x",
@@ -463,6 +464,7 @@
 
     async def call_beside_stop(self, stop, delay_s, reader, writer):
         request_id = f"l{next(self.ids)}"
+        self.history.gateways_asked[request_id] = stop.gateway
         sent_at = stop.at + delay_s
         try:
             await asyncio.sleep(sent_at - time.monotonic())
--- a/Benchmarks/Soak/streams.py
+++ b/Benchmarks/Soak/streams.py
@@ -65,10 +65,11 @@
             headers |= {"Resumes": first_id, "Last-Event-Id": last_event}
         answer = StreamAnswer()
         answers.append(answer)
+        gateway = soak.any_gateway()
+        soak.history.gateways_asked[request_id] = gateway.name
         try:
             await asyncio.wait_for(
-                read_answer(answer, soak.any_gateway().port, f"/chat/{name}", headers),
-                DEADLINE_S + 1)
+                read_answer(answer, gateway.port, f"/chat/{name}", headers), DEADLINE_S + 1)
         except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
         if answer.events:
