Gateway: Settle one stream's start without going over all of them

Found on a last read of the change. Each stream that began went over all streams whose servers' starts were not confirmed, and copied them; now only over its own, and ConfirmStarts() over all when servers change. AwaitStart() handed OnCallDone() a reference to an id that OnCallDone() resets; nothing read it afterwards, as AddressSanitizer showed none, but the next line added there could. The call's own id outlives the function. Behaviour is the same.

--- a/Services/Gateway/forwarded_call_streams.cc
+++ b/Services/Gateway/forwarded_call_streams.cc
@@ -199,7 +199,8 @@
     this->ScheduleStartCheck();
     return;
   }
-  this->OnCallDone(this->held_back->id,
+  // Not the id in `held_back`, which OnCallDone() resets.
+  this->OnCallDone(this->calls.front()->ServerId(),
                    {BackendCallOutcome::kMayHaveRun,
                     {},
                     "it is not confirmed which start of the server responds"});
--- a/Services/Gateway/stream_versions.cc
+++ b/Services/Gateway/stream_versions.cc
@@ -112,26 +112,32 @@
 void StreamVersions::OnBegun(std::string_view request_id,
                              const StreamOrigin& origin,
                              const StreamServer& server) {
-  this->unconfirmed.push_back({std::string(request_id), origin, server});
-  this->ConfirmStarts();
+  Unconfirmed stream{std::string(request_id), origin, server};
+  if (!this->Resolve(stream)) {
+    this->unconfirmed.push_back(std::move(stream));
+  }
 }
 
 void StreamVersions::ConfirmStarts() {
-  for (const Unconfirmed& stream : std::exchange(this->unconfirmed, {})) {
-    switch (StartOf(this->environment.fleet, stream.server)) {
-      case StreamServerStart::kConfirmed:
-        this->OnBegun(stream.request_id, stream.origin);
-        break;
-      case StreamServerStart::kRefuted:
-        this->OnRefuted(stream);
-        break;
-      case StreamServerStart::kUnconfirmed:
-        this->unconfirmed.push_back(stream);
-        break;
-      case StreamServerStart::kGone:
-        break;
-    }
+  std::erase_if(this->unconfirmed, [this](const Unconfirmed& stream) {
+    return this->Resolve(stream);
+  });
+}
+
+bool StreamVersions::Resolve(const Unconfirmed& stream) {
+  switch (StartOf(this->environment.fleet, stream.server)) {
+    case StreamServerStart::kConfirmed:
+      this->OnBegun(stream.request_id, stream.origin);
+      return true;
+    case StreamServerStart::kRefuted:
+      this->OnRefuted(stream);
+      return true;
+    case StreamServerStart::kUnconfirmed:
+      return false;
+    case StreamServerStart::kGone:
+      break;
   }
+  return true;
 }
 
 void StreamVersions::OnRefuted(const Unconfirmed& stream) {
--- a/Services/Gateway/stream_versions.h
+++ b/Services/Gateway/stream_versions.h
@@ -94,6 +94,8 @@
     StreamServer server;
   };
 
+  // False while it is not confirmed which start of the server has answered.
+  bool Resolve(const Unconfirmed& stream);
   // The server of the stream may have been of another software version.
   void OnRefuted(const Unconfirmed& stream);
   // Another gateway may need a record of the stream.
